--- /dev/null
+++ b/packages/medlargate-ctl/medlargate_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line of medlargate."""
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what medlargate meets: platform, engines, plain services."""
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/demo.py
@@ -0,0 +1,193 @@
+"""One process with a node, engines, a plain service and a platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import secrets
+import signal
+import sys
+import time
+
+from medlargate._settings import Settings
+from medlargate.fleet import ConfigReplica, SeedFile
+from medlargate.gateway import (
+    Node,
+    compute_digest,
+    make_app,
+    make_server,
+    wait_started,
+)
+from starlette.types import ASGIApp
+
+from ._memory_store import StoreClient
+from .engine import Engine, make_engine_app
+from .platform import Platform, make_platform_app
+from .service import Service, make_service_app
+
+HOST = "127.0.0.1"
+
+
+class Servers:
+    """HTTP servers of one process, each on a port of its own."""
+
+    def __init__(self) -> None:
+        self._running: list[tuple] = []
+
+    async def start(self, app: ASGIApp, port: int = 0) -> int:
+        """Start a server and return its port."""
+        server = make_server(app, HOST, port, drain_timeout=1.0)
+        task = asyncio.create_task(server.serve())
+        started = asyncio.create_task(wait_started(server))
+        await asyncio.wait({task, started}, return_when=asyncio.FIRST_COMPLETED)
+        if not started.done():
+            started.cancel()
+            raise OSError(f"port {port} can't be opened")
+        self._running.append((server, task))
+        return started.result()
+
+    async def close(self) -> None:
+        """Stop all servers."""
+        for server, _ in reversed(self._running):
+            server.should_exit = True
+            server.force_exit = True
+        tasks = [task for _, task in self._running]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def make_demo_seed(
+    engine_ports: list[int], service_ports: list[int], secret: str, operator: str
+) -> SeedFile:
+    """Make the demo's configuration.
+
+    Parameters
+    ----------
+    engine_ports, service_ports : list of int
+        Where the stand-ins listen.
+    secret, operator : str
+        Secrets of the caller's and the operator's key.
+
+    Returns
+    -------
+    SeedFile
+        Two chat routes and two plain routes.
+    """
+    backends = {
+        f"engine-{index}": {
+            "address": HOST,
+            "port": port,
+            "pools": ["demo-model"],
+            "failure_domain": "fd-a",
+        }
+        for index, port in enumerate(engine_ports, 1)
+    }
+    for index, port in enumerate(service_ports, 1):
+        backends[f"service-{index}"] = {
+            "address": HOST,
+            "port": port,
+            "pools": ["booking"],
+            "failure_domain": "fd-a",
+            "kind": "plain",
+        }
+    plain = {"kind": "plain", "request_class": "interactive", "pool": "booking"}
+    return SeedFile.model_validate(
+        {
+            "customers": {"demo": {}},
+            "keys": {
+                "demo-key": {"customer": "demo", "digest": compute_digest(secret)},
+                "demo-operator": {
+                    "digest": compute_digest(operator),
+                    "role": "write",
+                },
+            },
+            "classes": {
+                "interactive": {"tier": 0},
+                "batch": {"tier": 3, "first_token": 20.0, "token_interval": 0.1},
+            },
+            "routes": {
+                "demo-chat": {"request_class": "interactive", "pool": "demo-model"},
+                "demo-batch": {"request_class": "batch", "pool": "demo-model"},
+                "catalogue": {**plain, "open": True},
+                "bookings": {**plain, "repeatable": False},
+            },
+            "backends": backends,
+        }
+    )
+
+
+async def seed_platform(platform: Platform, seed: SeedFile) -> None:
+    """Write a configuration into an embedded platform.
+
+    Parameters
+    ----------
+    platform : Platform
+        The stand-in.
+    seed : SeedFile
+        The configuration.
+    """
+    replica = ConfigReplica(time.monotonic)
+    store = StoreClient(platform.store)
+    done = await replica.commit(store, seed.make_operations(), change_id="seed")
+    done.unwrap()
+
+
+async def run_demo(port: int) -> None:
+    """Run the demo until SIGINT or SIGTERM.
+
+    Parameters
+    ----------
+    port : int
+        The node's TCP port; 0 for any.
+    """
+    servers = Servers()
+    platform = Platform()
+    platform_port = await servers.start(make_platform_app(platform))
+    engine_ports = [await servers.start(make_engine_app(Engine())) for _ in range(2)]
+    service_ports = [await servers.start(make_service_app(Service()))]
+    secret = "mlg-" + secrets.token_urlsafe(24)
+    operator = "mlg-op-" + secrets.token_urlsafe(24)
+    seed = make_demo_seed(engine_ports, service_ports, secret, operator)
+    await seed_platform(platform, seed)
+    settings = Settings.model_validate(
+        {
+            "node": {
+                "name": "demo",
+                "failure_domain": "fd-a",
+                "address": HOST,
+                "port": port or 1,
+            },
+            "platform": {"address": HOST, "port": platform_port},
+            "stop": {"balancer_delay": 0.0},
+        }
+    )
+    node = Node(settings)
+    await node.start()
+    try:
+        node_port = await servers.start(make_app(node), port)
+    except OSError as exc:
+        print(str(exc), file=sys.stderr)
+        await node.close()
+        await servers.close()
+        sys.exit(1)
+    while not node.ready:
+        await asyncio.sleep(0.01)
+    first = {
+        "address": f"http://{HOST}:{node_port}",
+        "key": secret,
+        "operator_key": operator,
+    }
+    print(json.dumps(first), flush=True)
+    await _wait_signal()
+    await node.drain()
+    await node.close()
+    with contextlib.suppress(asyncio.CancelledError):
+        await servers.close()
+
+
+async def _wait_signal() -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
--- /dev/null
+++ b/packages/medlargate/medlargate/__init__.py
@@ -0,0 +1,3 @@
+"""Router for language-model traffic with service levels and priorities."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/medlargate/medlargate/_settings.py
@@ -0,0 +1,291 @@
+"""Node settings: YAML in, checked once, faults named with file, line and field."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from ipaddress import IPv4Address, IPv6Address
+from pathlib import Path
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+Name = Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSection(_Section):
+    """Who this process is and where it listens."""
+
+    name: str = Name
+    failure_domain: str = Name
+    region: str = Field("default", pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+    address: IPv4Address | IPv6Address = Field(
+        description="IP number for callers and other nodes"
+    )
+    port: int = Field(8080, ge=1, le=65535, description="TCP port for HTTP")
+    fleet_port: int = Field(
+        0, ge=0, le=65535, description="UDP port of heartbeats; 0 means that of HTTP"
+    )
+    fleet_secret: str = Field(
+        "", description="shared secret that other nodes must present; empty: none"
+    )
+
+
+class PlatformSection(_Section):
+    """Where the platform's services are."""
+
+    address: IPv4Address | IPv6Address = Field(description="IP number")
+    port: int = Field(2379, ge=1, le=65535, description="TCP port")
+    timeout: float = Field(2.0, gt=0, le=60, description="seconds per call")
+
+
+class LimitsSection(_Section):
+    """Bounds on what one caller or one stop may take."""
+
+    max_body_bytes: int = Field(1_000_000, ge=1_000, le=100_000_000)
+    max_header_bytes: int = Field(16_384, ge=1_024, le=1_048_576)
+    body_timeout: float = Field(10.0, gt=0, le=300, description="seconds")
+    max_queue_length: int = Field(10_000, ge=1, le=1_000_000, description="requests")
+    max_label_values: int = Field(200, ge=1, le=10_000, description="per label")
+    max_decisions: int = Field(20_000, ge=100, le=1_000_000, description="records")
+
+
+class StopSection(_Section):
+    """Timing of a planned stop."""
+
+    balancer_delay: float = Field(2.0, ge=0, le=120, description="seconds")
+    drain_timeout: float = Field(60.0, gt=0, le=3600, description="seconds")
+
+
+class FleetSection(_Section):
+    """Timing of what the nodes share."""
+
+    heartbeat_interval: float = Field(1.0, gt=0, le=30, description="seconds")
+    suspect_timeout: float = Field(4.0, gt=0, le=120, description="seconds")
+    trust_timeout: float = Field(
+        4.0,
+        gt=0,
+        le=86_400,
+        description="seconds a key stays trusted without fresh word",
+    )
+    lease_timeout: float = Field(6.0, ge=1, le=300, description="seconds")
+    order_timeout: float = Field(2.0, gt=0, le=60, description="seconds")
+    usage_window: float = Field(60.0, ge=1, le=86_400, description="seconds")
+    usage_flush_interval: float = Field(5.0, gt=0, le=600, description="seconds")
+
+
+class LogSection(_Section):
+    """What is logged."""
+
+    level: str = Field("INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$")
+
+
+class Settings(_Section):
+    """All settings of one node."""
+
+    node: NodeSection
+    platform: PlatformSection
+    limits: LimitsSection = LimitsSection()
+    stop: StopSection = StopSection()
+    fleet: FleetSection = FleetSection()
+    log: LogSection = LogSection()
+
+
+@dataclass(frozen=True)
+class SettingsFault:
+    """One fault of a settings file.
+
+    Attributes
+    ----------
+    file : str
+        The file's path as given.
+    line : int
+        Line number from 1; 0 when the file could not be read.
+    field : str
+        Dotted name of the parameter.
+    message : str
+        What is allowed, and the value given.
+    """
+
+    file: str
+    line: int
+    field: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.field}: {self.message}"
+
+
+class SettingsError(Exception):
+    """A settings file has faults.
+
+    Parameters
+    ----------
+    faults : list of SettingsFault
+        All of them.
+    """
+
+    def __init__(self, faults: list[SettingsFault]) -> None:
+        super().__init__("\n".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+def find_line(root: yaml.Node | None, loc: tuple[int | str, ...]) -> int:
+    """Find the line of a field in a composed YAML document.
+
+    Parameters
+    ----------
+    root : yaml.Node or None
+        The document.
+    loc : tuple of int or str
+        Path of keys and indices, as pydantic reports it.
+
+    Returns
+    -------
+    int
+        Line from 1 of the deepest part of the path that exists.
+    """
+    line = 1
+    node = root
+    for step in loc:
+        match node:
+            case yaml.MappingNode():
+                found = [pair for pair in node.value if pair[0].value == str(step)]
+                if not found:
+                    return line
+                line = found[0][0].start_mark.line + 1
+                node = found[0][1]
+            case yaml.SequenceNode() if isinstance(step, int):
+                node = node.value[step]
+                line = node.start_mark.line + 1
+            case _:
+                return line
+    return line
+
+
+def make_faults(
+    file: str, root: yaml.Node | None, exc: ValidationError
+) -> list[SettingsFault]:
+    """Turn a pydantic error into faults with lines.
+
+    Parameters
+    ----------
+    file : str
+        Name of the file for the message.
+    root : yaml.Node or None
+        The composed document.
+    exc : pydantic.ValidationError
+        What was wrong.
+
+    Returns
+    -------
+    list of SettingsFault
+        One for each error, in the order of their lines.
+    """
+    faults = []
+    for error in exc.errors():
+        field = ".".join(str(step) for step in error["loc"]) or "(document)"
+        message = error["msg"]
+        if error["type"] != "missing":
+            message += f", got {error['input']!r}"
+        faults.append(
+            SettingsFault(file, find_line(root, error["loc"]), field, message)
+        )
+    return sorted(faults, key=lambda fault: fault.line)
+
+
+def check_model(text: str, file: str, model: type[BaseModel]) -> BaseModel:
+    """Check YAML text against a model.
+
+    Parameters
+    ----------
+    text : str
+        The document.
+    file : str
+        Its name for messages.
+    model : type of BaseModel
+        What it has to be.
+
+    Returns
+    -------
+    BaseModel
+        The checked model.
+
+    Raises
+    ------
+    SettingsError
+        With every fault at once.
+    """
+    try:
+        root = yaml.compose(text)
+        data = yaml.safe_load(text)
+    except yaml.YAMLError as exc:
+        mark = getattr(exc, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        fault = SettingsFault(file, line, "(document)", f"not YAML: {exc}")
+        raise SettingsError([fault]) from exc
+    try:
+        return model.model_validate({} if data is None else data)
+    except ValidationError as exc:
+        raise SettingsError(make_faults(file, root, exc)) from exc
+
+
+def check_settings(text: str, *, file: str = "settings") -> Settings:
+    """Check the text of a settings file.
+
+    Parameters
+    ----------
+    text : str
+        YAML.
+    file : str, default="settings"
+        Name for messages.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsError
+        With every fault: file, line, field, allowed range, value given.
+
+    Examples
+    --------
+    >>> check_settings("node: {port: 0}")  # doctest: +ELLIPSIS
+    Traceback (most recent call last):
+    ...
+    medlargate._settings.SettingsError: settings:1: node.name: Field required...
+    """
+    checked = check_model(text, file, Settings)
+    assert isinstance(checked, Settings)
+    return checked
+
+
+def read_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read or has faults.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        fault = SettingsFault(str(path), 0, "(file)", str(exc))
+        raise SettingsError([fault]) from exc
+    return check_settings(text, file=str(path))
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/_usage.py
@@ -0,0 +1,314 @@
+"""Usage counters of one node, kept per window and cumulative."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import orjson
+from pydantic import BaseModel
+from returns.result import Failure, Result, Success
+
+from ..platform import Compare, Put, Store, StoreError
+
+log = logging.getLogger(__name__)
+
+PREFIX = "medlargate/usage/"
+KEY_SEPARATOR = "\t"
+
+
+class Counts(BaseModel):
+    """What one customer used of one class in one window."""
+
+    requests: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+
+    def add(self, other: Counts) -> None:
+        """Add other counts to these.
+
+        Parameters
+        ----------
+        other : Counts
+            What to add.
+        """
+        self.requests += other.requests
+        self.prompt_tokens += other.prompt_tokens
+        self.cached_tokens += other.cached_tokens
+        self.output_tokens += other.output_tokens
+
+    def subtract(self, other: Counts) -> Counts:
+        """Compute the difference to other counts.
+
+        Parameters
+        ----------
+        other : Counts
+            What to take away.
+
+        Returns
+        -------
+        Counts
+            These minus the other ones.
+        """
+        return Counts(
+            requests=self.requests - other.requests,
+            prompt_tokens=self.prompt_tokens - other.prompt_tokens,
+            cached_tokens=self.cached_tokens - other.cached_tokens,
+            output_tokens=self.output_tokens - other.output_tokens,
+        )
+
+
+class Part(BaseModel):
+    """One node's cumulative counters of one window.
+
+    Notes
+    -----
+    Cumulative counters with a sequence number make every write and every copy
+    idempotent: of two parts of one node the one with the higher number holds all.
+    """
+
+    window: int
+    node: str
+    sequence: int = 0
+    rows: dict[str, Counts] = {}
+
+
+def make_part_key(window: int, node: str) -> str:
+    """Name the key of a part.
+
+    Parameters
+    ----------
+    window : int
+        The window's number.
+    node : str
+        The node with its incarnation.
+
+    Returns
+    -------
+    str
+        Key; parts of one window share a prefix.
+    """
+    return f"{PREFIX}part/{window:012d}/{node}"
+
+
+def make_row_key(customer: str, request_class: str) -> str:
+    """Name a row of a part.
+
+    Parameters
+    ----------
+    customer, request_class : str
+        What the row counts.
+
+    Returns
+    -------
+    str
+        The names with a separator.
+    """
+    return f"{customer}{KEY_SEPARATOR}{request_class}"
+
+
+def encode_part(part: Part) -> bytes:
+    """Encode a part for the store or a peer.
+
+    Parameters
+    ----------
+    part : Part
+        The part.
+
+    Returns
+    -------
+    bytes
+        JSON.
+    """
+    return orjson.dumps(part.model_dump())
+
+
+@dataclass
+class UsageLedger:
+    """Counters of this node, and copies of other nodes' that are not flushed yet.
+
+    Parameters
+    ----------
+    node : str
+        The node's name with its incarnation.
+    window_length : float
+        Seconds per window.
+    clock : callable
+        Returns seconds since the epoch.
+
+    Attributes
+    ----------
+    parts : dict of int to Part
+        Own counters by window.
+    copies : dict of (int, str) to Part
+        Newest copies of other nodes' parts.
+    """
+
+    node: str
+    window_length: float
+    clock: Callable[[], float]
+    parts: dict[int, Part] = field(default_factory=dict)
+    copies: dict[tuple[int, str], Part] = field(default_factory=dict)
+    _flushed: dict[tuple[int, str], int] = field(default_factory=dict)
+
+    def window_of(self, at: float) -> int:
+        """Return the window of a point in time.
+
+        Parameters
+        ----------
+        at : float
+            Seconds since the epoch.
+
+        Returns
+        -------
+        int
+            The window's number.
+        """
+        return int(at // self.window_length)
+
+    def observe(self, customer: str, request_class: str, counts: Counts) -> None:
+        """Count one finished request in the present window.
+
+        Parameters
+        ----------
+        customer, request_class : str
+            Whose request of which class.
+        counts : Counts
+            What it used.
+        """
+        window = self.window_of(self.clock())
+        part = self.parts.get(window)
+        if part is None:
+            part = self.parts[window] = Part(window=window, node=self.node)
+        row = part.rows.setdefault(make_row_key(customer, request_class), Counts())
+        row.add(counts)
+        part.sequence += 1
+
+    def observe_copy(self, part: Part) -> None:
+        """Keep a copy of another node's part.
+
+        Parameters
+        ----------
+        part : Part
+            Newer than the one kept, or ignored.
+        """
+        key = (part.window, part.node)
+        known = self.copies.get(key)
+        if known is None or known.sequence < part.sequence:
+            self.copies[key] = part
+
+    def unflushed(self) -> list[Part]:
+        """List own parts that the store does not have yet.
+
+        Returns
+        -------
+        list of Part
+            Oldest window first.
+        """
+        return [
+            part
+            for window, part in sorted(self.parts.items())
+            if self._flushed.get((window, part.node), 0) < part.sequence
+        ]
+
+    async def flush(
+        self, store: Store, parts: Iterable[Part]
+    ) -> Result[int, StoreError]:
+        """Write parts to the store, never replacing a newer one.
+
+        Parameters
+        ----------
+        store : Store
+            The key-value service.
+        parts : iterable of Part
+            Own parts, or copies of a dead node's.
+
+        Returns
+        -------
+        Result of int or StoreError
+            Number of parts written.
+        """
+        n_written = 0
+        for part in parts:
+            written = await flush_part(store, part)
+            if isinstance(written, Failure):
+                return written
+            n_written += written.unwrap()
+            key = (part.window, part.node)
+            self._flushed[key] = max(self._flushed.get(key, 0), part.sequence)
+            kept = self.copies.get(key)
+            if kept is not None and kept.sequence <= part.sequence:
+                del self.copies[key]
+        self._forget()
+        return Success(n_written)
+
+    def observe_flushed(self, window: int, node: str, sequence: int) -> None:
+        """Drop a copy that its node has flushed itself.
+
+        Parameters
+        ----------
+        window : int
+            The window's number.
+        node : str
+            The node with its incarnation.
+        sequence : int
+            What the store has.
+        """
+        kept = self.copies.get((window, node))
+        if kept is not None and kept.sequence <= sequence:
+            del self.copies[window, node]
+
+    def flushed(self) -> list[tuple[int, str, int]]:
+        """List what this node has flushed of its own parts.
+
+        Returns
+        -------
+        list of (int, str, int)
+            Window, node and sequence number.
+        """
+        return [(window, node, n) for (window, node), n in self._flushed.items()]
+
+    def _forget(self) -> None:
+        """Drop own parts of past windows that are flushed."""
+        present = self.window_of(self.clock())
+        for window in [w for w in self.parts if w < present - 1]:
+            key = (window, self.parts[window].node)
+            if self._flushed.get(key, 0) >= self.parts[window].sequence:
+                del self.parts[window]
+        for key in [k for k in self._flushed if k[0] < present - 60]:
+            del self._flushed[key]
+
+
+async def flush_part(store: Store, part: Part) -> Result[bool, StoreError]:
+    """Write one part unless the store has a newer one.
+
+    Parameters
+    ----------
+    store : Store
+        The key-value service.
+    part : Part
+        What to write.
+
+    Returns
+    -------
+    Result of bool or StoreError
+        False when the store had as much already.
+    """
+    key = make_part_key(part.window, part.node)
+    body = encode_part(part)
+    created = await store.write([Compare(key, 0)], [Put(key, body)], reads=[key])
+    if isinstance(created, Failure) or created.unwrap().succeeded:
+        return created.map(lambda _: True)
+    while True:
+        entries = created.unwrap().entries
+        if not entries:
+            return await flush_part(store, part)
+        known = Part.model_validate_json(entries[0].value)
+        if known.sequence >= part.sequence:
+            return Success(False)
+        compare = Compare(key, entries[0].mod_revision)
+        created = await store.write([compare], [Put(key, body)], reads=[key])
+        if isinstance(created, Failure) or created.unwrap().succeeded:
+            return created.map(lambda _: True)
--- /dev/null
+++ b/packages/medlargate/medlargate/gateway/_app.py
@@ -0,0 +1,516 @@
+"""The node's HTTP interface: callers, operators' probes, metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+
+import xxhash
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route as HttpRoute
+
+from ..fleet import Route
+from ..policy import Job, Refusal, Verdict, compute_work, make_fingerprint
+from ..telemetry import RequestTrace
+from ._answers import REQUEST_HEADER, RUN_HEADER, make_error, make_refusal_response
+from ._caller import OPEN_CUSTOMER, Caller, authenticate
+from ._chat import call_chat, stream_chat
+from ._exchange import Exchange
+from ._node import Node
+from ._plain import SAFE_METHODS, call_plain, make_plain_call, make_plain_response
+from ._relay_response import RelayResponse
+from ._requests import check_headers, count_prompt, parse_chat, read_body
+
+log = logging.getLogger(__name__)
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+TRUST_RETRY_AFTER = 2.0  # seconds
+
+Handler = Callable[[Node, Request, str], Awaitable[Response]]
+
+
+def identify(node: Node, req: Request) -> Caller | None:
+    """Find the caller when a credential is present.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    req : Request
+        The request.
+
+    Returns
+    -------
+    Caller or None
+        None without a credential, which only open routes allow.
+
+    Raises
+    ------
+    Refusal
+        401 for a credential that is not valid.
+    """
+    if "authorization" not in req.headers:
+        return None
+    return authenticate(node.replica.config, req.headers)
+
+
+def check_access(
+    node: Node, caller: Caller | None, route_name: str, route: Route | None
+) -> Caller:
+    """Check that a caller may reach a route.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    caller : Caller or None
+        From ``identify``.
+    route_name : str
+        What the caller named.
+    route : Route or None
+        Its configuration.
+
+    Returns
+    -------
+    Caller
+        The caller, or the anonymous one on an open route.
+
+    Raises
+    ------
+    Refusal
+        401, 403, 404, or 503 while keys can't be trusted.
+    """
+    if route is not None and route.open:
+        return caller or Caller(OPEN_CUSTOMER, "")
+    if caller is None:
+        raise Refusal(401, "invalid_key", "a valid bearer key is required")
+    if not node.trusts_keys():
+        raise Refusal(
+            503,
+            "keys_unverified",
+            "not run: this node can't learn whether the key was withdrawn",
+            retry_after=TRUST_RETRY_AFTER,
+        )
+    if route is None:
+        raise Refusal(404, "unknown_route", f"{route_name!r} does not exist")
+    allowed = node.replica.config.customers[caller.customer].routes
+    if allowed and route_name not in allowed:
+        raise Refusal(403, "forbidden_route", f"{route_name!r} is not allowed")
+    return caller
+
+
+def make_exchange(
+    node: Node,
+    caller: Caller,
+    route_name: str,
+    route: Route,
+    *,
+    request_id: str,
+    body: bytes,
+    prompt_tokens: int = 0,
+    prefix: str = "",
+    repeatable: bool = True,
+) -> Exchange:
+    """Make the state of an admitted request.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    caller : Caller
+        Who asks.
+    route_name : str
+        What the caller named.
+    route : Route
+        Its configuration.
+    request_id : str
+        Identifies the request.
+    body : bytes
+        For the fingerprint.
+    prompt_tokens : int, default=0
+        Estimated length of the prompt.
+    prefix : str, default=""
+        Beginning of the prompt.
+    repeatable : bool, default=True
+        The call is idempotent.
+
+    Returns
+    -------
+    Exchange
+        Registered with the node.
+
+    Raises
+    ------
+    Refusal
+        422 while the request is quarantined.
+    """
+    now = time.monotonic()
+    request_class = node.replica.config.classes[route.request_class]
+    fingerprint = make_fingerprint(caller.customer, route_name, body)
+    crash = node.crashes.decide(fingerprint, now)
+    if not crash.run:
+        raise Refusal(
+            422,
+            "quarantined",
+            "not run: this request crashed backend servers",
+            retry_after=crash.retry_after,
+            reasons={"fingerprint": fingerprint},
+        )
+    job = Job(
+        request_id=request_id,
+        customer=caller.customer,
+        class_name=route.request_class,
+        pool=route.pool,
+        tier=request_class.tier,
+        arrived_at=now,
+        deadline=now + request_class.first_token,
+        weight=caller.weight,
+        token_interval=request_class.token_interval,
+        work=estimate_work(node, caller, route_name, route, prompt_tokens),
+        min_share=request_class.min_share,
+        repeatable=repeatable,
+        cheap_allowed=route.cheap and repeatable,
+        prefix=xxhash.xxh64_intdigest(prefix.encode()) if prefix else 0,
+        prompt_tokens=prompt_tokens,
+        fingerprint=fingerprint,
+        isolated=crash.isolated,
+    )
+    trace = RequestTrace(
+        request_id, caller.customer, route.request_class, route_name, time.time()
+    )
+    exch = Exchange(
+        request_id, caller, route_name, route, request_class, job, trace, now
+    )
+    exch.record("admission", tier=job.tier, work=round(job.work, 1), key=caller.key)
+    node.decisions.observe_request(trace)
+    node.n_active += 1
+    return exch
+
+
+def estimate_work(
+    node: Node, caller: Caller, route_name: str, route: Route, prompt_tokens: int
+) -> float:
+    """Estimate the work that a request will cause.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    caller : Caller
+        Who asks.
+    route_name : str
+        On which route.
+    route : Route
+        Its configuration.
+    prompt_tokens : int
+        Length of the prompt.
+
+    Returns
+    -------
+    float
+        Output-token equivalents; 1 for a call of a plain service.
+    """
+    if route.kind == "plain":
+        return 1.0
+    output = node.estimator.decide(caller.customer, route_name)
+    return compute_work(prompt_tokens, 0, output)
+
+
+async def serve_chat(node: Node, req: Request, request_id: str) -> Response:
+    """Serve ``POST /v1/chat/completions``.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    req : Request
+        The request.
+    request_id : str
+        Identifies it.
+
+    Returns
+    -------
+    Response
+        A whole or streamed answer.
+    """
+    caller = identify(node, req)
+    body = await read_body(req, node.settings.limits)
+    chat, document = parse_chat(body)
+    route = node.replica.config.routes.get(chat.model)
+    if route is not None and route.kind != "chat":
+        route = None
+    caller = check_access(node, caller, chat.model, route)
+    assert route is not None
+    prompt_tokens, prefix = count_prompt(chat)
+    exch = make_exchange(
+        node,
+        caller,
+        chat.model,
+        route,
+        request_id=request_id,
+        body=body,
+        prompt_tokens=prompt_tokens,
+        prefix=prefix,
+    )
+    if chat.stream:
+        options = chat.stream_options
+        with_usage = bool(options and options.include_usage)
+        return await _start_stream(node, exch, document, with_usage)
+    return await finish_exchange(node, exch, req, _whole_chat(node, exch, document))
+
+
+async def _whole_chat(node: Node, exch: Exchange, document: dict) -> Response:
+    raw = await call_chat(node, exch, document)
+    headers = {RUN_HEADER: str(Verdict.RAN), REQUEST_HEADER: exch.request_id}
+    return Response(raw, 200, headers, media_type="application/json")
+
+
+async def _start_stream(
+    node: Node, exch: Exchange, document: dict, with_usage: bool
+) -> Response:
+    """Wait for the first events, so that refusals still have a status of their own."""
+    lines = stream_chat(node, exch, document, with_usage=with_usage)
+    try:
+        first = await anext(lines)
+    except Refusal as exc:
+        node.observe_end(exch, exc.code)
+        raise
+    except BaseException:
+        node.observe_end(exch, "caller_gone")
+        raise
+
+    async def all_lines():
+        yield first
+        async for events in lines:
+            yield events
+
+    def on_end(cause: BaseException | None) -> bytes:
+        if cause is None:
+            node.observe_end(exch, "ok")
+            return b""
+        if isinstance(cause, Refusal):
+            node.observe_end(exch, cause.code)
+            return _make_error_event(cause)
+        if isinstance(cause, Exception):
+            node.observe_end(exch, "internal_error")
+            refusal = exch.make_failure(500, "internal_error", "the router failed")
+            return _make_error_event(refusal)
+        node.observe_end(exch, "caller_gone")
+        return b""
+
+    headers = {REQUEST_HEADER: exch.request_id, "Cache-Control": "no-cache"}
+    return RelayResponse(all_lines(), headers=headers, on_end=on_end)
+
+
+def _make_error_event(refusal: Refusal) -> bytes:
+    return b"data: " + JSONResponse(make_error(refusal)).body + b"\n\n"
+
+
+async def finish_exchange(
+    node: Node, exch: Exchange, req: Request, work: Awaitable[Response]
+) -> Response:
+    """Run a request to its end, or until its caller goes away.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    exch : Exchange
+        The request.
+    req : Request
+        For the caller's disconnect.
+    work : awaitable of Response
+        The request's work.
+
+    Returns
+    -------
+    Response
+        What the caller gets.
+    """
+    task = asyncio.ensure_future(work)
+    watcher = asyncio.ensure_future(_cancel_on_disconnect(req, task, exch))
+    try:
+        resp = await task
+        node.observe_end(exch, "ok")
+        return resp
+    except Refusal as exc:
+        node.observe_end(exch, exc.code)
+        raise
+    except asyncio.CancelledError:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        node.observe_end(exch, "caller_gone")
+        raise exch.make_failure(499, "caller_gone", "the caller went away") from None
+    finally:
+        watcher.cancel()
+
+
+async def _cancel_on_disconnect(req: Request, task, exch: Exchange) -> None:
+    while (await req.receive())["type"] != "http.disconnect":
+        pass
+    # A non-idempotent call that was sent is left to finish: cutting it saves no work.
+    if exch.job.repeatable or exch.verdict is Verdict.NOT_RUN:
+        task.cancel()
+
+
+async def serve_plain(node: Node, req: Request, request_id: str) -> Response:
+    """Serve ``/routes/{name}/...``.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    req : Request
+        The request.
+    request_id : str
+        Identifies it.
+
+    Returns
+    -------
+    Response
+        The plain service's answer.
+    """
+    caller = identify(node, req)
+    name = req.path_params["name"]
+    route = node.replica.config.routes.get(name)
+    if route is not None and route.kind != "plain":
+        route = None
+    caller = check_access(node, caller, name, route)
+    assert route is not None
+    body = await read_body(req, node.settings.limits)
+    path = req.path_params["path"]
+    call = make_plain_call(req, path, body)
+    exch = make_exchange(
+        node,
+        caller,
+        name,
+        route,
+        request_id=request_id,
+        body=f"{req.method} {path}?{call.query}\n".encode() + body,
+        repeatable=route.repeatable or req.method in SAFE_METHODS,
+    )
+
+    async def run() -> Response:
+        return make_plain_response(exch, await call_plain(node, exch, call))
+
+    return await finish_exchange(node, exch, req, run())
+
+
+async def serve_models(node: Node, req: Request, request_id: str) -> Response:
+    """Serve ``GET /v1/models``: the chat routes that the caller may reach.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    req : Request
+        The request.
+    request_id : str
+        Unused.
+
+    Returns
+    -------
+    Response
+        A list in OpenAI's shape.
+    """
+    caller = identify(node, req)
+    if caller is None:
+        raise Refusal(401, "invalid_key", "a valid bearer key is required")
+    allowed = node.replica.config.customers[caller.customer].routes
+    rows = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "medlargate"}
+        for name, route in node.replica.config.routes.items()
+        if route.kind == "chat" and (not allowed or name in allowed)
+    ]
+    return JSONResponse({"object": "list", "data": rows})
+
+
+def make_endpoint(node: Node, handler: Handler):
+    """Wrap a handler: name the request, check its head, answer refusals.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    handler : callable
+        Gets the node, the request and its id.
+
+    Returns
+    -------
+    callable
+        Endpoint for starlette.
+    """
+
+    async def endpoint(req: Request) -> Response:
+        request_id = secrets.token_hex(12)
+        try:
+            check_headers(req, node.settings.limits)
+            resp = await handler(node, req, request_id)
+        except Refusal as exc:
+            resp = make_refusal_response(exc, request_id)
+            # What is left of the body can't be skipped safely.
+            if exc.status in (408, 413, 431):
+                resp.headers["Connection"] = "close"
+        except Exception:
+            log.exception("request failed", extra={"request": request_id})
+            refusal = Refusal(
+                500, "internal_error", "the router failed", Verdict.MAY_HAVE_RUN
+            )
+            resp = make_refusal_response(refusal, request_id)
+        if not node.ready:
+            resp.headers["Connection"] = "close"
+        return resp
+
+    return endpoint
+
+
+def make_app(node: Node, extra: list[HttpRoute] | None = None) -> Starlette:
+    """Make the node's HTTP application.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    extra : list of starlette Route, optional
+        Further endpoints, for operators and other nodes.
+
+    Returns
+    -------
+    Starlette
+        The application.
+    """
+
+    async def healthz(_: Request) -> Response:
+        return JSONResponse({"state": node.states.state})
+
+    async def readyz(_: Request) -> Response:
+        status = 200 if node.ready else 503
+        return JSONResponse({"ready": node.ready}, status)
+
+    async def metrics(_: Request) -> Response:
+        return Response(node.metrics.snapshot(), media_type="text/plain")
+
+    return Starlette(
+        routes=[
+            HttpRoute("/healthz", healthz),
+            HttpRoute("/readyz", readyz),
+            HttpRoute("/metrics", metrics),
+            HttpRoute(
+                "/v1/chat/completions",
+                make_endpoint(node, serve_chat),
+                methods=["POST"],
+            ),
+            HttpRoute("/v1/models", make_endpoint(node, serve_models)),
+            HttpRoute(
+                "/routes/{name}/{path:path}",
+                make_endpoint(node, serve_plain),
+                methods=METHODS,
+            ),
+            *(extra or []),
+        ],
+    )
--- /dev/null
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -0,0 +1,371 @@
+"""One node: its state, its tasks, its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from returns.pipeline import is_successful
+
+from .._settings import Settings
+from ..charts import Subject, load_chart
+from ..fleet import ConfigReplica, Counts, Record, UsageLedger
+from ..platform import HttpStore, PlatformClient
+from ..policy import CrashTracker, OutputEstimator, RetryBudget, Verdict
+from ..telemetry import DecisionLog, Metrics
+from ._backend_client import BackendFault, is_alive, make_session
+from ._caller import is_withdrawn
+from ._chat import measure_work
+from ._dispatcher import Dispatcher
+from ._exchange import Exchange
+from ._watchdog import Watchdog
+
+log = logging.getLogger(__name__)
+
+SYNC_INTERVAL = 0.5  # seconds
+CRASH_MEMORY = 1.0  # seconds
+
+
+def read_boot_clock() -> float:
+    """Read a clock that counts the time while the machine was suspended.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Node:
+    """Everything that one process of the fleet owns.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.name = settings.node.name
+        self.incarnation = f"{self.name}-{secrets.token_hex(4)}"
+        self.states = Subject(load_chart("node"))
+        self.replica = ConfigReplica(read_boot_clock)
+        self.dispatcher = Dispatcher(
+            settings.node.failure_domain,
+            max_queue_length=settings.limits.max_queue_length,
+        )
+        self.watchdog = Watchdog()
+        self.budget = RetryBudget()
+        self.crashes = CrashTracker()
+        self.estimator = OutputEstimator()
+        self.metrics = Metrics(max_label_values=settings.limits.max_label_values)
+        self.decisions = DecisionLog(max_requests=settings.limits.max_decisions)
+        self.usage = UsageLedger(
+            self.incarnation, settings.fleet.usage_window, time.time
+        )
+        self.n_active = 0
+        self.session: aiohttp.ClientSession
+        self.store: HttpStore
+        self.platform: PlatformClient
+        self._platform_session: aiohttp.ClientSession
+        self._tasks: list[asyncio.Task] = []
+        self._investigations: dict[str, asyncio.Task[bool]] = {}
+        self.replica.add_listener(self._observe_record)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return bool(self.states.attributes["ready"])
+
+    # Life
+
+    async def start(self) -> None:
+        """Open connections and start the node's tasks."""
+        self.session = make_session()
+        self._platform_session = aiohttp.ClientSession()
+        platform = self.settings.platform
+        url = f"http://{platform.address}:{platform.port}"
+        self.store = HttpStore(self._platform_session, url, timeout=platform.timeout)
+        self.platform = PlatformClient(
+            self._platform_session, url, timeout=platform.timeout
+        )
+        self._spawn(self.dispatcher.run)
+        self._spawn(self.watchdog.run)
+        self._spawn(self._run_sync)
+        self._spawn(self._run_flush)
+
+    def _spawn(self, job: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(_log_failure(job)))
+
+    async def close(self) -> None:
+        """Flush what is owed and end the node's tasks."""
+        await self.flush_usage()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.session.close()
+        await self._platform_session.close()
+        self.metrics.close()
+
+    async def _run_sync(self) -> None:
+        while True:
+            await self.sync()
+            await asyncio.sleep(SYNC_INTERVAL)
+
+    async def sync(self) -> bool:
+        """Take in the store's configuration.
+
+        Returns
+        -------
+        bool
+            False when the store did not answer.
+        """
+        done = is_successful(await self.replica.sync(self.store))
+        if done and self.states.state == "starting":
+            self.states.observe("configured")
+        return done
+
+    async def _run_flush(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.fleet.usage_flush_interval)
+            await self.flush_usage()
+
+    async def flush_usage(self) -> None:
+        """Write this node's counters to the store."""
+        await self.usage.flush(self.store, self.usage.unflushed())
+
+    # Facts
+
+    def _observe_record(self, record: Record) -> None:
+        self.dispatcher.observe_config(self.replica.config)
+        if any(op.kind == "key" for op in record.operations) or not record.operations:
+            self._end_withdrawn()
+        log.info(
+            "configuration changed",
+            extra={"revision": record.revision, "author": record.author},
+        )
+
+    def _end_withdrawn(self) -> None:
+        """Break off the repeatable requests whose keys are gone."""
+        for exch in self.watchdog.exchanges():
+            if exch.job.repeatable and is_withdrawn(self.replica.config, exch.caller):
+                exch.withdrawn = True
+                self.watchdog.close(exch.request_id)
+
+    def observe_first_token(self, exch: Exchange, elapsed: float) -> None:
+        """Take in a measured time to the first token.
+
+        Parameters
+        ----------
+        exch : Exchange
+            The request.
+        elapsed : float
+            Seconds since it was sent to the backend server.
+        """
+        view = self.dispatcher.views.get(exch.backend)
+        if view is not None:
+            view.observe_first_token(elapsed)
+
+    def release(self, exch: Exchange, *, done: bool) -> None:
+        """Give back a request's slot and take in what it measured.
+
+        Parameters
+        ----------
+        exch : Exchange
+            The request.
+        done : bool
+            Its answer came to its end.
+        """
+        now = time.monotonic()
+        view = self.dispatcher.views.get(exch.backend)
+        interval = exch.interval()
+        if view is not None and interval is not None and exch.n_attempts == 1:
+            view.observe_interval(interval, target=exch.job.token_interval, now=now)
+        work = measure_work(exch) if done and exch.n_tokens else None
+        self.dispatcher.release(exch.job, work=work, done=done)
+        if done:
+            self.budget.observe_success()
+            self.crashes.observe_success(exch.job.fingerprint)
+
+    async def observe_fault(
+        self, exch: Exchange, backend: str, fault: BackendFault
+    ) -> None:
+        """Take in a failed attempt and find out whether the server crashed.
+
+        Parameters
+        ----------
+        exch : Exchange
+            The request.
+        backend : str
+            Where the attempt ran.
+        fault : BackendFault
+            What was seen.
+        """
+        exch.record("fault", backend=backend, fault=fault.kind, message=fault.message)
+        if exch.preempted or exch.withdrawn:
+            return
+        now = time.monotonic()
+        scheduler = self.dispatcher.pools[exch.job.pool]
+        if fault.kind == "connect":
+            scheduler.observe_failure(backend, now)
+        if fault.kind == "broken" and not exch.stalled:
+            await self._investigate(backend)
+
+    async def _investigate(self, backend: str) -> bool:
+        """Ask once for all requests of a server whether it still answers."""
+        task = self._investigations.get(backend)
+        if task is None:
+            task = asyncio.create_task(self._probe(backend))
+            self._investigations[backend] = task
+            task.add_done_callback(
+                lambda _: asyncio.get_running_loop().call_later(
+                    CRASH_MEMORY, self._investigations.pop, backend, None
+                )
+            )
+        return await asyncio.shield(task)
+
+    async def _probe(self, backend: str) -> bool:
+        running = self.dispatcher.fingerprints_on(backend)
+        if await is_alive(self.session, self.backend_url(backend)):
+            return False
+        view = self.dispatcher.views.get(backend)
+        leaving = view is None or view.state in ("leaving", "gone")
+        now = time.monotonic()
+        marked = self.crashes.observe_crash(
+            backend,
+            running,
+            now=now,
+            domain=view.failure_domain if view else "",
+            announced=leaving,
+        )
+        if view is not None:
+            view.down_until = now + CRASH_MEMORY
+        self.decisions.observe_event(
+            time.time(), "backend_crash", backend, f"{len(marked)} requests marked"
+        )
+        log.warning("backend server crashed", extra={"backend": backend})
+        await self.share_marks(backend, marked)
+        return True
+
+    async def share_marks(self, backend: str, marked: list[str]) -> None:
+        """Tell the other nodes which requests are suspects.
+
+        Parameters
+        ----------
+        backend : str
+            The server that crashed.
+        marked : list of str
+            Fingerprints.
+        """
+
+    def observe_end(self, exch: Exchange, outcome: str) -> None:
+        """Take in the end of a request: usage, metrics, log.
+
+        Parameters
+        ----------
+        exch : Exchange
+            The request.
+        outcome : str
+            ``"ok"`` or a refusal's code.
+        """
+        if exch.finished:
+            return
+        exch.finished = True
+        self.n_active -= 1
+        exch.trace.outcome = outcome
+        exch.trace.verdict = str(exch.verdict)
+        if exch.n_tokens or outcome == "ok":
+            counts = Counts(
+                requests=int(outcome == "ok"),
+                prompt_tokens=exch.prompt_tokens,
+                cached_tokens=exch.cached_tokens,
+                output_tokens=exch.n_tokens,
+            )
+            self.usage.observe(exch.caller.customer, exch.route.request_class, counts)
+        if outcome == "ok" and exch.route.kind == "chat":
+            self.estimator.observe(exch.caller.customer, exch.route_name, exch.n_tokens)
+        first = exch.first_token_at
+        self.metrics.observe_request(
+            customer=exch.caller.customer,
+            request_class=exch.route.request_class,
+            outcome=outcome,
+            queue_wait=exch.queue_wait,
+            first_token=first - exch.started_at if first is not None else None,
+            interval=exch.interval(),
+            n_tokens=exch.n_tokens,
+        )
+        exch.log_end(outcome)
+
+    def trusts_keys(self) -> bool:
+        """Tell whether keys are known to be in force.
+
+        Returns
+        -------
+        bool
+            False when a withdrawal could have been accepted unheard.
+        """
+        age = read_boot_clock() - self.replica.confirmed_at
+        return age <= self.settings.fleet.trust_timeout
+
+    def backend_url(self, name: str) -> str:
+        """Return a backend server's base address.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+
+        Returns
+        -------
+        str
+            URL.
+        """
+        backend = self.replica.config.backends.get(name)
+        if backend is None:
+            raise_gone(name)
+        return backend.url
+
+    # Planned stop
+
+    async def drain(self) -> None:
+        """Turn readiness off and wait until the balancer has noticed."""
+        if self.states.chart.allows(self.states.state, "stop"):
+            self.states.observe("stop")
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(self.settings.stop.balancer_delay)
+
+
+def raise_gone(name: str) -> None:
+    """Fail an attempt on a backend server that was deleted meanwhile.
+
+    Parameters
+    ----------
+    name : str
+        The server.
+
+    Raises
+    ------
+    BackendFault
+        Always; nothing was sent.
+    """
+    raise BackendFault("connect", f"backend server {name} is gone", Verdict.NOT_RUN)
+
+
+async def _log_failure(job: Callable[[], Awaitable[None]]) -> None:
+    """Run a task of the node; a failure is logged and the task started again."""
+    while True:
+        try:
+            await job()
+            return
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception("a task failed and starts again")
+            await asyncio.sleep(1.0)
--- /dev/null
+++ b/packages/medlargate/medlargate/gateway/_plain.py
@@ -0,0 +1,214 @@
+"""Calls of plain services."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from ..policy import Verdict, decide_retry
+from ._answers import REQUEST_HEADER, RUN_HEADER
+from ._backend_client import BackendFault, open_call
+from ._caller import CREDENTIAL_HEADERS
+from ._chat import FAULT_EVENTS, acquire
+from ._exchange import Exchange
+
+if TYPE_CHECKING:
+    from ._node import Node
+
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+CALL_TIMEOUT = 60.0  # seconds
+MAX_ANSWER_BYTES = 16_777_216
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "date",
+        "server",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlainCall:
+    """A call of a plain service.
+
+    Attributes
+    ----------
+    method, path, query : str
+        The call below its route.
+    headers : dict of str to str
+        Without credentials and hop-by-hop headers.
+    body : bytes
+        The whole body.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """A plain service's whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : dict of str to str
+        Without hop-by-hop headers.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def make_plain_call(req: Request, path: str, body: bytes) -> PlainCall:
+    """Take over a caller's request without what must not be passed on.
+
+    Parameters
+    ----------
+    req : Request
+        The caller's request.
+    path : str
+        Path below the route.
+    body : bytes
+        The whole body.
+
+    Returns
+    -------
+    PlainCall
+        What the backend server gets.
+    """
+    dropped = HOP_HEADERS | CREDENTIAL_HEADERS
+    named = req.headers.get("connection", "").lower().split(",")
+    dropped |= {name.strip() for name in named}
+    headers = {k: v for k, v in req.headers.items() if k not in dropped}
+    return PlainCall(req.method, path, req.url.query, headers, body)
+
+
+async def call_plain(node: Node, exch: Exchange, call: PlainCall) -> PlainAnswer:
+    """Execute a call on a backend server.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    exch : Exchange
+        The request.
+    call : PlainCall
+        What to call.
+
+    Returns
+    -------
+    PlainAnswer
+        The service's whole answer.
+
+    Raises
+    ------
+    Refusal
+        The request ends without an answer; its verdict says whether it ran.
+    """
+    while True:
+        assignment = await acquire(node, exch)
+        fault: BackendFault | None = None
+        try:
+            return await _attempt(node, exch, call, assignment.backend)
+        except BackendFault as exc:
+            fault = exc
+            await node.observe_fault(exch, assignment.backend, exc)
+        finally:
+            node.release(exch, done=fault is None)
+        _decide_next(node, exch, fault)
+
+
+async def _attempt(
+    node: Node, exch: Exchange, call: PlainCall, backend: str
+) -> PlainAnswer:
+    query = f"?{call.query}" if call.query else ""
+    url = f"{node.backend_url(backend)}/{call.path}{query}"
+    sent_at = time.monotonic()
+    exch.states.observe("write")
+    headers = {**call.headers, "X-Request-Id": exch.request_id}
+    async with open_call(
+        node.session,
+        call.method,
+        url,
+        headers=headers,
+        body=call.body,
+        head_timeout=CALL_TIMEOUT,
+    ) as resp:
+        echoed = resp.headers.get("X-Request-Id", exch.request_id)
+        if echoed != exch.request_id:
+            message = "the answer belongs to another request"
+            raise BackendFault("invalid", message, Verdict.MAY_HAVE_RUN)
+        with node.watchdog.watch(exch, resp, CALL_TIMEOUT):
+            body = await resp.content.read(MAX_ANSWER_BYTES)
+            while more := await resp.content.read(MAX_ANSWER_BYTES):
+                body += more
+        headers = {
+            k: v for k, v in resp.headers.items() if k.lower() not in HOP_HEADERS
+        }
+        answer = PlainAnswer(resp.status, headers, body)
+    node.observe_first_token(exch, time.monotonic() - sent_at)
+    exch.observe_progress(time.monotonic())
+    exch.states.observe("finish")
+    return answer
+
+
+def _decide_next(node: Node, exch: Exchange, fault: BackendFault) -> None:
+    exch.states.observe(FAULT_EVENTS.get(fault.kind, "resend"))
+    exch.job.excluded.add(exch.backend)
+    decision = decide_retry(
+        exch.job,
+        fault.verdict,
+        n_attempts=exch.n_attempts,
+        budget=node.budget,
+        now=time.monotonic(),
+    )
+    exch.record("retry", again=decision.again, reason=decision.reason, fault=fault.kind)
+    if not decision.again:
+        message = f"backend server failed: {fault.message} ({decision.reason})"
+        raise exch.make_failure(502, f"backend_{fault.kind}", message)
+    node.metrics.observe_retry(fault.kind)
+
+
+def make_plain_response(exch: Exchange, answer: PlainAnswer) -> Response:
+    """Make the caller's response from a service's answer.
+
+    Parameters
+    ----------
+    exch : Exchange
+        The request.
+    answer : PlainAnswer
+        What the service answered.
+
+    Returns
+    -------
+    Response
+        The same status, headers and body, with the verdict.
+    """
+    resp = Response(answer.body, answer.status)
+    for name, value in answer.headers.items():
+        resp.headers[name] = value
+    resp.headers[RUN_HEADER] = str(Verdict.RAN)
+    resp.headers[REQUEST_HEADER] = exch.request_id
+    return resp
--- /dev/null
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -0,0 +1,37 @@
+"""Pure decisions: admission, fairness, limits, routing, retries, quarantine."""
+
+from ._backends import BackendView, decide_ejections
+from ._choice import decide_backend
+from ._crashes import CrashDecision, CrashTracker, make_fingerprint
+from ._estimates import OutputEstimator
+from ._fairness import FairQueue
+from ._limits import ConcurrencyLimit
+from ._retries import RetryBudget, RetryDecision, decide_retry
+from ._scheduler import PoolScheduler
+from ._types import Assignment, Candidate, Job, Preemption, Shed, compute_work
+from ._verdict import Refusal, RequestStates, Verdict
+
+__all__ = [
+    "Assignment",
+    "BackendView",
+    "Candidate",
+    "ConcurrencyLimit",
+    "CrashDecision",
+    "CrashTracker",
+    "FairQueue",
+    "Job",
+    "OutputEstimator",
+    "PoolScheduler",
+    "Preemption",
+    "Refusal",
+    "RequestStates",
+    "RetryBudget",
+    "RetryDecision",
+    "Shed",
+    "Verdict",
+    "compute_work",
+    "decide_backend",
+    "decide_ejections",
+    "decide_retry",
+    "make_fingerprint",
+]
--- /dev/null
+++ b/packages/medlargate/medlargate/policy/_demand.py
@@ -0,0 +1,140 @@
+"""Rates and peaks that the scheduler needs to look ahead."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+RATE_WINDOW = 5.0  # seconds
+PEAK_HALF_LIFE = 60.0  # seconds
+DURATION_SMOOTHING = 0.05
+
+
+@dataclass(slots=True)
+class DecayingRate:
+    """Events per second with exponential forgetting.
+
+    Attributes
+    ----------
+    value : float
+        Events per second at ``at``.
+    at : float
+        Time of the last event, seconds.
+    """
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def observe(self, now: float) -> None:
+        """Take in one event.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.value = self.decide(now) + 1 / RATE_WINDOW
+        self.at = now
+
+    def decide(self, now: float) -> float:
+        """Return the rate.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            Events per second.
+        """
+        return self.value * math.exp((self.at - now) / RATE_WINDOW)
+
+
+@dataclass(slots=True)
+class DecayingPeak:
+    """The recent maximum of a level, halved every ``PEAK_HALF_LIFE``.
+
+    Attributes
+    ----------
+    value : float
+        The peak at ``at``.
+    at : float
+        Time of the last sample, seconds.
+    """
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def observe(self, level: float, now: float) -> None:
+        """Take in a level.
+
+        Parameters
+        ----------
+        level : float
+            Any unit.
+        now : float
+            Seconds.
+        """
+        self.value = max(level, self.decide(now))
+        self.at = now
+
+    def decide(self, now: float) -> float:
+        """Return the peak.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            In the level's unit.
+        """
+        return self.value * 0.5 ** ((now - self.at) / PEAK_HALF_LIFE)
+
+
+@dataclass(slots=True)
+class TierDemand:
+    """What one tier asks of a pool.
+
+    Attributes
+    ----------
+    arrivals : DecayingRate
+        Requests per second.
+    peak : DecayingPeak
+        Requests waiting and in flight.
+    n_waiting, n_in_flight : int
+        Requests now.
+    duration : float
+        Smoothed seconds per request; 0 before the first.
+    """
+
+    arrivals: DecayingRate = field(default_factory=DecayingRate)
+    peak: DecayingPeak = field(default_factory=DecayingPeak)
+    n_waiting: int = 0
+    n_in_flight: int = 0
+    duration: float = 0.0
+
+    def observe_level(self, now: float) -> None:
+        """Update the peak from the counts.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        self.peak.observe(self.n_waiting + self.n_in_flight, now)
+
+    def observe_duration(self, duration: float) -> None:
+        """Take in a finished request.
+
+        Parameters
+        ----------
+        duration : float
+            Seconds between dispatch and end.
+        """
+        rate = DURATION_SMOOTHING if self.duration else 1.0
+        self.duration += rate * (duration - self.duration)
--- /dev/null
+++ b/packages/medlargate/medlargate/policy/_fairness.py
@@ -0,0 +1,215 @@
+"""Fair order among the customers of one class by work done."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from sortedcontainers import SortedList
+
+from ._types import Job
+
+MAX_IDLE_LANES = 4096
+
+
+@dataclass(slots=True)
+class _Lane:
+    customer: str
+    weight: float = 1.0
+    virtual_time: float = 0.0
+    jobs: deque[Job] = field(default_factory=deque)
+
+
+class FairQueue:
+    """The waiting jobs of one class, ordered by weighted virtual time.
+
+    Notes
+    -----
+    Start-time fair queueing: a customer's virtual time grows by work over weight.
+    A customer that becomes active starts at the class's virtual time, so that
+    idling banks no credit. Work done by other nodes is taken in by
+    ``observe_work``, which makes the order fair across nodes as well.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> queue.push(Job("r1", "a", "c", "m", 0, 0.0, 1.0))
+    >>> queue.pop().request_id
+    'r1'
+    """
+
+    def __init__(self) -> None:
+        self._lanes: dict[str, _Lane] = {}
+        self._ready: SortedList = SortedList()
+        self.virtual_time = 0.0
+        self.n_jobs = 0
+
+    def __len__(self) -> int:
+        return self.n_jobs
+
+    def __iter__(self) -> Iterator[Job]:
+        for lane in self._lanes.values():
+            yield from lane.jobs
+
+    def _lane(self, customer: str, weight: float) -> _Lane:
+        lane = self._lanes.get(customer)
+        if lane is None:
+            if len(self._lanes) >= MAX_IDLE_LANES:
+                self._drop_idle_lanes()
+            lane = _Lane(customer, weight, self.virtual_time)
+            self._lanes[customer] = lane
+        return lane
+
+    def _drop_idle_lanes(self) -> None:
+        idle = [
+            name
+            for name, lane in self._lanes.items()
+            if not lane.jobs and lane.virtual_time <= self.virtual_time
+        ]
+        for name in idle:
+            del self._lanes[name]
+
+    def push(self, job: Job, *, first: bool = False) -> None:
+        """Add a job.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        first : bool, default=False
+            Put it before the customer's other jobs, for resumed streams.
+        """
+        lane = self._lane(job.customer, job.weight)
+        lane.weight = job.weight
+        if not lane.jobs:
+            lane.virtual_time = max(lane.virtual_time, self.virtual_time)
+            self._ready.add((lane.virtual_time, lane.customer))
+        if first:
+            lane.jobs.appendleft(job)
+        else:
+            lane.jobs.append(job)
+        self.n_jobs += 1
+
+    def peek(self) -> Job | None:
+        """Return the job that ``pop`` would return.
+
+        Returns
+        -------
+        Job or None
+            None when nothing waits.
+        """
+        if not self._ready:
+            return None
+        return self._lanes[self._ready[0][1]].jobs[0]
+
+    def pop(self) -> Job:
+        """Remove the next job and charge its estimated work.
+
+        Returns
+        -------
+        Job
+            The first job of the customer that is furthest under its share.
+        """
+        virtual_time, customer = self._ready.pop(0)
+        lane = self._lanes[customer]
+        job = lane.jobs.popleft()
+        self.n_jobs -= 1
+        self.virtual_time = max(self.virtual_time, virtual_time)
+        charge = max(0.0, job.work - job.charged)
+        job.charged += charge
+        lane.virtual_time += charge / lane.weight
+        if lane.jobs:
+            self._ready.add((lane.virtual_time, customer))
+        return job
+
+    def remove(self, job: Job) -> None:
+        """Take a job out, for instance because its caller went away.
+
+        Parameters
+        ----------
+        job : Job
+            A waiting job.
+        """
+        lane = self._lanes[job.customer]
+        lane.jobs.remove(job)
+        self.n_jobs -= 1
+        if not lane.jobs:
+            self._ready.discard((lane.virtual_time, lane.customer))
+
+    def observe_work(self, customer: str, weight: float, work: float) -> None:
+        """Charge work beyond the estimate, or done by another node.
+
+        Parameters
+        ----------
+        customer : str
+            Whose work.
+        weight : float
+            The customer's share.
+        work : float
+            Output-token equivalents; negative for an estimate that was too high.
+        """
+        lane = self._lane(customer, weight)
+        if lane.jobs:
+            self._ready.discard((lane.virtual_time, customer))
+        lane.virtual_time += work / weight
+        if lane.jobs:
+            self._ready.add((lane.virtual_time, customer))
+
+    def count_ahead(self, job: Job) -> float:
+        """Estimate how many waiting jobs of the class go before a new job.
+
+        Parameters
+        ----------
+        job : Job
+            A job that does not wait yet.
+
+        Returns
+        -------
+        float
+            Number of jobs, counting for each customer no more than its weighted
+            share of what this job's customer already has waiting.
+        """
+        own = self._lanes.get(job.customer)
+        n_own = len(own.jobs) + 1 if own else 1
+        start = max(own.virtual_time if own else 0.0, self.virtual_time)
+        finish = start + n_own * job.work / job.weight
+        ahead = float(n_own - 1)
+        for _, customer in self._ready:
+            if customer == job.customer:
+                continue
+            lane = self._lanes[customer]
+            room = (finish - lane.virtual_time) * lane.weight / max(job.work, 1.0)
+            ahead += min(len(lane.jobs), max(0.0, room))
+        return ahead
+
+    def order(self) -> list[Job]:
+        """List the waiting jobs in the order in which they would be popped.
+
+        Returns
+        -------
+        list of Job
+            All waiting jobs.
+        """
+        keyed = []
+        for lane in self._lanes.values():
+            virtual_time = lane.virtual_time
+            for job in lane.jobs:
+                keyed.append((virtual_time, lane.customer, job))
+                virtual_time += job.work / lane.weight
+        keyed.sort(key=lambda item: item[:2])
+        return [job for _, _, job in keyed]
+
+    def snapshot(self) -> dict[str, float]:
+        """Report each active customer's lead over the class's virtual time.
+
+        Returns
+        -------
+        dict of str to float
+            Work over weight beyond the class's virtual time.
+        """
+        return {
+            lane.customer: lane.virtual_time - self.virtual_time
+            for lane in self._lanes.values()
+            if lane.jobs or lane.virtual_time > self.virtual_time
+        }
