--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/model/_engines.py
@@ -0,0 +1,238 @@
+"""Service-time model of an engine on a virtual clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cachetools import LRUCache
+from medlargate.policy import Job
+
+REPORT_INTERVAL = 1.0  # seconds
+MAX_PREFIXES = 64
+
+
+class Clock:
+    """Runs callbacks in the order of their virtual times."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def call_at(self, at: float, callback: Callable[[], None]) -> None:
+        """Call a function at a virtual time."""
+        heapq.heappush(self._events, (at, next(self._numbers), callback))
+
+    def run_until(self, end: float) -> None:
+        """Run every callback up to a virtual time."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self._events)
+            callback()
+        self.now = end
+
+
+@dataclass(eq=False)
+class Stream:
+    """One request on an engine.
+
+    Attributes
+    ----------
+    job : Job
+        The request.
+    n_tokens : int
+        Tokens still to generate.
+    on_first, on_end : callable
+        Called at the first token, and at the end with the tokens done and whether
+        the engine finished the work.
+    """
+
+    job: Job
+    n_tokens: int
+    on_first: Callable[[], None]
+    on_end: Callable[[int, bool], None]
+    started_at: float = 0.0
+    finish: float = 0.0
+    begun: float = 0.0
+    state: str = "queued"
+    slot_at: float | None = None
+    decoding_at: float = 0.0
+
+    def slot_seconds(self, now: float) -> float:
+        """Return how long the stream has held a place in the batch."""
+        return now - self.slot_at if self.slot_at is not None else 0.0
+
+
+@dataclass
+class EngineModel:
+    """Continuous batching: all running streams advance at the same rate.
+
+    Attributes
+    ----------
+    clock : Clock
+        Virtual time.
+    name, failure_domain : str
+        Identity.
+    cheap : bool
+        May be evicted.
+    batch : int
+        Streams that run at once; more wait by tier.
+    interval, slope : float
+        Seconds between tokens, and what each running stream adds.
+    first_token, prefill : float
+        Seconds to the first token, and for each prompt token not cached.
+    slow : float
+        Factor on all times.
+    """
+
+    clock: Clock
+    name: str
+    failure_domain: str = "fd-a"
+    cheap: bool = False
+    batch: int = 16
+    interval: float = 0.010
+    slope: float = 0.0009
+    first_token: float = 0.05
+    prefill: float = 0.0002
+    slow: float = 1.0
+    up: bool = True
+    running: set[Stream] = field(default_factory=set)
+    queue: list[Stream] = field(default_factory=list)
+    reported: int = 0
+    busy: float = 0.0
+    queue_samples: list[int] = field(default_factory=list)
+    _progress: float = 0.0
+    _at: float = 0.0
+    _finishes: list[tuple[float, int, Stream]] = field(default_factory=list)
+    _numbers: itertools.count = field(default_factory=itertools.count)
+    _version: int = 0
+    _prefixes: LRUCache = field(default_factory=lambda: LRUCache(MAX_PREFIXES))
+
+    def __post_init__(self) -> None:
+        self.clock.call_at(self.clock.now + REPORT_INTERVAL, self._report)
+
+    @property
+    def n_present(self) -> int:
+        """Streams running and waiting."""
+        return len(self.running) + len(self.queue)
+
+    def _report(self) -> None:
+        self.reported = self.n_present
+        self.queue_samples.append(self.n_present)
+        self.clock.call_at(self.clock.now + REPORT_INTERVAL, self._report)
+
+    def _step(self) -> float:
+        n_decoding = sum(s.state == "decoding" for s in self.running)
+        return (self.interval + self.slope * n_decoding) * self.slow
+
+    def _advance(self) -> None:
+        elapsed = self.clock.now - self._at
+        self.busy += elapsed * len(self.running)
+        if elapsed > 0:
+            self._progress += elapsed / self._step()
+        self._at = self.clock.now
+
+    def start(self, stream: Stream) -> None:
+        """Take a stream; when down it ends at once."""
+        stream.started_at = self.clock.now
+        if not self.up:
+            stream.on_end(0, False)
+            return
+        self.queue.append(stream)
+        self._fill()
+
+    def _fill(self) -> None:
+        while self.queue and len(self.running) < self.batch:
+            stream = min(self.queue, key=lambda s: (s.job.tier, s.started_at))
+            self.queue.remove(stream)
+            self._advance()
+            self.running.add(stream)
+            stream.state = "prefill"
+            stream.slot_at = self.clock.now
+            cached = stream.job.prefix in self._prefixes
+            self._prefixes[stream.job.prefix] = True
+            cost = 0.0 if cached else stream.job.prompt_tokens * self.prefill
+            delay = (self.first_token + cost) * self.slow
+            self.clock.call_at(self.clock.now + delay, lambda s=stream: self._begin(s))
+
+    def _begin(self, stream: Stream) -> None:
+        if stream not in self.running:
+            return
+        self._advance()
+        stream.state = "decoding"
+        stream.decoding_at = self.clock.now
+        stream.begun = self._progress
+        stream.finish = self._progress + stream.n_tokens
+        heapq.heappush(self._finishes, (stream.finish, next(self._numbers), stream))
+        stream.on_first()
+        self._schedule()
+
+    def _schedule(self) -> None:
+        self._version += 1
+        while self._finishes and self._finishes[0][2] not in self.running:
+            heapq.heappop(self._finishes)
+        if not self._finishes:
+            return
+        delay = max(0.0, self._finishes[0][0] - self._progress) * self._step()
+        version = self._version
+        self.clock.call_at(self.clock.now + delay, lambda: self._finish(version))
+
+    def _finish(self, version: int) -> None:
+        if version != self._version:
+            return
+        self._advance()
+        done = []
+        while self._finishes and self._finishes[0][0] <= self._progress + 1e-6:
+            done.append(heapq.heappop(self._finishes)[2])
+        for stream in done:
+            if stream in self.running:
+                self._leave(stream)
+                stream.on_end(stream.n_tokens, True)
+        self._fill()
+        self._schedule()
+
+    def _leave(self, stream: Stream) -> None:
+        self.running.discard(stream)
+        stream.state = "ended"
+
+    def _tokens_done(self, stream: Stream) -> int:
+        if stream.state != "decoding":
+            return 0
+        return min(stream.n_tokens, int(self._progress - stream.begun))
+
+    def cancel(self, stream: Stream) -> int:
+        """End a stream and return the tokens that it got."""
+        self._advance()
+        n_done = self._tokens_done(stream)
+        if stream in self.queue:
+            self.queue.remove(stream)
+        self._leave(stream)
+        self._fill()
+        self._schedule()
+        return n_done
+
+    def change_speed(self, slow: float) -> None:
+        """Change the factor on all times."""
+        self._advance()
+        self.slow = slow
+        self._schedule()
+
+    def crash(self, down: float) -> None:
+        """Break all streams and stay down for some seconds."""
+        self._advance()
+        broken = [(s, self._tokens_done(s)) for s in [*self.running, *self.queue]]
+        self.running.clear()
+        self.queue.clear()
+        self._finishes.clear()
+        self._version += 1
+        self.up = False
+        self.clock.call_at(self.clock.now + down, self._restart)
+        for stream, n_done in broken:
+            stream.state = "ended"
+            stream.on_end(n_done, False)
+
+    def _restart(self) -> None:
+        self.up = True
+        self._prefixes.clear()
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/model/_simulation.py
@@ -0,0 +1,515 @@
+"""Nodes with the real schedulers before engine models, on a virtual clock."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from medlargate.policy import (
+    Assignment,
+    BackendView,
+    Candidate,
+    ConcurrencyLimit,
+    CrashTracker,
+    Job,
+    OutputEstimator,
+    PoolScheduler,
+    Preemption,
+    RetryBudget,
+    Shed,
+    Verdict,
+    compute_work,
+    decide_backend,
+    decide_quotas,
+    decide_retry,
+    decide_share,
+)
+
+from ._engines import Clock, EngineModel, Stream
+
+TICK = 0.05  # seconds
+EXCHANGE_INTERVAL = 0.5  # seconds
+TOP_CUSTOMERS = 16
+
+
+@dataclass(frozen=True)
+class Variant:
+    """A way of deciding, to be compared with others.
+
+    Attributes
+    ----------
+    name : str
+        For tables.
+    fair : bool
+        Tiers, fairness and early refusal; False is first come, first served.
+    sharing : str
+        ``"each"``, ``"reports"``, ``"split"``, ``"demand"``,
+        ``"demand+reports"`` or ``"owner"``.
+    preempt : bool
+        Lower-tier streams yield to urgent higher-tier requests.
+    exchange : bool
+        Nodes tell each other their heaviest customers.
+    choice : str
+        ``"expected"`` first-token time, or ``"round_robin"``.
+    reserve : float
+        See ``PoolScheduler``.
+    """
+
+    name: str
+    fair: bool = True
+    sharing: str = "demand"
+    preempt: bool = True
+    exchange: bool = True
+    choice: str = "expected"
+    reserve: float = 0.0
+
+
+@dataclass(frozen=True)
+class Profile:
+    """One class of requests in a scenario.
+
+    Attributes
+    ----------
+    name, pool : str
+        Class and pool.
+    tier : int
+        0 is the highest.
+    first_token, interval : float
+        Targets, seconds.
+    output, prompt : float
+        Mean tokens.
+    heavy_tail : bool
+        Output lengths follow a Pareto distribution.
+    repeatable, cheap : bool
+        May be sent again; may run on cheap servers.
+    """
+
+    name: str
+    pool: str
+    tier: int
+    first_token: float
+    interval: float
+    output: float
+    prompt: float
+    heavy_tail: bool = False
+    repeatable: bool = True
+    cheap: bool = True
+    min_share: float = 0.05
+
+
+@dataclass
+class Outcome:
+    """What became of one request."""
+
+    profile: Profile
+    customer: str
+    arrived_at: float
+    n_tokens: int
+    state: str = "open"
+    first_at: float | None = None
+    ended_at: float = 0.0
+    n_wasted: int = 0
+    n_sent: int = 0
+    cheap_tokens: int = 0
+    slot_seconds: float = 0.0
+
+    @property
+    def met(self) -> bool:
+        """Whether it was answered whole within both targets."""
+        if self.state != "done" or self.first_at is None:
+            return False
+        pause = (self.ended_at - self.first_at) / max(1, self.n_tokens)
+        return (
+            self.first_at - self.arrived_at <= self.profile.first_token
+            and pause <= self.profile.interval
+        )
+
+
+def _make_choice(kind: str) -> Callable[..., tuple[Candidate, ...]]:
+    if kind == "expected":
+        return decide_backend
+    turn = itertools.count()
+
+    def choose(job, views, **options) -> tuple[Candidate, ...]:
+        ranked = decide_backend(job, views, **options)
+        if not ranked:
+            return ()
+        first = next(turn) % len(ranked)
+        by_name = sorted(ranked, key=lambda candidate: candidate.backend)
+        return tuple(by_name[first:] + by_name[:first])
+
+    return choose
+
+
+class SimulatedNode:
+    """One node: a scheduler for each pool, and its requests in flight."""
+
+    def __init__(self, sim: Simulation, name: str, domain: str, seed: int) -> None:
+        self.sim = sim
+        self.name = name
+        self.domain = domain
+        self.budget = RetryBudget()
+        self.crashes = CrashTracker()
+        self.estimator = OutputEstimator()
+        self.schedulers: dict[str, PoolScheduler] = {}
+        self.streams: dict[str, tuple[Stream, EngineModel]] = {}
+        self.done: dict[str, int] = defaultdict(int)
+        self.attempts: dict[str, int] = defaultdict(int)
+        self.work: dict[tuple[str, str, str], float] = defaultdict(float)
+        for pool, engines in sim.pools.items():
+            scheduler = PoolScheduler(
+                pool,
+                domain=domain,
+                fair=sim.variant.fair,
+                preempt=sim.variant.preempt,
+                reserve_fraction=sim.variant.reserve,
+                choose=_make_choice(sim.variant.choice),
+                random_state=seed,
+            )
+            for engine in engines:
+                limit = ConcurrencyLimit(engine.batch)
+                scheduler.views[engine.name] = BackendView(
+                    engine.name, engine.failure_domain, engine.cheap, limit
+                )
+            self.schedulers[pool] = scheduler
+
+    def arrive(self, job: Job, outcome: Outcome) -> None:
+        """Take in a caller's request."""
+        now = self.sim.clock.now
+        route = outcome.profile.name
+        output = self.estimator.decide(job.customer, route)
+        job.work = compute_work(job.prompt_tokens, 0, output)
+        shed = self.schedulers[job.pool].observe_arrival(job, now)
+        if shed is not None:
+            self._refuse(shed)
+        self.pump(job.pool)
+
+    def _refuse(self, shed: Shed) -> None:
+        outcome = self.sim.outcomes[shed.job.request_id]
+        outcome.state = "shed"
+        outcome.ended_at = self.sim.clock.now
+
+    def pump(self, pool: str) -> None:
+        """Carry out what the scheduler decides."""
+        scheduler = self.schedulers[pool]
+        for decision in scheduler.decide(self.sim.clock.now):
+            match decision:
+                case Assignment():
+                    self._send(decision)
+                case Shed():
+                    self._refuse(decision)
+                case Preemption():
+                    self._preempt(decision)
+
+    def _send(self, assignment: Assignment) -> None:
+        job, engine = assignment.job, self.sim.engines[assignment.backend]
+        outcome = self.sim.outcomes[job.request_id]
+        sent_at = self.sim.clock.now
+        outcome.n_sent += 1
+        self.attempts[job.request_id] += 1
+        view = self.schedulers[job.pool].views[engine.name]
+
+        def on_first() -> None:
+            view.observe_first_token(
+                self.sim.clock.now - sent_at,
+                prompt_tokens=job.prompt_tokens,
+                prefix=job.prefix,
+            )
+            if outcome.first_at is None:
+                outcome.first_at = self.sim.clock.now
+
+        def on_end(n_tokens: int, finished: bool) -> None:
+            outcome.slot_seconds += stream.slot_seconds(self.sim.clock.now)
+            self._end(job, outcome, engine, stream, n_tokens, finished)
+
+        left = outcome.n_tokens - self.done[job.request_id]
+        stream = Stream(job, left, on_first, on_end)
+        self.streams[job.request_id] = (stream, engine)
+        engine.start(stream)
+
+    def _end(
+        self,
+        job: Job,
+        outcome: Outcome,
+        engine: EngineModel,
+        stream: Stream,
+        n_tokens: int,
+        finished: bool,
+    ) -> None:
+        now = self.sim.clock.now
+        self.streams.pop(job.request_id, None)
+        scheduler = self.schedulers[job.pool]
+        self.done[job.request_id] += n_tokens
+        if engine.cheap:
+            outcome.cheap_tokens += n_tokens
+        if finished:
+            self._finish(job, outcome, engine, stream, now)
+        else:
+            scheduler.observe_end(job, now, done=False)
+            scheduler.observe_failure(engine.name, now)
+            self._retry(job, outcome, engine)
+        self.pump(job.pool)
+
+    def _finish(
+        self,
+        job: Job,
+        outcome: Outcome,
+        engine: EngineModel,
+        stream: Stream,
+        now: float,
+    ) -> None:
+        scheduler = self.schedulers[job.pool]
+        total = self.done[job.request_id]
+        work = compute_work(job.prompt_tokens, 0, total)
+        outcome.state = "done"
+        outcome.ended_at = now
+        view = scheduler.views[engine.name]
+        interval = (now - stream.decoding_at) / max(1, stream.n_tokens)
+        view.observe_interval(interval, target=job.token_interval, now=now)
+        scheduler.observe_end(job, now, work=work)
+        self.estimator.observe(job.customer, outcome.profile.name, total)
+        self.budget.observe_success()
+        self.crashes.observe_success(job.fingerprint)
+        self.work[job.pool, job.class_name, job.customer] += work
+        self.sim.served.append((now, job.customer, job.class_name, work))
+
+    def _retry(self, job: Job, outcome: Outcome, engine: EngineModel) -> None:
+        now = self.sim.clock.now
+        job.excluded.add(engine.name)
+        decision = decide_retry(
+            job,
+            Verdict.MAY_HAVE_RUN,
+            n_attempts=self.attempts[job.request_id],
+            budget=self.budget,
+            now=now,
+            delivered=outcome.first_at is not None,
+        )
+        crash = self.crashes.decide(job.fingerprint, now)
+        if not decision.again or not crash.run:
+            outcome.state = "failed"
+            outcome.ended_at = now
+            outcome.n_wasted += self.done[job.request_id]
+            return
+        job.isolated = crash.isolated
+        job.resumed = outcome.first_at is not None
+        self.schedulers[job.pool].observe_return(job, now)
+
+    def _preempt(self, decision: Preemption) -> None:
+        job = decision.victim
+        found = self.streams.pop(job.request_id, None)
+        if found is None:
+            return
+        stream, engine = found
+        n_done = engine.cancel(stream)
+        outcome = self.sim.outcomes[job.request_id]
+        outcome.slot_seconds += stream.slot_seconds(self.sim.clock.now)
+        outcome.n_wasted += int(job.prompt_tokens * 0.1)
+        self.done[job.request_id] += n_done
+        scheduler = self.schedulers[job.pool]
+        scheduler.observe_end(job, self.sim.clock.now, done=False)
+        job.resumed = True
+        scheduler.observe_return(job, self.sim.clock.now)
+        self.pump(job.pool)
+
+    def observe_crash(self, engine: EngineModel, running: list[str]) -> None:
+        """Take in that an engine crashed, as shared by the fleet."""
+        self.crashes.observe_crash(
+            engine.name,
+            running,
+            now=self.sim.clock.now,
+            domain=engine.failure_domain,
+        )
+
+
+@dataclass
+class Simulation:
+    """Nodes, engines and callers.
+
+    Attributes
+    ----------
+    variant : Variant
+        How the nodes decide.
+    pools : dict of str to list of EngineModel
+        Engines of each pool.
+    n_nodes : int
+        Number of nodes.
+    seed : int
+        Of arrivals, lengths and ties.
+    """
+
+    variant: Variant
+    clock: Clock
+    pools: dict[str, list[EngineModel]]
+    n_nodes: int
+    domains: list[str]
+    seed: int = 1
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    served: list[tuple[float, str, str, float]] = field(default_factory=list)
+    engines: dict[str, EngineModel] = field(default_factory=dict)
+    nodes: list[SimulatedNode] = field(default_factory=list)
+    n_crashes: int = 0
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        self.engines = {e.name: e for es in self.pools.values() for e in es}
+        for index in range(self.n_nodes):
+            domain = self.domains[index % len(self.domains)]
+            self.nodes.append(SimulatedNode(self, f"node-{index}", domain, index))
+        self.clock.call_at(0.0, self._tick)
+        self.clock.call_at(0.0, self._exchange)
+
+    def _tick(self) -> None:
+        for node in self.nodes:
+            for pool in node.schedulers:
+                node.pump(pool)
+        self.clock.call_at(self.clock.now + TICK, self._tick)
+
+    def _exchange(self) -> None:
+        """Let the nodes hear of each other, as heartbeats do."""
+        self._share_slots()
+        if self.variant.exchange and self.variant.fair:
+            self._share_work()
+        self.clock.call_at(self.clock.now + EXCHANGE_INTERVAL, self._exchange)
+
+    def _share_slots(self) -> None:
+        for pool, engines in self.pools.items():
+            demands = {
+                node.name: node.schedulers[pool].snapshot_demand(self.clock.now)
+                for node in self.nodes
+            }
+            waiting = {
+                node.name: node.schedulers[pool].snapshot_waiting()
+                for node in self.nodes
+            }
+            equal = dict.fromkeys(demands, 1.0)
+            for node in self.nodes:
+                scheduler = node.schedulers[pool]
+                scheduler.remote_waiting = _merge(waiting, node.name)
+                quotas = decide_quotas(scheduler.n_slots(self.clock.now), demands)
+                for engine in engines:
+                    view = scheduler.views[engine.name]
+                    self._share_engine(view, engine, node.name, quotas, equal)
+
+    def _share_engine(
+        self,
+        view: BackendView,
+        engine: EngineModel,
+        node: str,
+        quotas: dict[str, float],
+        equal: dict[str, float],
+    ) -> None:
+        limit = view.limit.decide()
+        match self.variant.sharing:
+            case "reports":
+                view.others = max(0, engine.reported - view.in_flight)
+            case "split":
+                view.share = decide_share(engine.name, limit, equal, node)
+            case "demand":
+                view.share = decide_share(engine.name, limit, quotas, node)
+            case "demand+reports":
+                view.share = decide_share(engine.name, limit, quotas, node)
+                view.others = max(0, engine.reported - view.in_flight)
+            case "owner":
+                # What an owner could grant with no delay but the exchange's own.
+                free = limit - engine.n_present
+                view.share = view.in_flight + max(0, free) // len(self.nodes)
+                view.share += free % len(self.nodes) > 0 and free > 0
+
+    def _share_work(self) -> None:
+        for node in self.nodes:
+            top = sorted(node.work.items(), key=lambda item: -item[1])[:TOP_CUSTOMERS]
+            for (pool, cls, customer), work in top:
+                for other in self.nodes:
+                    if other is not node:
+                        scheduler = other.schedulers[pool]
+                        scheduler.observe_remote_work(cls, customer, work)
+            node.work.clear()
+
+    def add_arrivals(
+        self,
+        profile: Profile,
+        customer: str,
+        rate: Callable[[float], float],
+        *,
+        max_rate: float,
+        end: float,
+        pin: int | None = None,
+        weight: float = 1.0,
+    ) -> None:
+        """Let a customer send requests as a Poisson process of varying rate."""
+        rng = random.Random(f"{self.seed}/{profile.name}/{customer}")
+
+        def arrive() -> None:
+            if rng.random() < rate(self.clock.now) / max_rate:
+                self._send_one(profile, customer, rng, pin, weight)
+            later = self.clock.now + rng.expovariate(max_rate)
+            if later < end:
+                self.clock.call_at(later, arrive)
+
+        self.clock.call_at(rng.expovariate(max_rate), arrive)
+
+    def _send_one(
+        self,
+        profile: Profile,
+        customer: str,
+        rng: random.Random,
+        pin: int | None,
+        weight: float,
+    ) -> None:
+        now = self.clock.now
+        n_tokens = _draw_length(profile, rng)
+        request_id = f"r{len(self.outcomes)}"
+        job = Job(
+            request_id=request_id,
+            customer=customer,
+            class_name=profile.name,
+            pool=profile.pool,
+            tier=profile.tier,
+            arrived_at=now,
+            deadline=now + profile.first_token,
+            weight=weight,
+            token_interval=profile.interval,
+            min_share=profile.min_share,
+            repeatable=profile.repeatable,
+            cheap_allowed=profile.cheap,
+            prefix=rng.randrange(50),
+            prompt_tokens=int(rng.expovariate(1 / profile.prompt)) + 1,
+            fingerprint=request_id,
+        )
+        self.outcomes[request_id] = Outcome(profile, customer, now, n_tokens)
+        index = pin if pin is not None else rng.randrange(len(self.nodes))
+        self.nodes[index].arrive(job, self.outcomes[request_id])
+
+    def crash(self, names: list[str], down: float) -> None:
+        """Crash engines and tell every node."""
+        running = {}
+        for name in names:
+            engine = self.engines[name]
+            present = [*engine.running, *engine.queue]
+            running[name] = [stream.job.fingerprint for stream in present]
+        for name in names:
+            self.n_crashes += 1
+            for node in self.nodes:
+                node.observe_crash(self.engines[name], running[name])
+        for name in names:
+            self.engines[name].crash(down)
+
+
+def _merge(waiting: dict[str, dict[int, int]], own: str) -> dict[int, int]:
+    merged: dict[int, int] = defaultdict(int)
+    for node, counts in waiting.items():
+        if node != own:
+            for tier, n in counts.items():
+                merged[tier] += n
+    return merged
+
+
+def _draw_length(profile: Profile, rng: random.Random) -> int:
+    if not profile.heavy_tail:
+        return max(1, int(rng.gauss(profile.output, profile.output * 0.2)))
+    shape = 1.6
+    scale = profile.output * (shape - 1) / shape
+    return max(1, min(int(profile.output * 12), int(scale * rng.paretovariate(shape))))
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -171,7 +171,11 @@
         """
         view = self.dispatcher.views.get(exch.backend)
         if view is not None:
-            view.observe_first_token(elapsed)
+            view.observe_first_token(
+                elapsed,
+                prompt_tokens=exch.job.prompt_tokens,
+                prefix=exch.job.prefix,
+            )
 
     def release(self, exch: Exchange, *, done: bool) -> None:
         """Give back a request's slot and take in what it measured.
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -8,6 +8,7 @@
 from ._limits import ConcurrencyLimit
 from ._retries import RetryBudget, RetryDecision, decide_retry
 from ._scheduler import PoolScheduler
+from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._types import Assignment, Candidate, Job, Preemption, Shed, compute_work
 from ._verdict import Refusal, RequestStates, Verdict
 
@@ -32,6 +33,9 @@
     "compute_work",
     "decide_backend",
     "decide_ejections",
+    "decide_quotas",
     "decide_retry",
+    "decide_share",
     "make_fingerprint",
+    "rank_by_hash",
 ]
--- a/packages/medlargate/medlargate/policy/_backends.py
+++ b/packages/medlargate/medlargate/policy/_backends.py
@@ -8,7 +8,7 @@
 from cachetools import LRUCache
 
 from ..charts import Subject, load_chart
-from ._limits import ConcurrencyLimit
+from ._limits import ConcurrencyLimit, FirstTokenFit
 
 SMOOTHING = 0.1
 EJECT_RATIO = 2.5
@@ -17,7 +17,8 @@
 MAX_EJECTED_FRACTION = 0.34
 PROBE_INTERVAL = 2.0  # seconds
 MAX_PREFIXES = 512
-DOWN_TIMEOUT = 1.0  # seconds
+MIN_DOWN_TIMEOUT = 1.0  # seconds
+MAX_DOWN_TIMEOUT = 15.0  # seconds
 
 
 @dataclass(slots=True)
@@ -38,12 +39,17 @@
         This node's own requests on it.
     others : int
         Requests of other nodes, from their heartbeats or its load report.
-    first_token, interval : float
-        Smoothed measurements, seconds.
+    first_token : FirstTokenFit
+        Model of the time to the first token.
+    interval : float
+        Smoothed time between tokens, seconds.
     n_samples : int
         Measurements of ``interval`` so far.
     down_until : float
         No new work before this time, after a failed connection.
+    n_failures : int
+        Failed connections in a row; while there are any, one request at a time
+        tries the server.
     n_suspects : int
         Requests in flight that are suspected of crashing backend servers.
     """
@@ -55,10 +61,11 @@
     share: int | None = None
     in_flight: int = 0
     others: int = 0
-    first_token: float = 0.1
+    first_token: FirstTokenFit = field(default_factory=FirstTokenFit)
     interval: float = 0.0
     n_samples: int = 0
     down_until: float = 0.0
+    n_failures: int = 0
     n_suspects: int = 0
     probed_at: float = 0.0
     prefixes: LRUCache = field(default_factory=lambda: LRUCache(MAX_PREFIXES))
@@ -81,6 +88,35 @@
             self.states.observe(event)
             del self.states.history[:-8]
 
+    def is_available(self, now: float) -> bool:
+        """Tell whether the server takes work at all.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            False while it is down, leaving or ejected.
+        """
+        return now >= self.down_until and self.states.attributes["accepts"]
+
+    def observe_failure(self, now: float) -> None:
+        """Take in a failed connection: wait, longer each time, before the next.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        if now < self.down_until:
+            return
+        pause = min(MAX_DOWN_TIMEOUT, MIN_DOWN_TIMEOUT * 2**self.n_failures)
+        self.n_failures += 1
+        self.down_until = now + pause
+
     def count_free(self, now: float) -> int:
         """Count the requests that this node may still send.
 
@@ -94,22 +130,55 @@
         int
             0 while the server is down, leaving or ejected.
         """
-        if now < self.down_until or not self.states.attributes["accepts"]:
+        if not self.is_available(now):
             return 0
+        if self.n_failures:
+            return 1 - self.in_flight
         limit = self.limit.decide()
+        free = limit - self.in_flight - self.others
         if self.share is not None:
-            return min(limit, self.share) - self.in_flight
-        return limit - self.in_flight - self.others
+            free = min(free, self.share - self.in_flight)
+        return free
 
-    def observe_first_token(self, elapsed: float) -> None:
+    def observe_first_token(
+        self, elapsed: float, *, prompt_tokens: int = 0, prefix: int = 0
+    ) -> None:
         """Take in a measured time to the first token.
 
         Parameters
         ----------
         elapsed : float
             Seconds.
+        prompt_tokens : int, default=0
+            Length of the prompt.
+        prefix : int, default=0
+            Hash of the prompt's start; remembered as cached from now on.
+        """
+        self.n_failures = 0
+        if prefix and prefix in self.prefixes:
+            prompt_tokens = 0
+        self.first_token.observe(prompt_tokens, elapsed)
+        if prefix:
+            self.prefixes[prefix] = True
+
+    def expect_first_token(self, prompt_tokens: int, prefix: int) -> float:
+        """Estimate the time to the first token when the server has room.
+
+        Parameters
+        ----------
+        prompt_tokens : int
+            Length of the prompt.
+        prefix : int
+            Hash of the prompt's start; 0 for none.
+
+        Returns
+        -------
+        float
+            Seconds.
         """
-        self.first_token += SMOOTHING * (elapsed - self.first_token)
+        if prefix and prefix in self.prefixes:
+            prompt_tokens = 0
+        return self.first_token.decide(prompt_tokens)
 
     def observe_interval(self, interval: float, *, target: float, now: float) -> None:
         """Take in a measured mean time between tokens.
@@ -149,7 +218,7 @@
             "others": self.others,
             "limit": self.limit.decide(),
             "share": self.share,
-            "first_token": round(self.first_token, 4),
+            "first_token": round(self.first_token.decide(0), 4),
             "token_interval": round(self.interval, 5),
             "down_until": self.down_until,
         }
--- a/packages/medlargate/medlargate/policy/_choice.py
+++ b/packages/medlargate/medlargate/policy/_choice.py
@@ -8,7 +8,6 @@
 from ._backends import PROBE_INTERVAL, BackendView
 from ._types import Candidate, Job
 
-PREFILL_SECONDS_PER_TOKEN = 0.0002
 LOAD_PENALTY = 0.5
 MAX_EXCESS_LOAD = 0.25
 CHEAP_BONUS = 0.97
@@ -46,10 +45,9 @@
     limit = view.limit.decide()
     load = (view.in_flight + view.others) / limit
     cached = bool(job.prefix) and job.prefix in view.prefixes
-    prefill = job.prompt_tokens * PREFILL_SECONDS_PER_TOKEN
-    if cached and load <= mean_load + MAX_EXCESS_LOAD:
-        prefill = 0.0
-    expected = (view.first_token + prefill) * (1 + LOAD_PENALTY * load)
+    prefix = job.prefix if load <= mean_load + MAX_EXCESS_LOAD else 0
+    expected = view.expect_first_token(job.prompt_tokens, prefix)
+    expected *= 1 + LOAD_PENALTY * load
     if view.cheap:
         expected *= CHEAP_BONUS
     if domain and view.failure_domain != domain:
--- a/packages/medlargate/medlargate/policy/_demand.py
+++ b/packages/medlargate/medlargate/policy/_demand.py
@@ -8,6 +8,7 @@
 RATE_WINDOW = 5.0  # seconds
 PEAK_HALF_LIFE = 60.0  # seconds
 DURATION_SMOOTHING = 0.05
+LEVEL_WINDOW = 3.0  # seconds
 
 
 @dataclass(slots=True)
@@ -16,24 +17,29 @@
 
     Attributes
     ----------
+    window : float
+        Time constant, seconds.
     value : float
-        Events per second at ``at``.
+        Amount per second at ``at``.
     at : float
         Time of the last event, seconds.
     """
 
+    window: float = RATE_WINDOW
     value: float = 0.0
     at: float = 0.0
 
-    def observe(self, now: float) -> None:
+    def observe(self, now: float, amount: float = 1.0) -> None:
         """Take in one event.
 
         Parameters
         ----------
         now : float
             Seconds.
+        amount : float, default=1.0
+            What it adds.
         """
-        self.value = self.decide(now) + 1 / RATE_WINDOW
+        self.value = self.decide(now) + amount / self.window
         self.at = now
 
     def decide(self, now: float) -> float:
@@ -47,9 +53,9 @@
         Returns
         -------
         float
-            Events per second.
+            Amount per second.
         """
-        return self.value * math.exp((self.at - now) / RATE_WINDOW)
+        return self.value * math.exp((self.at - now) / self.window)
 
 
 @dataclass(slots=True)
@@ -117,6 +123,26 @@
     n_waiting: int = 0
     n_in_flight: int = 0
     duration: float = 0.0
+    level: float = 0.0
+    level_at: float = 0.0
+
+    def smooth_level(self, now: float) -> float:
+        """Return the number of requests, smoothed over ``LEVEL_WINDOW``.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            Requests waiting and in flight.
+        """
+        weight = 1 - math.exp((self.level_at - now) / LEVEL_WINDOW)
+        self.level += weight * (self.n_waiting + self.n_in_flight - self.level)
+        self.level_at = now
+        return self.level
 
     def observe_level(self, now: float) -> None:
         """Update the peak from the counts.
--- a/packages/medlargate/medlargate/policy/_fairness.py
+++ b/packages/medlargate/medlargate/policy/_fairness.py
@@ -8,9 +8,14 @@
 
 from sortedcontainers import SortedList
 
+from ._demand import DecayingRate
 from ._types import Job
 
 MAX_IDLE_LANES = 4096
+CREDIT_JOBS = 16
+ACTIVE_TIMEOUT = 5.0  # seconds
+HEAVY_RATIO = 3.0
+OFFER_WINDOW = 30.0  # seconds
 
 
 @dataclass(slots=True)
@@ -18,6 +23,8 @@
     customer: str
     weight: float = 1.0
     virtual_time: float = 0.0
+    active_at: float = float("-inf")
+    offered: DecayingRate = field(default_factory=lambda: DecayingRate(OFFER_WINDOW))
     jobs: deque[Job] = field(default_factory=deque)
 
 
@@ -27,9 +34,10 @@
     Notes
     -----
     Start-time fair queueing: a customer's virtual time grows by work over weight.
-    A customer that becomes active starts at the class's virtual time, so that
-    idling banks no credit. Work done by other nodes is taken in by
-    ``observe_work``, which makes the order fair across nodes as well.
+    A customer that was idle for ``ACTIVE_TIMEOUT`` starts at the class's virtual
+    time, so that idling banks no credit; one that merely has nothing waiting at
+    this moment keeps what it lacks, up to ``CREDIT_JOBS``. Work done by other nodes
+    is taken in by ``observe_work``, which makes the order fair across nodes as well.
 
     Examples
     --------
@@ -83,8 +91,13 @@
         lane = self._lane(job.customer, job.weight)
         lane.weight = job.weight
         if not lane.jobs:
-            lane.virtual_time = max(lane.virtual_time, self.virtual_time)
+            credit = 0.0
+            if job.arrived_at - lane.active_at < ACTIVE_TIMEOUT:
+                credit = CREDIT_JOBS * job.work / lane.weight
+            floor = self.virtual_time - credit
+            lane.virtual_time = max(lane.virtual_time, floor)
             self._ready.add((lane.virtual_time, lane.customer))
+        lane.active_at = max(lane.active_at, job.arrived_at)
         if first:
             lane.jobs.appendleft(job)
         else:
@@ -156,6 +169,43 @@
         if lane.jobs:
             self._ready.add((lane.virtual_time, customer))
 
+    def observe_offer(self, job: Job, now: float) -> None:
+        """Take in what a customer asks for, served or not.
+
+        Parameters
+        ----------
+        job : Job
+            An arriving request.
+        now : float
+            Seconds.
+        """
+        lane = self._lane(job.customer, job.weight)
+        lane.offered.observe(now, job.work / lane.weight)
+
+    def is_heavy(self, customer: str, now: float) -> bool:
+        """Tell whether a customer offers far more than the others.
+
+        Parameters
+        ----------
+        customer : str
+            Its name.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            True above ``HEAVY_RATIO`` times the mean of the other active customers.
+        """
+        lane = self._lanes.get(customer)
+        if lane is None:
+            return False
+        own = lane.offered.decide(now)
+        rates = [other.offered.decide(now) for other in self._lanes.values()]
+        others = sum(rates) - own
+        n_others = sum(rate > 0.01 * own for rate in rates) - 1
+        return n_others > 0 and own > HEAVY_RATIO * others / n_others
+
     def count_ahead(self, job: Job) -> float:
         """Estimate how many waiting jobs of the class go before a new job.
 
--- a/packages/medlargate/medlargate/policy/_scheduler.py
+++ b/packages/medlargate/medlargate/policy/_scheduler.py
@@ -4,9 +4,10 @@
 
 import random
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ._backends import DOWN_TIMEOUT, BackendView, decide_ejections
+from ._backends import BackendView, decide_ejections
 from ._choice import decide_backend, decide_probe
 from ._demand import TierDemand
 from ._fairness import FairQueue
@@ -16,9 +17,11 @@
 SWEEP_INTERVAL = 0.05  # seconds
 HEALTH_INTERVAL = 1.0  # seconds
 SHED_MARGIN = 1.3
-MAX_RESERVE_FRACTION = 0.5
+RESERVE_FRACTION = 0.0
 MAX_CREDIT_JOBS = 4.0
-URGENT_FRACTION = 0.7
+URGENT_FRACTION = 0.5
+MAX_PREEMPTIONS = 1
+MIN_DEMAND = 0.01  # requests
 MIN_RETRY_AFTER = 0.5  # seconds
 MAX_RETRY_AFTER = 30.0  # seconds
 
@@ -55,6 +58,10 @@
         False serves first come, first served, as a baseline.
     preempt : bool, default=True
         Lower-tier streams may yield their slots to urgent higher-tier requests.
+    reserve_fraction : float, default=0.0
+        Most slots that lower tiers leave free for the recent peak of higher ones.
+    choose : callable, default=decide_backend
+        Ranks the backend servers for a job.
     random_state : int, default=0
         Seed for ties.
 
@@ -73,6 +80,8 @@
         max_queue_length: int = MAX_QUEUE_LENGTH,
         fair: bool = True,
         preempt: bool = True,
+        reserve_fraction: float = RESERVE_FRACTION,
+        choose: Callable[..., tuple[Candidate, ...]] = decide_backend,
         random_state: int = 0,
     ) -> None:
         self.pool = pool
@@ -84,6 +93,8 @@
         self._max_queue_length = max_queue_length
         self._fair = fair
         self._preempt = preempt
+        self._choose = choose
+        self._reserve_fraction = reserve_fraction
         self._random = random.Random(random_state)
         self._swept_at = float("-inf")
         self._health_at = float("-inf")
@@ -114,8 +125,9 @@
         demand = self._tiers[job.tier]
         demand.arrivals.observe(now)
         lane = self._lane(job)
+        lane.queue.observe_offer(job, now)
         wait = self._expected_wait(job, lane, now)
-        allowed = job.deadline - now
+        allowed = self._latest_start(job) - now
         if not self._has_backend(job):
             return self._shed(job, "no_backend", wait, now)
         if self.n_waiting >= self._max_queue_length and not self._displace(job):
@@ -218,7 +230,7 @@
         """
         view = self.views.get(backend)
         if view is not None:
-            view.down_until = now + DOWN_TIMEOUT
+            view.observe_failure(now)
 
     # Decisions
 
@@ -263,19 +275,40 @@
             "backends": [view.snapshot() for view in self.views.values()],
         }
 
-    def snapshot_demand(self) -> dict[int, int]:
-        """Report waiting and running requests by tier.
+    def snapshot_demand(self, now: float) -> dict[int, float]:
+        """Report waiting and running requests by tier, smoothed over seconds.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
 
         Returns
         -------
-        dict of int to int
+        dict of int to float
             Requests by tier.
         """
-        return {
-            tier: demand.n_waiting + demand.n_in_flight
-            for tier, demand in self._tiers.items()
-            if demand.n_waiting + demand.n_in_flight
-        }
+        levels = {t: d.smooth_level(now) for t, d in self._tiers.items()}
+        return {t: level for t, level in levels.items() if level > MIN_DEMAND}
+
+    def n_slots(self, now: float) -> int:
+        """Count the slots of the backend servers that take work.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        int
+            Sum of their limits.
+        """
+        return sum(
+            view.limit.decide()
+            for view in self.views.values()
+            if view.is_available(now)
+        )
 
     def snapshot_waiting(self) -> dict[int, int]:
         """Report waiting requests by tier.
@@ -316,28 +349,35 @@
 
     # Internals: looking ahead
 
-    def _n_slots(self) -> int:
+    def _latest_start(self, job: Job) -> float:
+        """Return when a job must be dispatched to meet its first-token target."""
+        if not self._fair:
+            return job.deadline
+        expected = [
+            view.expect_first_token(job.prompt_tokens, job.prefix)
+            for view in self.views.values()
+            if view.states.attributes["accepts"]
+        ]
+        return job.deadline - min(expected, default=0.0)
+
+    def _n_own_slots(self, now: float) -> int:
         return sum(
             view.limit.decide() if view.share is None else view.share
             for view in self.views.values()
-            if view.states.attributes["accepts"]
+            if view.is_available(now)
         )
 
-    def _mean_duration(self) -> float:
-        weighted = [
-            (demand.duration, demand.n_in_flight + 1)
-            for demand in self._tiers.values()
-            if demand.duration
-        ]
-        total = sum(weight for _, weight in weighted)
-        return sum(d * w for d, w in weighted) / total if total else 0.0
-
     def _drain_rate(self, tier: int, now: float) -> float:
         """Estimate dispatches per second that a tier can count on; inf: unknown."""
-        duration = self._mean_duration()
-        if not duration:
+        measured = [d for d in self._tiers.values() if d.duration]
+        n_running = sum(demand.n_in_flight for demand in measured)
+        if not measured:
             return float("inf")
-        rate = self._n_slots() / duration
+        if n_running:
+            ends = sum(d.n_in_flight / d.duration for d in measured)
+            rate = ends * self._n_own_slots(now) / n_running
+        else:
+            rate = self._n_own_slots(now) / max(d.duration for d in measured)
         higher = sum(
             demand.arrivals.decide(now)
             for other, demand in self._tiers.items()
@@ -353,6 +393,7 @@
             for other in self._lanes.values()
             if other is not lane and other.tier <= job.tier
         )
+        n_free += self._count_victims(job, now)
         if ahead < n_free:
             return 0.0
         return (ahead - n_free + 1) / self._drain_rate(job.tier, now)
@@ -363,13 +404,13 @@
 
     def _reserve(self, tier: int, now: float) -> int:
         """Slots kept free for the recent peak of the higher tiers."""
-        if not self._fair:
+        if not self._reserve_fraction:
             return 0
         missing = 0.0
         for other, demand in self._tiers.items():
             if other < tier:
                 missing += max(0.0, demand.peak.decide(now) - demand.n_in_flight)
-        return int(min(missing, self._n_slots() * MAX_RESERVE_FRACTION))
+        return int(min(missing, self._n_own_slots(now) * self._reserve_fraction))
 
     # Internals: dispatch
 
@@ -420,11 +461,12 @@
             return False
         higher.sort(key=lambda job: job.deadline)
         return all(
-            now + (rank + 2) / rate <= job.deadline for rank, job in enumerate(higher)
+            now + (rank + 2) / rate <= self._latest_start(job)
+            for rank, job in enumerate(higher)
         )
 
     def _rank(self, job: Job, now: float) -> tuple[Candidate, ...]:
-        return decide_backend(
+        return self._choose(
             job,
             self.views.values(),
             now=now,
@@ -459,8 +501,6 @@
         view = self.views[backend]
         view.in_flight += 1
         view.n_suspects += job.isolated
-        if job.prefix:
-            view.prefixes[job.prefix] = now
         self.running[job.request_id] = _Running(job, backend, now)
         demand = self._tiers[job.tier]
         demand.n_in_flight += 1
@@ -524,7 +564,7 @@
         return sheds
 
     def _is_late(self, job: Job, wait: float, now: float) -> bool:
-        allowed = job.deadline - now
+        allowed = self._latest_start(job) - now
         if allowed <= 0:
             return True
         return self._fair and wait > allowed * SHED_MARGIN
@@ -539,34 +579,60 @@
         decisions = []
         for lane in self._ordered_lanes():
             for job in lane.queue.order():
-                if not _is_urgent(job, now):
+                if not self._is_urgent(job, now):
                     continue
                 if pending > 0:
                     pending -= 1
                     continue
-                victim = self._find_victim(job)
+                victim = self._find_victim(job, now)
                 if victim is None:
                     return decisions
                 victim.preempted = True
+                victim.job.n_preemptions += 1
                 decisions.append(Preemption(victim.job, victim.backend, job.request_id))
         return decisions
 
-    def _find_victim(self, job: Job) -> _Running | None:
-        """Find the latest started repeatable stream of the lowest tier."""
+    def _is_urgent(self, job: Job, now: float) -> bool:
+        latest = self._latest_start(job)
+        return latest - now < (latest - job.arrived_at) * URGENT_FRACTION
+
+    def _count_victims(self, job: Job, now: float) -> int:
+        if not (self._preempt and self._fair):
+            return 0
+        return sum(self._may_yield(run, job, now) for run in self.running.values())
+
+    def _find_victim(self, job: Job, now: float) -> _Running | None:
+        """Find the latest started stream of the lowest tier that may yield."""
         eligible = [
-            run
-            for run in self.running.values()
-            if run.job.tier > job.tier
-            and run.job.repeatable
-            and not run.preempted
-            and not run.job.isolated
-            and run.backend not in job.excluded
-            and (job.cheap_allowed or not self.views[run.backend].cheap)
+            run for run in self.running.values() if self._may_yield(run, job, now)
         ]
         return max(
             eligible, key=lambda run: (run.job.tier, run.started_at), default=None
         )
 
+    def _may_yield(self, run: _Running, job: Job, now: float) -> bool:
+        """Tell whether a running stream may yield its slot to a waiting job.
+
+        Only a lower tier yields, or, within a class, a customer that offers far
+        more than the others to one that does not.
+        """
+        victim = run.job
+        if run.preempted or victim.n_preemptions >= MAX_PREEMPTIONS:
+            return False
+        if not victim.repeatable or victim.isolated or run.backend in job.excluded:
+            return False
+        view = self.views.get(run.backend)
+        if view is None or (view.cheap and not job.cheap_allowed):
+            return False
+        if victim.tier != job.tier:
+            return victim.tier > job.tier
+        if victim.class_name != job.class_name or victim.customer == job.customer:
+            return False
+        queue = self._lanes[job.class_name].queue
+        return queue.is_heavy(victim.customer, now) and not queue.is_heavy(
+            job.customer, now
+        )
+
     def _check_health(self, now: float) -> None:
         self._health_at = now
         if not self._fair:
@@ -578,13 +644,8 @@
         rate = self._drain_rate(job.tier, now)
         clear = self.n_waiting / rate
         retry_after = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, clear))
-        return Shed(job, code, wait, job.deadline - now, retry_after)
+        return Shed(job, code, wait, self._latest_start(job) - now, retry_after)
 
 
 def _oldest(queue: FairQueue) -> float:
     return min(job.arrived_at for job in queue)
-
-
-def _is_urgent(job: Job, now: float) -> bool:
-    total = job.deadline - job.arrived_at
-    return job.deadline - now < total * URGENT_FRACTION
--- a/packages/medlargate/medlargate/policy/_types.py
+++ b/packages/medlargate/medlargate/policy/_types.py
@@ -68,6 +68,8 @@
         Work already charged to the customer.
     resumed : bool
         Its caller already got part of the answer.
+    n_preemptions : int
+        How often it had to yield its slot.
     """
 
     request_id: str
@@ -90,6 +92,7 @@
     isolated: bool = False
     charged: float = 0.0
     resumed: bool = False
+    n_preemptions: int = 0
 
 
 @dataclass(frozen=True, slots=True)
