--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import time
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from functools import partial
 
 import click
 from medlargate_standins.model import (
     VARIANTS,
     Report,
+    Simulation,
     Variant,
     make_agency,
     make_consortium,
@@ -19,6 +23,8 @@
 
 MORE = (
     Variant("no preemption", preempt=False),
+    Variant("no overflow", overflow=False),
+    Variant("no overflow, no preemption", overflow=False, preempt=False),
     Variant("no preemption, reserve", preempt=False, reserve=0.5),
     Variant("slots: each for itself", sharing="each"),
     Variant("slots: load reports", sharing="reports"),
@@ -29,7 +35,7 @@
 )
 
 
-def _row(table: Table, name: str, report: Report, extra: str, elapsed: float) -> None:
+def _row(table: Table, name: str, report: Report) -> None:
     classes = " ".join(f"{k}={v:.3f}" for k, v in report.attainment.items())
     table.add_row(
         name,
@@ -40,21 +46,80 @@
         f"{report.worst_customer:.3f}",
         f"{report.spending:.2f}",
         f"{report.cheap:.2f}",
-        extra,
-        f"{elapsed:.1f}",
+        f"{report.served_spread:.3f}",
     )
 
 
 def _table(title: str) -> Table:
     columns = ("variant", "attainment", "goodput", "wasted", "late", "worst")
-    return Table(*columns, "spend/service", "cheap", "spread", "run s", title=title)
+    return Table(*columns, "spend/service", "cheap", "spread", title=title)
 
 
-def _run(make, variant: Variant, until: float, **bounds) -> tuple[Report, float]:
-    begun = time.perf_counter()
-    sim = make(variant)
-    sim.clock.run_until(until)
-    return measure(sim, **bounds), time.perf_counter() - begun
+@dataclass(frozen=True)
+class Case:
+    """One scenario with its interval of measurement.
+
+    Attributes
+    ----------
+    make : callable
+        Makes the simulation of a variant.
+    until, start, end : float
+        Virtual seconds.
+    pool : str
+        The pool that is measured.
+    heavy : frozenset of str
+        Customers beyond their share.
+    """
+
+    make: Callable[[Variant], Simulation]
+    until: float
+    start: float
+    end: float
+    pool: str
+    heavy: frozenset[str] = frozenset()
+
+
+CASES = {
+    "agency": Case(make_agency, 200, 30, 140, "drafting"),
+    "agency, zone of cheap servers lost": Case(
+        partial(make_agency, overload=1.0, zone_loss=True), 200, 55, 120, "drafting"
+    ),
+    "consortium": Case(
+        make_consortium, 260, 20, 200, "tutor", frozenset({"partner-0"})
+    ),
+    "consortium without the heavy customer": Case(
+        partial(make_consortium, heavy=False),
+        260,
+        20,
+        200,
+        "tutor",
+        frozenset({"partner-0"}),
+    ),
+    "equal partners": Case(make_partners, 300, 30, 240, "tutor"),
+}
+
+
+def run_case(title: str, variant: Variant) -> Report:
+    """Run one scenario with one variant.
+
+    Parameters
+    ----------
+    title : str
+        Key of ``CASES``.
+    variant : Variant
+        How the nodes decide.
+
+    Returns
+    -------
+    Report
+        What was measured; the same for the same seed.
+    """
+    case = CASES[title]
+    sim = case.make(variant)
+    sim.clock.run_until(case.until)
+    return measure(
+        sim, start=case.start, end=case.end, pool=case.pool, heavy=set(case.heavy)
+    )
 
 
 @click.command()
@@ -63,43 +128,19 @@
 def main(all_variants: bool, only: str) -> None:
     """Print one table per scenario."""
     variants = VARIANTS + (MORE if all_variants else ())
-    heavy = {"partner-0"}
-    scenarios = {
-        "agency": (
-            make_agency,
-            200,
-            {"start": 30, "end": 140, "pool": "drafting", "heavy": set()},
-        ),
-        "agency, zone of cheap servers lost": (
-            lambda v: make_agency(v, overload=1.0, zone_loss=True),
-            200,
-            {"start": 55, "end": 120, "pool": "drafting", "heavy": set()},
-        ),
-        "consortium": (
-            make_consortium,
-            260,
-            {"start": 20, "end": 200, "pool": "tutor", "heavy": heavy},
-        ),
-        "consortium without the heavy customer": (
-            lambda v: make_consortium(v, heavy=False),
-            260,
-            {"start": 20, "end": 200, "pool": "tutor", "heavy": heavy},
-        ),
-        "equal partners": (
-            make_partners,
-            300,
-            {"start": 30, "end": 240, "pool": "tutor", "heavy": set()},
-        ),
-    }
+    titles = [title for title in CASES if only in title]
     console = Console(width=200)
-    for title, (make, end, bounds) in scenarios.items():
-        if only not in title:
-            continue
-        table = _table(title)
-        for variant in variants:
-            report, elapsed = _run(make, variant, end, **bounds)
-            _row(table, variant.name, report, f"{report.served_spread:.3f}", elapsed)
-        console.print(table)
+    with ProcessPoolExecutor() as pool:
+        futures = {
+            (title, variant): pool.submit(run_case, title, variant)
+            for title in titles
+            for variant in variants
+        }
+        for title in titles:
+            table = _table(title)
+            for variant in variants:
+                _row(table, variant.name, futures[title, variant].result())
+            console.print(table)
 
 
 if __name__ == "__main__":
--- a/packages/medlargate-standins/medlargate_standins/model/_scenarios.py
+++ b/packages/medlargate-standins/medlargate_standins/model/_scenarios.py
@@ -48,9 +48,9 @@
     goodput : float
         Slot-seconds of requests within targets, of all slot-seconds.
     wasted : float
-        Tokens generated for no delivered answer or again, of all tokens.
+        Slot-seconds spent on no delivered answer or a second time, of all.
     late : float
-        Tokens of whole answers that missed a target, of all tokens.
+        Slot-seconds of whole answers that missed a target, of all.
     worst_customer : float
         Least attainment of a customer within its share.
     cheap : float
@@ -86,15 +86,16 @@
     )
     slots = sum(engine.batch for engine in sim.pools[pool])
     tokens = sum(o.n_tokens for o in chosen if o.state == "done")
-    wasted = sum(o.n_wasted for o in chosen)
-    late = sum(o.n_tokens for o in chosen if o.state == "done" and not o.met)
+    spent = max(1e-9, sum(o.slot_seconds for o in in_pool))
+    wasted = sum(o.wasted_seconds for o in in_pool)
+    late = sum(o.slot_seconds for o in in_pool if o.state == "done" and not o.met)
     cheap = sum(o.cheap_tokens for o in chosen)
     goodput = good / (slots * (end - start))
     return Report(
         attainment=by_class,
         goodput=goodput,
-        wasted=wasted / max(1, tokens + wasted),
-        late=late / max(1, tokens + wasted),
+        wasted=wasted / spent,
+        late=late / spent,
         worst_customer=min(light.values(), default=1.0),
         cheap=cheap / max(1, tokens),
         spending=1 / max(goodput, 1e-9),
--- a/packages/medlargate-standins/medlargate_standins/model/_simulation.py
+++ b/packages/medlargate-standins/medlargate_standins/model/_simulation.py
@@ -54,6 +54,8 @@
         Nodes tell each other their heaviest customers.
     choice : str
         ``"expected"`` first-token time, or ``"round_robin"``.
+    overflow : bool
+        Urgent requests may go beyond a node's share.
     reserve : float
         See ``PoolScheduler``.
     """
@@ -64,6 +66,7 @@
     preempt: bool = True
     exchange: bool = True
     choice: str = "expected"
+    overflow: bool = True
     reserve: float = 0.0
 
 
@@ -111,7 +114,7 @@
     state: str = "open"
     first_at: float | None = None
     ended_at: float = 0.0
-    n_wasted: int = 0
+    wasted_seconds: float = 0.0
     n_sent: int = 0
     cheap_tokens: int = 0
     slot_seconds: float = 0.0
@@ -165,6 +168,7 @@
                 domain=domain,
                 fair=sim.variant.fair,
                 preempt=sim.variant.preempt,
+                overflow=sim.variant.overflow,
                 reserve_fraction=sim.variant.reserve,
                 choose=_make_choice(sim.variant.choice),
                 random_state=seed,
@@ -220,6 +224,8 @@
             )
             if outcome.first_at is None:
                 outcome.first_at = self.sim.clock.now
+            else:
+                outcome.wasted_seconds += stream.slot_seconds(self.sim.clock.now)
 
         def on_end(n_tokens: int, finished: bool) -> None:
             outcome.slot_seconds += stream.slot_seconds(self.sim.clock.now)
@@ -291,7 +297,7 @@
         if not decision.again or not crash.run:
             outcome.state = "failed"
             outcome.ended_at = now
-            outcome.n_wasted += self.done[job.request_id]
+            outcome.wasted_seconds = outcome.slot_seconds
             return
         job.isolated = crash.isolated
         job.resumed = outcome.first_at is not None
@@ -306,7 +312,6 @@
         n_done = engine.cancel(stream)
         outcome = self.sim.outcomes[job.request_id]
         outcome.slot_seconds += stream.slot_seconds(self.sim.clock.now)
-        outcome.n_wasted += int(job.prompt_tokens * 0.1)
         self.done[job.request_id] += n_done
         scheduler = self.schedulers[job.pool]
         scheduler.observe_end(job, self.sim.clock.now, done=False)
--- a/packages/medlargate/medlargate/policy/_backends.py
+++ b/packages/medlargate/medlargate/policy/_backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from statistics import median
 
@@ -17,6 +18,7 @@
 MAX_EJECTED_FRACTION = 0.34
 PROBE_INTERVAL = 2.0  # seconds
 MAX_PREFIXES = 512
+OVERFLOW_FRACTION = 0.5
 MIN_DOWN_TIMEOUT = 1.0  # seconds
 MAX_DOWN_TIMEOUT = 15.0  # seconds
 
@@ -140,6 +142,30 @@
             free = min(free, self.share - self.in_flight)
         return free
 
+    def count_overflow(self, now: float) -> int:
+        """Count the urgent requests that may go beyond this node's share.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        int
+            0 while the server does not take work.
+
+        Notes
+        -----
+        The engine's own queue honours priorities, so an urgent request gets the
+        next slot that any node's request leaves there.
+        """
+        if not self.is_available(now) or self.n_failures:
+            return 0
+        share = self.limit.decide() if self.share is None else self.share
+        extra = max(1, math.ceil(share * OVERFLOW_FRACTION))
+        return max(0, share + extra - self.in_flight)
+
     def observe_first_token(
         self, elapsed: float, *, prompt_tokens: int = 0, prefix: int = 0
     ) -> None:
--- a/packages/medlargate/medlargate/policy/_choice.py
+++ b/packages/medlargate/medlargate/policy/_choice.py
@@ -15,7 +15,9 @@
 TIE_SPREAD = 0.01
 
 
-def is_eligible(job: Job, view: BackendView, now: float) -> bool:
+def is_eligible(
+    job: Job, view: BackendView, now: float, *, overflow: bool = False
+) -> bool:
     """Tell whether a job may go to a backend server now.
 
     Parameters
@@ -26,6 +28,8 @@
         The server.
     now : float
         Seconds.
+    overflow : bool, default=False
+        It may go beyond this node's share.
 
     Returns
     -------
@@ -36,6 +40,8 @@
         return False
     if job.isolated and view.n_suspects:
         return False
+    if overflow:
+        return view.count_overflow(now) > 0
     return view.count_free(now) > 0
 
 
@@ -61,6 +67,7 @@
     *,
     now: float,
     domain: str = "",
+    overflow: bool = False,
     random_state: random.Random,
 ) -> tuple[Candidate, ...]:
     """Rank the backend servers that may take a job now.
@@ -75,6 +82,8 @@
         Seconds.
     domain : str, default=""
         This node's failure domain, which is preferred.
+    overflow : bool, default=False
+        The job may go beyond this node's share.
     random_state : random.Random
         Breaks ties, so that nodes with equal views don't choose alike.
 
@@ -88,7 +97,9 @@
     Affinity to a cached prefix counts only while the server's load exceeds the mean
     by no more than ``MAX_EXCESS_LOAD``.
     """
-    eligible = [view for view in views if is_eligible(job, view, now)]
+    eligible = [
+        view for view in views if is_eligible(job, view, now, overflow=overflow)
+    ]
     if not eligible:
         return ()
     mean_load = sum(
--- a/packages/medlargate/medlargate/policy/_fairness.py
+++ b/packages/medlargate/medlargate/policy/_fairness.py
@@ -16,6 +16,7 @@
 ACTIVE_TIMEOUT = 5.0  # seconds
 HEAVY_RATIO = 3.0
 OFFER_WINDOW = 30.0  # seconds
+HEAVY_INTERVAL = 1.0  # seconds
 
 
 @dataclass(slots=True)
@@ -52,6 +53,8 @@
         self._ready: SortedList = SortedList()
         self.virtual_time = 0.0
         self.n_jobs = 0
+        self._heavy: frozenset[str] = frozenset()
+        self._heavy_at = float("-inf")
 
     def __len__(self) -> int:
         return self.n_jobs
@@ -197,14 +200,36 @@
         bool
             True above ``HEAVY_RATIO`` times the mean of the other active customers.
         """
-        lane = self._lanes.get(customer)
-        if lane is None:
-            return False
-        own = lane.offered.decide(now)
-        rates = [other.offered.decide(now) for other in self._lanes.values()]
-        others = sum(rates) - own
-        n_others = sum(rate > 0.01 * own for rate in rates) - 1
-        return n_others > 0 and own > HEAVY_RATIO * others / n_others
+        return customer in self._find_heavy(now)
+
+    def has_heavy(self, now: float) -> bool:
+        """Tell whether any customer offers far more than the others.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            True when ``is_heavy`` holds for one of them.
+        """
+        return bool(self._find_heavy(now))
+
+    def _find_heavy(self, now: float) -> frozenset[str]:
+        if now - self._heavy_at < HEAVY_INTERVAL:
+            return self._heavy
+        self._heavy_at = now
+        rates = {n: lane.offered.decide(now) for n, lane in self._lanes.items()}
+        active = {n: rate for n, rate in rates.items() if rate > 1e-3}
+        total, n_others = sum(active.values()), len(active) - 1
+        self._heavy = frozenset(
+            name
+            for name, rate in active.items()
+            if n_others and rate > HEAVY_RATIO * (total - rate) / n_others
+        )
+        return self._heavy
 
     def count_ahead(self, job: Job) -> float:
         """Estimate how many waiting jobs of the class go before a new job.
--- a/packages/medlargate/medlargate/policy/_scheduler.py
+++ b/packages/medlargate/medlargate/policy/_scheduler.py
@@ -20,7 +20,8 @@
 RESERVE_FRACTION = 0.0
 MAX_CREDIT_JOBS = 4.0
 URGENT_FRACTION = 0.5
-MAX_PREEMPTIONS = 1
+MAX_PREEMPTIONS = 3
+OVERFLOW_URGENCY = 0.95
 MIN_DEMAND = 0.01  # requests
 MIN_RETRY_AFTER = 0.5  # seconds
 MAX_RETRY_AFTER = 30.0  # seconds
@@ -58,6 +59,8 @@
         False serves first come, first served, as a baseline.
     preempt : bool, default=True
         Lower-tier streams may yield their slots to urgent higher-tier requests.
+    overflow : bool, default=True
+        Urgent requests may go beyond this node's share of an engine.
     reserve_fraction : float, default=0.0
         Most slots that lower tiers leave free for the recent peak of higher ones.
     choose : callable, default=decide_backend
@@ -80,6 +83,7 @@
         max_queue_length: int = MAX_QUEUE_LENGTH,
         fair: bool = True,
         preempt: bool = True,
+        overflow: bool = True,
         reserve_fraction: float = RESERVE_FRACTION,
         choose: Callable[..., tuple[Candidate, ...]] = decide_backend,
         random_state: int = 0,
@@ -93,6 +97,7 @@
         self._max_queue_length = max_queue_length
         self._fair = fair
         self._preempt = preempt
+        self._overflow = overflow
         self._choose = choose
         self._reserve_fraction = reserve_fraction
         self._random = random.Random(random_state)
@@ -393,7 +398,7 @@
             for other in self._lanes.values()
             if other is not lane and other.tier <= job.tier
         )
-        n_free += self._count_victims(job, now)
+        n_free += self._count_relief(job, now)
         if ahead < n_free:
             return 0.0
         return (ahead - n_free + 1) / self._drain_rate(job.tier, now)
@@ -418,11 +423,38 @@
         lane = self._starved_lane(now)
         if lane is not None:
             return self._assign(lane, now, "min_share")
-        for lane in self._ordered_lanes():
+        lanes = self._ordered_lanes()
+        for lane in lanes:
             assignment = self._assign(lane, now, "tier")
             if assignment is not None:
                 return assignment
-        return None
+        return self._assign_overflow(lanes[0], now) if lanes else None
+
+    def _assign_overflow(self, lane: _ClassLane, now: float) -> Assignment | None:
+        """Send an urgent job beyond this node's share, into the engine's queue."""
+        job = lane.queue.peek()
+        if job is None or not self._may_overflow(job, now):
+            return None
+        if not self._is_urgent(job, now, OVERFLOW_URGENCY):
+            return None
+        ranked = self._rank(job, now, overflow=True)
+        if not ranked:
+            return None
+        return self._dispatch(lane, ranked[0].backend, now, "overflow", ranked)
+
+    def _may_overflow(self, job: Job, now: float) -> bool:
+        """Tell whether others' running work is less urgent than a job."""
+        if not (self._fair and self._overflow):
+            return False
+        present = [
+            tier for tier, d in self._tiers.items() if d.arrivals.decide(now) > 0.1
+        ]
+        if any(tier < job.tier for tier in present):
+            return False
+        if any(tier > job.tier for tier in present):
+            return True
+        queue = self._lanes[job.class_name].queue
+        return not queue.is_heavy(job.customer, now) and queue.has_heavy(now)
 
     def _ordered_lanes(self) -> list[_ClassLane]:
         waiting = [lane for lane in self._lanes.values() if len(lane.queue)]
@@ -465,12 +497,15 @@
             for rank, job in enumerate(higher)
         )
 
-    def _rank(self, job: Job, now: float) -> tuple[Candidate, ...]:
+    def _rank(
+        self, job: Job, now: float, *, overflow: bool = False
+    ) -> tuple[Candidate, ...]:
         return self._choose(
             job,
             self.views.values(),
             now=now,
             domain=self.domain,
+            overflow=overflow,
             random_state=self._random,
         )
 
@@ -545,8 +580,9 @@
         )
         doomed = []
         order = lane.queue.order()
+        relief = self._count_relief(order[0], now)
         for job in order:
-            wait = rank / rate
+            wait = max(0, rank - relief) / rate
             if not job.resumed and self._is_late(job, wait, now):
                 doomed.append((job, wait, "deadline"))
             else:
@@ -579,7 +615,7 @@
         decisions = []
         for lane in self._ordered_lanes():
             for job in lane.queue.order():
-                if not self._is_urgent(job, now):
+                if not self._is_urgent(job, now, URGENT_FRACTION):
                     continue
                 if pending > 0:
                     pending -= 1
@@ -592,9 +628,16 @@
                 decisions.append(Preemption(victim.job, victim.backend, job.request_id))
         return decisions
 
-    def _is_urgent(self, job: Job, now: float) -> bool:
+    def _is_urgent(self, job: Job, now: float, fraction: float) -> bool:
         latest = self._latest_start(job)
-        return latest - now < (latest - job.arrived_at) * URGENT_FRACTION
+        return latest - now < (latest - job.arrived_at) * fraction
+
+    def _count_relief(self, job: Job, now: float) -> int:
+        """Count the places that a job could get beyond the free slots."""
+        relief = self._count_victims(job, now)
+        if self._may_overflow(job, now):
+            relief += sum(view.count_overflow(now) for view in self.views.values())
+        return relief
 
     def _count_victims(self, job: Job, now: float) -> int:
         if not (self._preempt and self._fair):
@@ -606,9 +649,7 @@
         eligible = [
             run for run in self.running.values() if self._may_yield(run, job, now)
         ]
-        return max(
-            eligible, key=lambda run: (run.job.tier, run.started_at), default=None
-        )
+        return max(eligible, key=_yield_order, default=None)
 
     def _may_yield(self, run: _Running, job: Job, now: float) -> bool:
         """Tell whether a running stream may yield its slot to a waiting job.
@@ -647,5 +688,9 @@
         return Shed(job, code, wait, self._latest_start(job) - now, retry_after)
 
 
+def _yield_order(run: _Running) -> tuple[int, int, float]:
+    return (run.job.tier, -run.job.n_preemptions, run.started_at)
+
+
 def _oldest(queue: FairQueue) -> float:
     return min(job.arrived_at for job in queue)
