Split the scheduler, keep tier order strict when refusing early, fuzz it

Cause: one module of 700 lines; and a request was refused early while requests of a lower tier waited and later got the slot. Change: state, look-ahead and preemption in modules of their own; early refusal only when no lower tier waits; stateful fuzzer against counters; mutants.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -25,7 +25,6 @@
     Variant("no preemption", preempt=False),
     Variant("no overflow", overflow=False),
     Variant("no overflow, no preemption", overflow=False, preempt=False),
-    Variant("no preemption, reserve", preempt=False, reserve=0.5),
     Variant("slots: each for itself", sharing="each"),
     Variant("slots: load reports", sharing="reports"),
     Variant("slots: equal split", sharing="split"),
--- a/packages/medlargate-standins/medlargate_standins/fuzzing.py
+++ b/packages/medlargate-standins/medlargate_standins/fuzzing.py
@@ -7,7 +7,7 @@
 import selectors
 from typing import Any
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 STEPS = 50
 CI_EXAMPLES = 200
@@ -21,7 +21,8 @@
     Parameters
     ----------
     n_long : int
-        Examples when ``MEDLARGATE_FUZZ=long`` is set.
+        Examples when ``MEDLARGATE_FUZZ`` is ``long``, or ``find``, which stops at
+        the first failure without shrinking it.
     n_ci : int, default=200
         Examples otherwise; derandomized, so that each run gives the same verdict.
     steps : int, default=50
@@ -32,11 +33,13 @@
     hypothesis.settings
         For a ``RuleBasedStateMachine``'s ``TestCase``.
     """
-    is_long = os.environ.get("MEDLARGATE_FUZZ") == "long"
+    mode = os.environ.get("MEDLARGATE_FUZZ", "")
+    phases = (Phase.generate,) if mode == "find" else tuple(Phase)
     return settings(
-        max_examples=n_long if is_long else n_ci,
+        max_examples=n_long if mode else n_ci,
         stateful_step_count=steps,
-        derandomize=not is_long,
+        derandomize=mode != "long",
+        phases=phases,
         deadline=None,
         database=None,
         print_blob=True,
--- a/packages/medlargate-standins/medlargate_standins/model/_engines.py
+++ b/packages/medlargate-standins/medlargate_standins/model/_engines.py
@@ -134,6 +134,11 @@
             self._progress += elapsed / self._step()
         self._at = self.clock.now
 
+    def expect_first_token(self, job: Job) -> float:
+        """Return the true first-token time of a job that finds a free slot."""
+        cost = 0.0 if job.prefix in self._prefixes else job.prompt_tokens
+        return (self.first_token + cost * self.prefill) * self.slow
+
     def start(self, stream: Stream) -> None:
         """Take a stream; when down it ends at once."""
         stream.started_at = self.clock.now
--- a/packages/medlargate-standins/medlargate_standins/model/_simulation.py
+++ b/packages/medlargate-standins/medlargate_standins/model/_simulation.py
@@ -16,6 +16,7 @@
     CrashTracker,
     Job,
     OutputEstimator,
+    PoolOptions,
     PoolScheduler,
     Preemption,
     RetryBudget,
@@ -53,11 +54,9 @@
     exchange : bool
         Nodes tell each other their heaviest customers.
     choice : str
-        ``"expected"`` first-token time, or ``"round_robin"``.
+        ``"expected"`` first-token time, ``"round_robin"`` or ``"omniscient"``.
     overflow : bool
         Urgent requests may go beyond a node's share.
-    reserve : float
-        See ``PoolScheduler``.
     """
 
     name: str
@@ -67,7 +66,6 @@
     exchange: bool = True
     choice: str = "expected"
     overflow: bool = True
-    reserve: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -131,12 +129,14 @@
         )
 
 
-def _make_choice(kind: str) -> Callable[..., tuple[Candidate, ...]]:
+def _make_choice(
+    kind: str, engines: dict[str, EngineModel]
+) -> Callable[..., tuple[Candidate, ...]]:
     if kind == "expected":
         return decide_backend
     turn = itertools.count()
 
-    def choose(job, views, **options) -> tuple[Candidate, ...]:
+    def take_turns(job, views, **options) -> tuple[Candidate, ...]:
         ranked = decide_backend(job, views, **options)
         if not ranked:
             return ()
@@ -144,7 +144,20 @@
         by_name = sorted(ranked, key=lambda candidate: candidate.backend)
         return tuple(by_name[first:] + by_name[:first])
 
-    return choose
+    def know_all(job, views, **options) -> tuple[Candidate, ...]:
+        """Rank by the engines' true state, which no node can know."""
+        free = [
+            engine
+            for engine in (engines[view.name] for view in views)
+            if engine.up and engine.n_present < engine.batch
+        ]
+        free.sort(key=lambda engine: engine.expect_first_token(job))
+        return tuple(
+            Candidate(engine.name, engine.expect_first_token(job), 0.0, False)
+            for engine in free
+        )
+
+    return know_all if kind == "omniscient" else take_turns
 
 
 class SimulatedNode:
@@ -163,16 +176,14 @@
         self.attempts: dict[str, int] = defaultdict(int)
         self.work: dict[tuple[str, str, str], float] = defaultdict(float)
         for pool, engines in sim.pools.items():
-            scheduler = PoolScheduler(
-                pool,
+            options = PoolOptions(
                 domain=domain,
                 fair=sim.variant.fair,
                 preempt=sim.variant.preempt,
                 overflow=sim.variant.overflow,
-                reserve_fraction=sim.variant.reserve,
-                choose=_make_choice(sim.variant.choice),
-                random_state=seed,
+                choose=_make_choice(sim.variant.choice, sim.engines),
             )
+            scheduler = PoolScheduler(pool, options=options, random_state=seed)
             for engine in engines:
                 limit = ConcurrencyLimit(engine.batch)
                 scheduler.views[engine.name] = BackendView(
@@ -213,15 +224,13 @@
         outcome = self.sim.outcomes[job.request_id]
         sent_at = self.sim.clock.now
         outcome.n_sent += 1
+        if outcome.n_sent == 1:
+            self.work[job.pool, job.class_name, job.customer] += job.charged
         self.attempts[job.request_id] += 1
-        view = self.schedulers[job.pool].views[engine.name]
+        scheduler = self.schedulers[job.pool]
 
         def on_first() -> None:
-            view.observe_first_token(
-                self.sim.clock.now - sent_at,
-                prompt_tokens=job.prompt_tokens,
-                prefix=job.prefix,
-            )
+            scheduler.observe_first_token(job, self.sim.clock.now - sent_at)
             if outcome.first_at is None:
                 outcome.first_at = self.sim.clock.now
             else:
@@ -275,11 +284,12 @@
         view = scheduler.views[engine.name]
         interval = (now - stream.decoding_at) / max(1, stream.n_tokens)
         view.observe_interval(interval, target=job.token_interval, now=now)
+        charged = job.charged
         scheduler.observe_end(job, now, work=work)
         self.estimator.observe(job.customer, outcome.profile.name, total)
         self.budget.observe_success()
         self.crashes.observe_success(job.fingerprint)
-        self.work[job.pool, job.class_name, job.customer] += work
+        self.work[job.pool, job.class_name, job.customer] += work - charged
         self.sim.served.append((now, job.customer, job.class_name, work))
 
     def _retry(self, job: Job, outcome: Outcome, engine: EngineModel) -> None:
@@ -392,7 +402,7 @@
             equal = dict.fromkeys(demands, 1.0)
             for node in self.nodes:
                 scheduler = node.schedulers[pool]
-                scheduler.remote_waiting = _merge(waiting, node.name)
+                scheduler.observe_remote_waiting(_merge(waiting, node.name))
                 quotas = decide_quotas(scheduler.n_slots(self.clock.now), demands)
                 for engine in engines:
                     view = scheduler.views[engine.name]
@@ -425,7 +435,9 @@
 
     def _share_work(self) -> None:
         for node in self.nodes:
-            top = sorted(node.work.items(), key=lambda item: -item[1])[:TOP_CUSTOMERS]
+            top = sorted(node.work.items(), key=lambda item: -abs(item[1]))[
+                :TOP_CUSTOMERS
+            ]
             for (pool, cls, customer), work in top:
                 for other in self.nodes:
                     if other is not node:
--- a/packages/medlargate/medlargate/gateway/_dispatcher.py
+++ b/packages/medlargate/medlargate/gateway/_dispatcher.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from ..fleet import Backend, Config
 from ..policy import (
@@ -14,6 +13,7 @@
     BackendView,
     ConcurrencyLimit,
     Job,
+    PoolOptions,
     PoolScheduler,
     Preemption,
     Refusal,
@@ -67,8 +67,6 @@
         This node's failure domain.
     max_queue_length : int
         Waiting requests of one pool.
-    options : dict
-        Options of ``PoolScheduler``.
 
     Attributes
     ----------
@@ -80,7 +78,6 @@
 
     domain: str
     max_queue_length: int = 10_000
-    options: dict[str, Any] = field(default_factory=dict)
     pools: dict[str, PoolScheduler] = field(default_factory=dict)
     views: dict[str, BackendView] = field(default_factory=dict)
     clock: Callable[[], float] = time.monotonic
@@ -110,12 +107,10 @@
     def _observe_backend(self, pool: str, name: str, backend: Backend) -> None:
         scheduler = self.pools.get(pool)
         if scheduler is None:
-            scheduler = PoolScheduler(
-                pool,
-                domain=self.domain,
-                max_queue_length=self.max_queue_length,
-                **self.options,
+            options = PoolOptions(
+                domain=self.domain, max_queue_length=self.max_queue_length
             )
+            scheduler = PoolScheduler(pool, options=options)
             self.pools[pool] = scheduler
         view = self.views.get(name)
         if view is None:
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -169,13 +169,8 @@
         elapsed : float
             Seconds since it was sent to the backend server.
         """
-        view = self.dispatcher.views.get(exch.backend)
-        if view is not None:
-            view.observe_first_token(
-                elapsed,
-                prompt_tokens=exch.job.prompt_tokens,
-                prefix=exch.job.prefix,
-            )
+        scheduler = self.dispatcher.pools[exch.job.pool]
+        scheduler.observe_first_token(exch.job, elapsed)
 
     def release(self, exch: Exchange, *, done: bool) -> None:
         """Give back a request's slot and take in what it measured.
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -6,6 +6,7 @@
 from ._estimates import OutputEstimator
 from ._fairness import FairQueue
 from ._limits import ConcurrencyLimit
+from ._pool import PoolOptions
 from ._retries import RetryBudget, RetryDecision, decide_retry
 from ._scheduler import PoolScheduler
 from ._shares import decide_quotas, decide_share, rank_by_hash
@@ -22,6 +23,7 @@
     "FairQueue",
     "Job",
     "OutputEstimator",
+    "PoolOptions",
     "PoolScheduler",
     "Preemption",
     "Refusal",
--- a/packages/medlargate/medlargate/policy/_demand.py
+++ b/packages/medlargate/medlargate/policy/_demand.py
@@ -1,4 +1,4 @@
-"""Rates and peaks that the scheduler needs to look ahead."""
+"""Rates and levels that the scheduler needs to look ahead."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 RATE_WINDOW = 5.0  # seconds
-PEAK_HALF_LIFE = 60.0  # seconds
 DURATION_SMOOTHING = 0.05
 LEVEL_WINDOW = 3.0  # seconds
 
@@ -58,50 +57,6 @@
         return self.value * math.exp((self.at - now) / self.window)
 
 
-@dataclass(slots=True)
-class DecayingPeak:
-    """The recent maximum of a level, halved every ``PEAK_HALF_LIFE``.
-
-    Attributes
-    ----------
-    value : float
-        The peak at ``at``.
-    at : float
-        Time of the last sample, seconds.
-    """
-
-    value: float = 0.0
-    at: float = 0.0
-
-    def observe(self, level: float, now: float) -> None:
-        """Take in a level.
-
-        Parameters
-        ----------
-        level : float
-            Any unit.
-        now : float
-            Seconds.
-        """
-        self.value = max(level, self.decide(now))
-        self.at = now
-
-    def decide(self, now: float) -> float:
-        """Return the peak.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        float
-            In the level's unit.
-        """
-        return self.value * 0.5 ** ((now - self.at) / PEAK_HALF_LIFE)
-
-
 @dataclass(slots=True)
 class TierDemand:
     """What one tier asks of a pool.
@@ -110,16 +65,15 @@
     ----------
     arrivals : DecayingRate
         Requests per second.
-    peak : DecayingPeak
-        Requests waiting and in flight.
     n_waiting, n_in_flight : int
         Requests now.
     duration : float
         Smoothed seconds per request; 0 before the first.
+    level, level_at : float
+        Smoothed requests waiting and in flight, and when they were smoothed.
     """
 
     arrivals: DecayingRate = field(default_factory=DecayingRate)
-    peak: DecayingPeak = field(default_factory=DecayingPeak)
     n_waiting: int = 0
     n_in_flight: int = 0
     duration: float = 0.0
@@ -144,16 +98,6 @@
         self.level_at = now
         return self.level
 
-    def observe_level(self, now: float) -> None:
-        """Update the peak from the counts.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        """
-        self.peak.observe(self.n_waiting + self.n_in_flight, now)
-
     def observe_duration(self, duration: float) -> None:
         """Take in a finished request.
 
--- a/packages/medlargate/medlargate/policy/_fairness.py
+++ b/packages/medlargate/medlargate/policy/_fairness.py
@@ -12,9 +12,9 @@
 from ._types import Job
 
 MAX_IDLE_LANES = 4096
-CREDIT_JOBS = 16
-ACTIVE_TIMEOUT = 5.0  # seconds
-HEAVY_RATIO = 3.0
+CREDIT_JOBS = 2
+ACTIVE_TIMEOUT = 60.0  # seconds
+HEAVY_RATIO = 5.0
 OFFER_WINDOW = 30.0  # seconds
 HEAVY_INTERVAL = 1.0  # seconds
 
@@ -53,6 +53,7 @@
         self._ready: SortedList = SortedList()
         self.virtual_time = 0.0
         self.n_jobs = 0
+        self._returned: deque[Job] = deque()
         self._heavy: frozenset[str] = frozenset()
         self._heavy_at = float("-inf")
 
@@ -60,6 +61,7 @@
         return self.n_jobs
 
     def __iter__(self) -> Iterator[Job]:
+        yield from self._returned
         for lane in self._lanes.values():
             yield from lane.jobs
 
@@ -89,8 +91,13 @@
         job : Job
             The request.
         first : bool, default=False
-            Put it before the customer's other jobs, for resumed streams.
+            For a job that was dispatched before: it goes before all others, or,
+            for a heavy customer, before that customer's others.
         """
+        if first and job.customer not in self._heavy:
+            self._returned.append(job)
+            self.n_jobs += 1
+            return
         lane = self._lane(job.customer, job.weight)
         lane.weight = job.weight
         if not lane.jobs:
@@ -115,23 +122,54 @@
         Job or None
             None when nothing waits.
         """
+        if self._returned:
+            return self._returned[0]
         if not self._ready:
             return None
         return self._lanes[self._ready[0][1]].jobs[0]
 
-    def pop(self) -> Job:
-        """Remove the next job and charge its estimated work.
+    def heads(self, max_heads: int) -> list[Job]:
+        """List the first jobs of the customers that are next.
+
+        Parameters
+        ----------
+        max_heads : int
+            Most customers to look at.
+
+        Returns
+        -------
+        list of Job
+            One for each customer, furthest under its share first.
+        """
+        returned = list(self._returned)[:max_heads]
+        return returned + [
+            self._lanes[customer].jobs[0] for _, customer in self._ready[:max_heads]
+        ]
+
+    def pop(self, job: Job | None = None) -> Job:
+        """Remove a job and charge its estimated work.
+
+        Parameters
+        ----------
+        job : Job or None
+            One of ``heads``; the first one by default.
 
         Returns
         -------
         Job
-            The first job of the customer that is furthest under its share.
+            The job.
         """
-        virtual_time, customer = self._ready.pop(0)
-        lane = self._lanes[customer]
-        job = lane.jobs.popleft()
+        job = job or self.peek()
+        assert job is not None
         self.n_jobs -= 1
-        self.virtual_time = max(self.virtual_time, virtual_time)
+        if job in self._returned:
+            self._returned.remove(job)
+            return job
+        customer = job.customer
+        lane = self._lanes[customer]
+        self._ready.remove((lane.virtual_time, customer))
+        lane.jobs.popleft()
+        self.virtual_time = max(self.virtual_time, lane.virtual_time)
         charge = max(0.0, job.work - job.charged)
         job.charged += charge
         lane.virtual_time += charge / lane.weight
@@ -147,9 +185,12 @@
         job : Job
             A waiting job.
         """
+        self.n_jobs -= 1
+        if job in self._returned:
+            self._returned.remove(job)
+            return
         lane = self._lanes[job.customer]
         lane.jobs.remove(job)
-        self.n_jobs -= 1
         if not lane.jobs:
             self._ready.discard((lane.virtual_time, lane.customer))
 
@@ -249,7 +290,7 @@
         n_own = len(own.jobs) + 1 if own else 1
         start = max(own.virtual_time if own else 0.0, self.virtual_time)
         finish = start + n_own * job.work / job.weight
-        ahead = float(n_own - 1)
+        ahead = float(n_own - 1 + len(self._returned))
         for _, customer in self._ready:
             if customer == job.customer:
                 continue
@@ -273,7 +314,7 @@
                 keyed.append((virtual_time, lane.customer, job))
                 virtual_time += job.work / lane.weight
         keyed.sort(key=lambda item: item[:2])
-        return [job for _, _, job in keyed]
+        return [*self._returned, *(job for _, _, job in keyed)]
 
     def snapshot(self) -> dict[str, float]:
         """Report each active customer's lead over the class's virtual time.
--- a/packages/medlargate/medlargate/policy/_scheduler.py
+++ b/packages/medlargate/medlargate/policy/_scheduler.py
@@ -3,45 +3,35 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from typing import Any
 
 from ._backends import BackendView, decide_ejections
-from ._choice import decide_backend, decide_probe
-from ._demand import TierDemand
-from ._fairness import FairQueue
+from ._choice import decide_probe
+from ._lookahead import (
+    compute_drain_rate,
+    compute_latest_start,
+    compute_wait,
+    count_relief,
+    has_slack,
+    is_privileged,
+)
+from ._pool import ClassLane, PoolOptions, PoolState, Running
+from ._preemption import find_victim
 from ._types import Assignment, Candidate, Job, Preemption, Shed
 
-MAX_QUEUE_LENGTH = 10_000
 SWEEP_INTERVAL = 0.05  # seconds
 HEALTH_INTERVAL = 1.0  # seconds
 SHED_MARGIN = 1.3
-RESERVE_FRACTION = 0.0
 MAX_CREDIT_JOBS = 4.0
-URGENT_FRACTION = 0.5
-MAX_PREEMPTIONS = 3
-OVERFLOW_URGENCY = 0.95
+MAX_HEADS = 8
+URGENT_FRACTION = 0.8
+HEAVY_URGENT_FRACTION = 0.8
+OVERFLOW_URGENCY = 0.8
 MIN_DEMAND = 0.01  # requests
 MIN_RETRY_AFTER = 0.5  # seconds
 MAX_RETRY_AFTER = 30.0  # seconds
 
-
-@dataclass(slots=True)
-class _ClassLane:
-    tier: int
-    min_share: float
-    queue: FairQueue = field(default_factory=FairQueue)
-    credit: float = 0.0
-    served: float = 0.0
-
-
-@dataclass(slots=True)
-class _Running:
-    job: Job
-    backend: str
-    started_at: float
-    preempted: bool = False
+Decision = Assignment | Shed | Preemption
 
 
 class PoolScheduler:
@@ -51,20 +41,8 @@
     ----------
     pool : str
         Model or plain service.
-    domain : str, default=""
-        This node's failure domain.
-    max_queue_length : int, default=10000
-        Waiting requests; more are refused.
-    fair : bool, default=True
-        False serves first come, first served, as a baseline.
-    preempt : bool, default=True
-        Lower-tier streams may yield their slots to urgent higher-tier requests.
-    overflow : bool, default=True
-        Urgent requests may go beyond this node's share of an engine.
-    reserve_fraction : float, default=0.0
-        Most slots that lower tiers leave free for the recent peak of higher ones.
-    choose : callable, default=decide_backend
-        Ranks the backend servers for a job.
+    options : PoolOptions, optional
+        How the pool is scheduled.
     random_state : int, default=0
         Seed for ties.
 
@@ -72,43 +50,32 @@
     -----
     The order is strict by tier. A lower class gets its ``min_share`` from slack
     only: when no waiting request of a higher tier would miss its deadline by it.
-    See docs/design/0002-decisions.md for the guarantee.
+    A request is refused before its latest start only while no request of a lower
+    tier waits. See docs/design/0002-decisions.md for the guarantees.
     """
 
     def __init__(
         self,
         pool: str,
         *,
-        domain: str = "",
-        max_queue_length: int = MAX_QUEUE_LENGTH,
-        fair: bool = True,
-        preempt: bool = True,
-        overflow: bool = True,
-        reserve_fraction: float = RESERVE_FRACTION,
-        choose: Callable[..., tuple[Candidate, ...]] = decide_backend,
+        options: PoolOptions | None = None,
         random_state: int = 0,
     ) -> None:
         self.pool = pool
-        self.domain = domain
-        self.views: dict[str, BackendView] = {}
-        self.running: dict[str, _Running] = {}
-        self._lanes: dict[str, _ClassLane] = {}
-        self._tiers: dict[int, TierDemand] = defaultdict(TierDemand)
-        self._max_queue_length = max_queue_length
-        self._fair = fair
-        self._preempt = preempt
-        self._overflow = overflow
-        self._choose = choose
-        self._reserve_fraction = reserve_fraction
+        self.state = PoolState(options or PoolOptions())
         self._random = random.Random(random_state)
         self._swept_at = float("-inf")
         self._health_at = float("-inf")
-        self.remote_waiting: dict[int, int] = {}
 
     @property
-    def n_waiting(self) -> int:
-        """Number of waiting requests."""
-        return sum(len(lane.queue) for lane in self._lanes.values())
+    def views(self) -> dict[str, BackendView]:
+        """Backend servers by name."""
+        return self.state.views
+
+    @property
+    def running(self) -> dict[str, Running]:
+        """Dispatched requests by id."""
+        return self.state.running
 
     # Facts
 
@@ -127,19 +94,20 @@
         Shed or None
             The refusal, or None when the request waits.
         """
-        demand = self._tiers[job.tier]
-        demand.arrivals.observe(now)
-        lane = self._lane(job)
+        state = self.state
+        state.tiers[job.tier].arrivals.observe(now)
+        lane = state.find_lane(job)
         lane.queue.observe_offer(job, now)
-        wait = self._expected_wait(job, lane, now)
-        allowed = self._latest_start(job) - now
-        if not self._has_backend(job):
+        wait = compute_wait(state, job, lane, now)
+        if not state.has_backend(job):
             return self._shed(job, "no_backend", wait, now)
-        if self.n_waiting >= self._max_queue_length and not self._displace(job):
+        is_full = state.n_waiting >= state.options.max_queue_length
+        if is_full and not state.has_waiting_below(job.tier):
             return self._shed(job, "queue_full", wait, now)
-        if self._fair and wait > allowed:
+        allowed = compute_latest_start(state, job) - now
+        if state.options.fair and wait > allowed and self._may_refuse_early(job):
             return self._shed(job, "deadline", wait, now)
-        self._enqueue(job, now)
+        state.enqueue(job, now)
         return None
 
     def observe_return(self, job: Job, now: float) -> None:
@@ -152,7 +120,7 @@
         now : float
             Seconds.
         """
-        self._enqueue(job, now, first=True)
+        self.state.enqueue(job, now, first=True)
 
     def observe_cancel(self, job: Job, now: float) -> None:
         """Drop a waiting request whose caller went away.
@@ -164,8 +132,7 @@
         now : float
             Seconds.
         """
-        self._lanes[job.class_name].queue.remove(job)
-        self._count_waiting(job, -1, now)
+        self.state.remove(job, now)
 
     def observe_end(
         self, job: Job, now: float, *, work: float | None = None, done: bool = True
@@ -188,13 +155,33 @@
         if view is not None:
             view.in_flight -= 1
             view.n_suspects -= job.isolated
-        demand = self._tiers[job.tier]
+        demand = self.state.tiers[job.tier]
+        demand.smooth_level(now)
         demand.n_in_flight -= 1
         if done:
             demand.observe_duration(now - run.started_at)
         if work is not None:
             self.observe_work(job, work)
 
+    def observe_first_token(self, job: Job, elapsed: float) -> None:
+        """Take in a measured time to the first token.
+
+        Parameters
+        ----------
+        job : Job
+            A dispatched request.
+        elapsed : float
+            Seconds since its dispatch.
+        """
+        run = self.running.get(job.request_id)
+        view = self.views.get(run.backend) if run else None
+        if run is None or view is None:
+            return
+        run.delivering = True
+        view.observe_first_token(
+            elapsed, prompt_tokens=job.prompt_tokens, prefix=job.prefix
+        )
+
     def observe_work(self, job: Job, work: float) -> None:
         """Settle the work charged for a request.
 
@@ -205,8 +192,8 @@
         work : float
             Its measured work so far, output-token equivalents.
         """
-        lane = self._lane(job)
-        lane.queue.observe_work(job.customer, job.weight, work - job.charged)
+        queue = self.state.find_lane(job).queue
+        queue.observe_work(job.customer, job.weight, work - job.charged)
         job.charged = work
 
     def observe_remote_work(self, cls: str, customer: str, work: float) -> None:
@@ -217,12 +204,22 @@
         cls, customer : str
             Class and customer.
         work : float
-            Output-token equivalents.
+            Output-token equivalents over the customer's weight.
         """
-        lane = self._lanes.get(cls)
+        lane = self.state.lanes.get(cls)
         if lane is not None:
             lane.queue.observe_work(customer, 1.0, work)
 
+    def observe_remote_waiting(self, waiting: dict[int, int]) -> None:
+        """Take in how many requests wait on other nodes.
+
+        Parameters
+        ----------
+        waiting : dict of int to int
+            Requests by tier.
+        """
+        self.state.remote_waiting = waiting
+
     def observe_failure(self, backend: str, now: float) -> None:
         """Take in a failed connection to a backend server.
 
@@ -239,7 +236,7 @@
 
     # Decisions
 
-    def decide(self, now: float) -> list[Assignment | Shed | Preemption]:
+    def decide(self, now: float) -> list[Decision]:
         """Dispatch, refuse and preempt whatever the facts call for.
 
         Parameters
@@ -253,7 +250,7 @@
             In the order in which they were decided; the scheduler has already
             counted them.
         """
-        decisions: list[Assignment | Shed | Preemption] = []
+        decisions: list[Decision] = []
         if now - self._health_at >= HEALTH_INTERVAL:
             self._check_health(now)
         while (assignment := self._next_assignment(now)) is not None:
@@ -261,10 +258,29 @@
         if now - self._swept_at >= SWEEP_INTERVAL:
             self._swept_at = now
             decisions.extend(self._sweep(now))
-            decisions.extend(self._preemptions(now))
+            decisions.extend(self._preempt(now))
         return decisions
 
-    def snapshot(self) -> dict[str, object]:
+    def n_slots(self, now: float) -> int:
+        """Count the slots of the backend servers that take work.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        int
+            Sum of their limits.
+        """
+        return sum(
+            view.limit.decide()
+            for view in self.views.values()
+            if view.is_available(now)
+        )
+
+    def snapshot(self) -> dict[str, Any]:
         """Report the pool.
 
         Returns
@@ -272,7 +288,7 @@
         dict
             Waiting and running requests by class, backend servers.
         """
-        waiting = {name: len(lane.queue) for name, lane in self._lanes.items()}
+        waiting = {name: len(lane.queue) for name, lane in self.state.lanes.items()}
         return {
             "pool": self.pool,
             "waiting": waiting,
@@ -293,28 +309,9 @@
         dict of int to float
             Requests by tier.
         """
-        levels = {t: d.smooth_level(now) for t, d in self._tiers.items()}
+        levels = {t: d.smooth_level(now) for t, d in self.state.tiers.items()}
         return {t: level for t, level in levels.items() if level > MIN_DEMAND}
 
-    def n_slots(self, now: float) -> int:
-        """Count the slots of the backend servers that take work.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        int
-            Sum of their limits.
-        """
-        return sum(
-            view.limit.decide()
-            for view in self.views.values()
-            if view.is_available(now)
-        )
-
     def snapshot_waiting(self) -> dict[int, int]:
         """Report waiting requests by tier.
 
@@ -323,374 +320,223 @@
         dict of int to int
             Requests by tier; tiers with none are left out.
         """
-        return {t: d.n_waiting for t, d in self._tiers.items() if d.n_waiting}
-
-    # Internals: counting
-
-    def _lane(self, job: Job) -> _ClassLane:
-        lane = self._lanes.get(job.class_name)
-        if lane is None:
-            lane = _ClassLane(job.tier, job.min_share)
-            self._lanes[job.class_name] = lane
-        lane.tier = job.tier
-        lane.min_share = job.min_share
-        return lane
-
-    def _enqueue(self, job: Job, now: float, *, first: bool = False) -> None:
-        self._lane(job).queue.push(job, first=first)
-        self._count_waiting(job, 1, now)
-
-    def _count_waiting(self, job: Job, change: int, now: float) -> None:
-        demand = self._tiers[job.tier]
-        demand.n_waiting += change
-        demand.observe_level(now)
-
-    def _has_backend(self, job: Job) -> bool:
-        return any(
-            view.state not in ("leaving", "gone")
-            and (job.cheap_allowed or not view.cheap)
-            for view in self.views.values()
-        )
+        return {t: d.n_waiting for t, d in self.state.tiers.items() if d.n_waiting}
 
-    # Internals: looking ahead
-
-    def _latest_start(self, job: Job) -> float:
-        """Return when a job must be dispatched to meet its first-token target."""
-        if not self._fair:
-            return job.deadline
-        expected = [
-            view.expect_first_token(job.prompt_tokens, job.prefix)
-            for view in self.views.values()
-            if view.states.attributes["accepts"]
-        ]
-        return job.deadline - min(expected, default=0.0)
-
-    def _n_own_slots(self, now: float) -> int:
-        return sum(
-            view.limit.decide() if view.share is None else view.share
-            for view in self.views.values()
-            if view.is_available(now)
-        )
-
-    def _drain_rate(self, tier: int, now: float) -> float:
-        """Estimate dispatches per second that a tier can count on; inf: unknown."""
-        measured = [d for d in self._tiers.values() if d.duration]
-        n_running = sum(demand.n_in_flight for demand in measured)
-        if not measured:
-            return float("inf")
-        if n_running:
-            ends = sum(d.n_in_flight / d.duration for d in measured)
-            rate = ends * self._n_own_slots(now) / n_running
-        else:
-            rate = self._n_own_slots(now) / max(d.duration for d in measured)
-        higher = sum(
-            demand.arrivals.decide(now)
-            for other, demand in self._tiers.items()
-            if other < tier
-        )
-        return max(rate - higher, rate * 0.02, 1e-9)
-
-    def _expected_wait(self, job: Job, lane: _ClassLane, now: float) -> float:
-        n_free = self._count_free(job, now)
-        ahead = lane.queue.count_ahead(job)
-        ahead += sum(
-            len(other.queue)
-            for other in self._lanes.values()
-            if other is not lane and other.tier <= job.tier
-        )
-        n_free += self._count_relief(job, now)
-        if ahead < n_free:
-            return 0.0
-        return (ahead - n_free + 1) / self._drain_rate(job.tier, now)
-
-    def _count_free(self, job: Job, now: float) -> int:
-        free = sum(max(0, view.count_free(now)) for view in self.views.values())
-        return max(0, free - self._reserve(job.tier, now))
-
-    def _reserve(self, tier: int, now: float) -> int:
-        """Slots kept free for the recent peak of the higher tiers."""
-        if not self._reserve_fraction:
-            return 0
-        missing = 0.0
-        for other, demand in self._tiers.items():
-            if other < tier:
-                missing += max(0.0, demand.peak.decide(now) - demand.n_in_flight)
-        return int(min(missing, self._n_own_slots(now) * self._reserve_fraction))
-
-    # Internals: dispatch
+    # Dispatch
 
     def _next_assignment(self, now: float) -> Assignment | None:
-        lane = self._starved_lane(now)
-        if lane is not None:
-            return self._assign(lane, now, "min_share")
-        lanes = self._ordered_lanes()
+        starved = self._starved_lane(now)
+        if starved is not None:
+            return self._assign(starved, now, "min_share")
+        lanes = self.state.ordered_lanes()
         for lane in lanes:
             assignment = self._assign(lane, now, "tier")
             if assignment is not None:
                 return assignment
         return self._assign_overflow(lanes[0], now) if lanes else None
 
-    def _assign_overflow(self, lane: _ClassLane, now: float) -> Assignment | None:
-        """Send an urgent job beyond this node's share, into the engine's queue."""
-        job = lane.queue.peek()
-        if job is None or not self._may_overflow(job, now):
-            return None
-        if not self._is_urgent(job, now, OVERFLOW_URGENCY):
-            return None
-        ranked = self._rank(job, now, overflow=True)
-        if not ranked:
-            return None
-        return self._dispatch(lane, ranked[0].backend, now, "overflow", ranked)
-
-    def _may_overflow(self, job: Job, now: float) -> bool:
-        """Tell whether others' running work is less urgent than a job."""
-        if not (self._fair and self._overflow):
-            return False
-        present = [
-            tier for tier, d in self._tiers.items() if d.arrivals.decide(now) > 0.1
-        ]
-        if any(tier < job.tier for tier in present):
-            return False
-        if any(tier > job.tier for tier in present):
-            return True
-        queue = self._lanes[job.class_name].queue
-        return not queue.is_heavy(job.customer, now) and queue.has_heavy(now)
-
-    def _ordered_lanes(self) -> list[_ClassLane]:
-        waiting = [lane for lane in self._lanes.values() if len(lane.queue)]
-        if not self._fair:
-            return sorted(waiting, key=lambda lane: _oldest(lane.queue))
-        return sorted(waiting, key=lambda lane: (lane.tier, lane.served))
-
-    def _starved_lane(self, now: float) -> _ClassLane | None:
-        if not self._fair:
+    def _starved_lane(self, now: float) -> ClassLane | None:
+        """Find a class with credit that can be served from slack."""
+        if not self.state.options.fair:
             return None
-        for lane in self._lanes.values():
+        for lane in self.state.lanes.values():
             head = lane.queue.peek()
             if head is None or lane.credit < head.work:
                 continue
-            if self._has_slack(lane.tier, now) and self._can_place(head, now):
+            if has_slack(self.state, lane.tier, now) and self._rank(head, now):
                 return lane
         return None
 
-    def _can_place(self, job: Job, now: float) -> bool:
-        return bool(self._rank(job, now))
+    def _assign(self, lane: ClassLane, now: float, reason: str) -> Assignment | None:
+        """Dispatch the first of the lane's customers' heads that finds a place."""
+        for job in lane.queue.heads(MAX_HEADS):
+            probe = self._find_probe(job, now)
+            if probe is not None:
+                return self._dispatch(lane, job, probe, now, "probe", ())
+            ranked = self._rank(job, now)
+            if ranked:
+                backend = ranked[0].backend
+                return self._dispatch(lane, job, backend, now, reason, ranked)
+        return None
 
-    def _has_slack(self, tier: int, now: float) -> bool:
-        """Tell whether one more dispatch delays no higher tier past a deadline."""
-        if any(n for other, n in self.remote_waiting.items() if other < tier):
-            return False
-        higher = [
-            job
-            for lane in self._lanes.values()
-            if lane.tier < tier
-            for job in lane.queue
-        ]
-        if not higher:
-            return True
-        rate = self._drain_rate(tier=min(job.tier for job in higher), now=now)
-        if rate == float("inf"):
-            return False
-        higher.sort(key=lambda job: job.deadline)
-        return all(
-            now + (rank + 2) / rate <= self._latest_start(job)
-            for rank, job in enumerate(higher)
-        )
+    def _find_probe(self, job: Job, now: float) -> str | None:
+        if not self.state.options.fair:
+            return None
+        probe = decide_probe(job, self.views.values(), now)
+        if probe is not None:
+            self.views[probe].probed_at = now
+        return probe
+
+    def _assign_overflow(self, lane: ClassLane, now: float) -> Assignment | None:
+        """Send an urgent job beyond this node's share, into the engine's queue."""
+        job = lane.queue.peek()
+        if job is None or not self.state.options.overflow:
+            return None
+        if not is_privileged(self.state, job, now):
+            return None
+        if not self._is_urgent(job, now, OVERFLOW_URGENCY):
+            return None
+        ranked = self._rank(job, now, overflow=True)
+        if not ranked:
+            return None
+        backend = ranked[0].backend
+        return self._dispatch(lane, job, backend, now, "overflow", ranked)
 
     def _rank(
         self, job: Job, now: float, *, overflow: bool = False
     ) -> tuple[Candidate, ...]:
-        return self._choose(
+        return self.state.options.choose(
             job,
             self.views.values(),
             now=now,
-            domain=self.domain,
+            domain=self.state.options.domain,
             overflow=overflow,
             random_state=self._random,
         )
 
-    def _assign(self, lane: _ClassLane, now: float, reason: str) -> Assignment | None:
-        job = lane.queue.peek()
-        if job is None:
-            return None
-        probe = decide_probe(job, self.views.values(), now) if self._fair else None
-        if probe is not None:
-            self.views[probe].probed_at = now
-            return self._dispatch(lane, probe, now, "probe", ())
-        if reason == "tier" and not self._count_free(job, now):
-            return None
-        ranked = self._rank(job, now)
-        if not ranked:
-            return None
-        return self._dispatch(lane, ranked[0].backend, now, reason, ranked)
-
     def _dispatch(
         self,
-        lane: _ClassLane,
+        lane: ClassLane,
+        job: Job,
+        backend: str,
+        now: float,
+        reason: str,
+        ranked: tuple[Candidate, ...],
+    ) -> Assignment:
+        lane.queue.pop(job)
+        self._credit(lane, job)
+        return self._count_in(job, backend, now, reason, ranked)
+
+    def _count_in(
+        self,
+        job: Job,
         backend: str,
         now: float,
         reason: str,
         ranked: tuple[Candidate, ...],
     ) -> Assignment:
-        job = lane.queue.pop()
         view = self.views[backend]
         view.in_flight += 1
         view.n_suspects += job.isolated
-        self.running[job.request_id] = _Running(job, backend, now)
-        demand = self._tiers[job.tier]
-        demand.n_in_flight += 1
-        self._count_waiting(job, -1, now)
-        self._credit(lane, job)
+        self.running[job.request_id] = Running(job, backend, now)
+        self.state.count_waiting(job, -1, now)
+        self.state.tiers[job.tier].n_in_flight += 1
         return Assignment(job, backend, now, reason, ranked)
 
-    def _credit(self, lane: _ClassLane, job: Job) -> None:
+    def _credit(self, lane: ClassLane, job: Job) -> None:
+        """Credit the waiting classes with their parts of a dispatch's work."""
         lane.served += job.work
         lane.credit = max(0.0, lane.credit - job.work)
-        for other in self._lanes.values():
+        for other in self.state.lanes.values():
             head = other.queue.peek()
             if other is lane or head is None:
                 continue
             cap = head.work * MAX_CREDIT_JOBS
             other.credit = min(cap, other.credit + other.min_share * job.work)
 
-    # Internals: refusal and preemption
+    # Refusal
 
-    def _displace(self, job: Job) -> bool:
-        """Tell whether a full queue has room after lower tiers are swept."""
-        return any(
-            lane.tier > job.tier and len(lane.queue) for lane in self._lanes.values()
-        )
+    def _may_refuse_early(self, job: Job) -> bool:
+        return not self.state.has_waiting_below(job.tier)
 
     def _sweep(self, now: float) -> list[Shed]:
         """Refuse the waiting jobs that can't meet their deadlines any more."""
-        sheds = []
-        excess = self.n_waiting - self._max_queue_length
-        lanes = sorted(self._lanes.values(), key=lambda lane: -lane.tier)
+        sheds: list[Shed] = []
+        lanes = sorted(self.state.lanes.values(), key=lambda lane: -lane.tier)
         for lane in lanes:
-            if len(lane.queue):
-                sheds.extend(self._sweep_lane(lane, now, excess - len(sheds)))
+            excess = self.state.n_waiting - self.state.options.max_queue_length
+            doomed = self._find_late(lane, now)
+            doomed += self._find_excess(lane, excess - len(doomed), doomed)
+            for job, wait, code in doomed:
+                self.state.remove(job, now)
+                sheds.append(self._shed(job, code, wait, now))
         return sheds
 
-    def _sweep_lane(self, lane: _ClassLane, now: float, excess: int) -> list[Shed]:
-        rate = self._drain_rate(lane.tier, now)
+    def _find_late(self, lane: ClassLane, now: float) -> list[tuple[Job, float, str]]:
+        rate = compute_drain_rate(self.state, lane.tier, now)
         rank = sum(
             len(other.queue)
-            for other in self._lanes.values()
+            for other in self.state.lanes.values()
             if other is not lane and other.tier <= lane.tier
         )
-        doomed = []
-        order = lane.queue.order()
-        relief = self._count_relief(order[0], now)
-        for job in order:
-            wait = max(0, rank - relief) / rate
+        late = []
+        relief: dict[bool, int] = {}
+        for job in lane.queue.order():
+            heavy = lane.queue.is_heavy(job.customer, now)
+            if heavy not in relief:
+                relief[heavy] = count_relief(self.state, job, now)
+            wait = max(0, rank - relief[heavy]) / rate
             if not job.resumed and self._is_late(job, wait, now):
-                doomed.append((job, wait, "deadline"))
+                late.append((job, wait, "deadline"))
             else:
                 rank += 1
-        for job in reversed(order):
-            if len(doomed) >= excess:
-                break
-            if not job.resumed and all(job is not late for late, _, _ in doomed):
-                doomed.append((job, rank / rate, "queue_full"))
-        sheds = []
-        for job, wait, code in doomed:
-            lane.queue.remove(job)
-            self._count_waiting(job, -1, now)
-            sheds.append(self._shed(job, code, wait, now))
-        return sheds
+        return late
 
     def _is_late(self, job: Job, wait: float, now: float) -> bool:
-        allowed = self._latest_start(job) - now
+        allowed = compute_latest_start(self.state, job) - now
         if allowed <= 0:
             return True
-        return self._fair and wait > allowed * SHED_MARGIN
+        if not self.state.options.fair or not self._may_refuse_early(job):
+            return False
+        return wait > allowed * SHED_MARGIN
+
+    def _find_excess(
+        self, lane: ClassLane, excess: int, doomed: list[tuple[Job, float, str]]
+    ) -> list[tuple[Job, float, str]]:
+        """Find the last jobs of a lane that a full queue has no room for."""
+        if excess <= 0:
+            return []
+        taken = {id(job) for job, _, _ in doomed}
+        kept = [
+            job
+            for job in reversed(lane.queue.order())
+            if not job.resumed and id(job) not in taken
+        ]
+        return [(job, 0.0, "queue_full") for job in kept[:excess]]
 
-    def _preemptions(self, now: float) -> list[Preemption]:
-        if not (self._preempt and self._fair):
+    def _shed(self, job: Job, code: str, wait: float, now: float) -> Shed:
+        rate = compute_drain_rate(self.state, job.tier, now)
+        clear = self.state.n_waiting / rate
+        retry_after = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, clear))
+        allowed = compute_latest_start(self.state, job) - now
+        return Shed(job, code, wait, allowed, retry_after)
+
+    # Preemption
+
+    def _preempt(self, now: float) -> list[Preemption]:
+        options = self.state.options
+        if not (options.preempt and options.fair):
             return []
-        yielding: dict[int, int] = defaultdict(int)
-        for run in self.running.values():
-            yielding[run.job.tier] += run.preempted
-        pending = sum(yielding.values())
+        pending = sum(run.preempted for run in self.running.values())
         decisions = []
-        for lane in self._ordered_lanes():
+        for lane in self.state.ordered_lanes():
             for job in lane.queue.order():
-                if not self._is_urgent(job, now, URGENT_FRACTION):
+                if not is_privileged(self.state, job, now):
+                    continue
+                if not self._is_urgent(job, now, self._urgency(job)):
                     continue
                 if pending > 0:
                     pending -= 1
                     continue
-                victim = self._find_victim(job, now)
+                victim = find_victim(self.state, job, now)
                 if victim is None:
-                    return decisions
+                    break
                 victim.preempted = True
                 victim.job.n_preemptions += 1
                 decisions.append(Preemption(victim.job, victim.backend, job.request_id))
         return decisions
 
+    def _urgency(self, job: Job) -> float:
+        has_lower = any(run.job.tier > job.tier for run in self.running.values())
+        return URGENT_FRACTION if has_lower else HEAVY_URGENT_FRACTION
+
     def _is_urgent(self, job: Job, now: float, fraction: float) -> bool:
-        latest = self._latest_start(job)
+        latest = compute_latest_start(self.state, job)
         return latest - now < (latest - job.arrived_at) * fraction
 
-    def _count_relief(self, job: Job, now: float) -> int:
-        """Count the places that a job could get beyond the free slots."""
-        relief = self._count_victims(job, now)
-        if self._may_overflow(job, now):
-            relief += sum(view.count_overflow(now) for view in self.views.values())
-        return relief
-
-    def _count_victims(self, job: Job, now: float) -> int:
-        if not (self._preempt and self._fair):
-            return 0
-        return sum(self._may_yield(run, job, now) for run in self.running.values())
-
-    def _find_victim(self, job: Job, now: float) -> _Running | None:
-        """Find the latest started stream of the lowest tier that may yield."""
-        eligible = [
-            run for run in self.running.values() if self._may_yield(run, job, now)
-        ]
-        return max(eligible, key=_yield_order, default=None)
-
-    def _may_yield(self, run: _Running, job: Job, now: float) -> bool:
-        """Tell whether a running stream may yield its slot to a waiting job.
-
-        Only a lower tier yields, or, within a class, a customer that offers far
-        more than the others to one that does not.
-        """
-        victim = run.job
-        if run.preempted or victim.n_preemptions >= MAX_PREEMPTIONS:
-            return False
-        if not victim.repeatable or victim.isolated or run.backend in job.excluded:
-            return False
-        view = self.views.get(run.backend)
-        if view is None or (view.cheap and not job.cheap_allowed):
-            return False
-        if victim.tier != job.tier:
-            return victim.tier > job.tier
-        if victim.class_name != job.class_name or victim.customer == job.customer:
-            return False
-        queue = self._lanes[job.class_name].queue
-        return queue.is_heavy(victim.customer, now) and not queue.is_heavy(
-            job.customer, now
-        )
-
     def _check_health(self, now: float) -> None:
         self._health_at = now
-        if not self._fair:
+        if not self.state.options.fair:
             return
         for name, event in decide_ejections(list(self.views.values())):
             self.views[name].observe(event)
-
-    def _shed(self, job: Job, code: str, wait: float, now: float) -> Shed:
-        rate = self._drain_rate(job.tier, now)
-        clear = self.n_waiting / rate
-        retry_after = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, clear))
-        return Shed(job, code, wait, self._latest_start(job) - now, retry_after)
-
-
-def _yield_order(run: _Running) -> tuple[int, int, float]:
-    return (run.job.tier, -run.job.n_preemptions, run.started_at)
-
-
-def _oldest(queue: FairQueue) -> float:
-    return min(job.arrived_at for job in queue)
