Add the fleet's pure parts: membership, leases, orders, windows, claims

Cause: the promises need one holder per duty, usage sealed once and calls run at most once. Change: modules of the fleet package on virtual time and a fuzzer of leases and orders with pauses, outages, lost answers and receivers that ignore the fencing number.

--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -1,6 +1,16 @@
 """What the nodes share: configuration, membership, leases, usage, claims."""
 
+from ._agent import Accepted, FleetAgent, Pulled
+from ._claims import (
+    ClaimDesk,
+    Claimed,
+    Taken,
+    make_claim_key,
+    make_kept_answer,
+)
 from ._config import ConfigConflictError, ConfigReplica
+from ._leases import DutyLease
+from ._membership import Facts, Heartbeat, Membership, Outgoing, Peer, Word
 from ._model import (
     KINDS,
     Backend,
@@ -15,24 +25,44 @@
     SeedFile,
     describe_validation,
 )
-from ._usage import Counts, Part, UsageLedger
+from ._orders import OrderDesk
+from ._usage import Counts, Part, UsageLedger, encode_part
+from ._windows import WindowDesk
 
 __all__ = [
     "KINDS",
+    "Accepted",
     "Backend",
+    "ClaimDesk",
+    "Claimed",
     "Config",
     "ConfigConflictError",
     "ConfigError",
     "ConfigReplica",
     "Counts",
     "Customer",
+    "DutyLease",
+    "Facts",
+    "FleetAgent",
+    "Heartbeat",
     "Key",
+    "Membership",
     "Operation",
+    "OrderDesk",
+    "Outgoing",
     "Part",
+    "Peer",
+    "Pulled",
     "Record",
     "RequestClass",
     "Route",
     "SeedFile",
+    "Taken",
     "UsageLedger",
+    "WindowDesk",
+    "Word",
     "describe_validation",
+    "encode_part",
+    "make_claim_key",
+    "make_kept_answer",
 ]
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/_membership.py
@@ -0,0 +1,580 @@
+"""Who is alive, and as of when this node knows the configuration to be complete.
+
+Pure state: messages and times go in, messages come out.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict
+
+from ..policy import rank_by_hash
+
+MAX_MESH = 32
+FANOUT = 4
+N_SPEAKERS = 2
+PING_TIMEOUT = 2.0  # seconds
+LISTED_LIFETIME = 600.0  # seconds
+MAX_AGE = 3600.0  # seconds
+
+
+class Word(BaseModel):
+    """What a node says of another one or of a failure domain: how old, how complete."""
+
+    model_config = ConfigDict(frozen=True)
+    age: float
+    revision: int
+
+
+class Facts(BaseModel):
+    """What a heartbeat carries."""
+
+    model_config = ConfigDict(frozen=True)
+    node: str
+    domain: str
+    incarnation: str
+    revision: int
+    serving: bool = True
+    confirmed: Word | None = None
+    members: dict[str, Word] = {}
+    domains: dict[str, Word] = {}
+    demand: dict[str, dict[int, float]] = {}
+    waiting: dict[str, dict[int, int]] = {}
+    work: dict[str, float] = {}
+
+
+class Heartbeat(BaseModel):
+    """A heartbeat or its answer."""
+
+    model_config = ConfigDict(frozen=True)
+    number: int
+    is_answer: bool
+    facts: Facts
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another node as the platform lists it.
+
+    Attributes
+    ----------
+    name, domain : str
+        Identity.
+    address : tuple of (str, int)
+        IP number and UDP port.
+    http_port : int
+        TCP port.
+    """
+
+    name: str
+    domain: str
+    address: tuple[str, int]
+    http_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to be sent.
+
+    Attributes
+    ----------
+    peer : str
+        To whom.
+    heartbeat : Heartbeat
+        What.
+    """
+
+    peer: str
+    heartbeat: Heartbeat
+
+
+@dataclass(slots=True)
+class Member:
+    """What this node knows of another one.
+
+    Attributes
+    ----------
+    heard_at : float
+        The latest time at which it is known to have been alive.
+    revision : int
+        Its revision at that time.
+    direct_at : float
+        When it last answered this node itself.
+    facts : Facts or None
+        Its last direct facts.
+    """
+
+    heard_at: float = float("-inf")
+    revision: int = 0
+    direct_at: float = float("-inf")
+    facts: Facts | None = None
+
+
+@dataclass(slots=True)
+class _Known:
+    """A domain's or the store's completeness: everything accepted before ``at``."""
+
+    at: float = float("-inf")
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class _Sent:
+    peer: str
+    at: float
+
+
+@dataclass
+class Membership:
+    """Heartbeats, suspicion and coverage of one node.
+
+    Parameters
+    ----------
+    node, domain, incarnation : str
+        Identity.
+    suspect_timeout : float
+        Seconds without word before a node counts as dead.
+    relay : bool, default=True
+        Pass on what other nodes were heard of; False is the baseline.
+    random_state : int, default=0
+        Seed of the order in which peers are asked.
+
+    Notes
+    -----
+    An answer's facts are dated back to when the question was sent, so that no
+    delay on the way makes old word look fresh and no two clocks are compared.
+    Ages of other nodes travel with each message: a peer that can't be reached
+    directly is heard of through a third (see docs/design/0003-fleet.md).
+    """
+
+    node: str
+    domain: str
+    incarnation: str = ""
+    suspect_timeout: float = 4.0
+    relay: bool = True
+    fanout: int = FANOUT
+    random_state: int = 0
+    peers: dict[str, Peer] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
+    revision: int = 0
+    serving: bool = True
+    make_load: Callable[[], dict[str, Any]] = dict
+    _confirmed: _Known = field(default_factory=_Known)
+    _domains: dict[str, _Known] = field(default_factory=dict)
+    _pings: dict[int, _Sent] = field(default_factory=dict)
+    _number: int = 0
+    _queue: list[str] = field(default_factory=list)
+    _listed_at: float = float("-inf")
+
+    def __post_init__(self) -> None:
+        self._random = random.Random(f"{self.node}/{self.random_state}")
+
+    # Facts
+
+    def observe_peers(self, peers: Iterable[Peer], now: float) -> None:
+        """Take in the platform's list of nodes.
+
+        Parameters
+        ----------
+        peers : iterable of Peer
+            All listed nodes, this one included or not.
+        now : float
+            Seconds.
+        """
+        listed = {peer.name: peer for peer in peers if peer.name != self.node}
+        for name, peer in self.peers.items():
+            # The list lags: a node that still answers stays known.
+            if name not in listed and self.is_alive(name, now):
+                listed[name] = peer
+        self.peers = listed
+        self._listed_at = now
+        for name in [n for n in self.members if n not in listed]:
+            del self.members[name]
+
+    def observe_confirmation(self, at: float, revision: int) -> None:
+        """Take in that the store held nothing newer than a revision.
+
+        Parameters
+        ----------
+        at : float
+            When the read was sent.
+        revision : int
+            The newest revision read.
+        """
+        if at > self._confirmed.at:
+            self._confirmed = _Known(at, revision)
+
+    def observe(self, heartbeat: Heartbeat, now: float) -> Outgoing | None:
+        """Take in a message.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            From another node.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Outgoing or None
+            The answer to a heartbeat.
+        """
+        facts = heartbeat.facts
+        if not heartbeat.is_answer:
+            self._observe_load(facts, now)
+            answer = Heartbeat(
+                number=heartbeat.number, is_answer=True, facts=self.make_facts(now)
+            )
+            return Outgoing(facts.node, answer)
+        sent = self._pings.pop(heartbeat.number, None)
+        if sent is None or sent.peer != facts.node:
+            return None
+        self._observe_load(facts, now)
+        self._observe_answer(facts, sent.at, now)
+        return None
+
+    def _observe_load(self, facts: Facts, now: float) -> None:
+        member = self.members.setdefault(facts.node, Member())
+        member.facts = facts
+
+    def _observe_answer(self, facts: Facts, sent_at: float, now: float) -> None:
+        member = self.members[facts.node]
+        member.direct_at = max(member.direct_at, sent_at)
+        self._observe_word(facts.node, sent_at, facts.revision)
+        if facts.confirmed is not None:
+            word = facts.confirmed
+            self.observe_confirmation(sent_at - word.age, word.revision)
+        for domain, word in facts.domains.items():
+            self._observe_domain(domain, sent_at - word.age, word.revision)
+        if self.relay:
+            for name, word in facts.members.items():
+                if name != self.node and name in self.peers:
+                    self._observe_word(name, sent_at - word.age, word.revision)
+
+    def _observe_word(self, name: str, at: float, revision: int) -> None:
+        member = self.members.setdefault(name, Member())
+        if at > member.heard_at:
+            member.heard_at = at
+            member.revision = max(member.revision, revision)
+
+    def _observe_domain(self, domain: str, at: float, revision: int) -> None:
+        if domain == self.domain:
+            return
+        known = self._domains.setdefault(domain, _Known())
+        if at > known.at:
+            self._domains[domain] = _Known(at, max(known.revision, revision))
+
+    # Decisions
+
+    def is_alive(self, name: str, now: float) -> bool:
+        """Tell whether a node counts as alive.
+
+        Parameters
+        ----------
+        name : str
+            The node.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            False when nothing was heard of it for ``suspect_timeout``.
+        """
+        if name == self.node:
+            return True
+        member = self.members.get(name)
+        return member is not None and now - member.heard_at <= self.suspect_timeout
+
+    def mesh(self) -> list[str]:
+        """List the nodes that share backend servers with this one.
+
+        Returns
+        -------
+        list of str
+            All other nodes of a small fleet, else those of the failure domain.
+        """
+        if len(self.peers) < MAX_MESH:
+            return sorted(self.peers)
+        return sorted(n for n, p in self.peers.items() if p.domain == self.domain)
+
+    def alive_mesh(self, now: float) -> list[str]:
+        """List the nodes of the mesh that count as alive.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of str
+            Without this node.
+        """
+        return [name for name in self.mesh() if self.is_alive(name, now)]
+
+    def decide_heartbeats(self, now: float) -> list[Outgoing]:
+        """Choose whom to ask in this interval.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Outgoing
+            To ``fanout`` peers of the mesh in turn, and to one speaker of each
+            failure domain that this node speaks to.
+        """
+        self._pings = {
+            n: sent for n, sent in self._pings.items() if now - sent.at < PING_TIMEOUT
+        }
+        chosen = self._next_peers()
+        for domain in self._spoken_domains():
+            speakers = self._speakers(domain)
+            chosen.append(self._random.choice(speakers))
+        return self.make_heartbeats(dict.fromkeys(chosen), now)
+
+    def make_heartbeats(self, names: Iterable[str], now: float) -> list[Outgoing]:
+        """Make heartbeats to some peers.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Whom to ask.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Outgoing
+            One for each.
+        """
+        facts = self.make_facts(now)
+        sent = []
+        for name in names:
+            self._number += 1
+            self._pings[self._number] = _Sent(name, now)
+            heartbeat = Heartbeat(number=self._number, is_answer=False, facts=facts)
+            sent.append(Outgoing(name, heartbeat))
+        return sent
+
+    def _next_peers(self) -> list[str]:
+        mesh = set(self.mesh())
+        chosen: list[str] = []
+        while mesh and len(chosen) < min(self.fanout, len(mesh)):
+            if not self._queue:
+                self._queue = sorted(mesh)
+                self._random.shuffle(self._queue)
+            name = self._queue.pop()
+            if name in mesh and name not in chosen:
+                chosen.append(name)
+        return chosen
+
+    def _domain_members(self, domain: str) -> list[str]:
+        return sorted(n for n, p in self.peers.items() if p.domain == domain)
+
+    def _spoken_domains(self) -> list[str]:
+        if len(self.peers) < MAX_MESH:
+            return []
+        own = [*self._domain_members(self.domain), self.node]
+        domains = {peer.domain for peer in self.peers.values()} - {self.domain}
+        return sorted(
+            domain
+            for domain in domains
+            if self.node in rank_by_hash(f"{self.domain}/{domain}", own)[:N_SPEAKERS]
+        )
+
+    def _speakers(self, domain: str) -> list[str]:
+        members = self._domain_members(domain)
+        return rank_by_hash(f"{domain}/{self.domain}", members)[:N_SPEAKERS]
+
+    def make_facts(self, now: float) -> Facts:
+        """Say what this node knows, with ages as of now.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Facts
+            For a message that is sent at once.
+        """
+        members = {
+            name: Word(age=_age(member.heard_at, now), revision=member.revision)
+            for name, member in self.members.items()
+            if now - member.heard_at < self.suspect_timeout
+            and name in self.peers
+            and self.peers[name].domain == self.domain
+        }
+        domains = {
+            domain: Word(age=_age(known.at, now), revision=known.revision)
+            for domain, known in self._domains.items()
+            if now - known.at < MAX_AGE
+        }
+        own = self._own_coverage(now)
+        if now - own.at < MAX_AGE:
+            domains[self.domain] = Word(age=_age(own.at, now), revision=own.revision)
+        confirmed = None
+        if now - self._confirmed.at < MAX_AGE:
+            age = _age(self._confirmed.at, now)
+            confirmed = Word(age=age, revision=self._confirmed.revision)
+        return Facts(
+            node=self.node,
+            domain=self.domain,
+            incarnation=self.incarnation,
+            revision=self.revision,
+            serving=self.serving,
+            confirmed=confirmed,
+            members=members if self.relay else {},
+            domains=domains,
+            **self.make_load(),
+        )
+
+    # Coverage
+
+    def _own_coverage(self, now: float) -> _Known:
+        """Compute as of when this domain's nodes had accepted nothing unheard.
+
+        A change is accepted only once a majority of a domain's nodes have it. So
+        when so few nodes are unheard that they are no majority, one of the heard
+        ones knows of every accepted change.
+        """
+        others = self._domain_members(self.domain)
+        n_members = len(others) + 1
+        n_needed = n_members - n_members // 2
+        heard = sorted(
+            (self.members[n].heard_at for n in others if n in self.members),
+            reverse=True,
+        )
+        times = [now, *heard]
+        if len(times) < n_needed:
+            return _Known()
+        at = times[n_needed - 1]
+        revisions = [
+            self.members[n].revision
+            for n in others
+            if n in self.members and self.members[n].heard_at >= at
+        ]
+        return _Known(at, max([self.revision, *revisions]))
+
+    def covered_at(self, now: float) -> float:
+        """Compute as of when this node knows every accepted change.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            The later of what the store and what the nodes say; minus infinity
+            before either is known.
+        """
+        times = [float("-inf")]
+        if self.revision >= self._confirmed.revision:
+            times.append(self._confirmed.at)
+        if self._listed_at > float("-inf"):
+            times.append(self._fleet_coverage(now))
+        return max(times)
+
+    def _fleet_coverage(self, now: float) -> float:
+        own = self._own_coverage(now)
+        times = [own.at if self.revision >= own.revision else float("-inf")]
+        for domain in {peer.domain for peer in self.peers.values()} - {self.domain}:
+            known = self._domains.get(domain, _Known())
+            fits = self.revision >= known.revision
+            times.append(known.at if fits else float("-inf"))
+        return min(times)
+
+    def count_in_force(self, revision: int, now: float) -> tuple[int, int]:
+        """Count the nodes of this domain that are known to have a revision.
+
+        Parameters
+        ----------
+        revision : int
+            The revision.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        tuple of (int, int)
+            Nodes that have it, this one included, and nodes listed.
+        """
+        others = self._domain_members(self.domain)
+        n_have = sum(
+            n in self.members and self.members[n].revision >= revision for n in others
+        )
+        return n_have + (self.revision >= revision), len(others) + 1
+
+    def find_ahead(self, now: float) -> str | None:
+        """Find a peer that has a newer revision.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        str or None
+            The alive peer that is furthest ahead.
+        """
+        ahead = [
+            (member.facts.revision, name)
+            for name, member in self.members.items()
+            if member.facts is not None
+            and name in self.peers
+            and member.facts.revision > self.revision
+        ]
+        return max(ahead)[1] if ahead else None
+
+    def snapshot(self, now: float) -> list[dict[str, Any]]:
+        """Report the known nodes.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of dict
+            One row for each, this one included.
+        """
+        rows = [
+            {
+                "name": self.node,
+                "failure_domain": self.domain,
+                "state": "alive",
+                "revision": self.revision,
+                "heard": 0.0,
+                "direct": 0.0,
+            }
+        ]
+        for name, peer in sorted(self.peers.items()):
+            member = self.members.get(name, Member())
+            rows.append(
+                {
+                    "name": name,
+                    "failure_domain": peer.domain,
+                    "state": "alive" if self.is_alive(name, now) else "suspect",
+                    "revision": member.revision,
+                    "heard": _age(member.heard_at, now),
+                    "direct": _age(member.direct_at, now),
+                }
+            )
+        return rows
+
+
+def _age(at: float, now: float) -> float:
+    return round(min(now - at, MAX_AGE), 3)
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/_windows.py
@@ -0,0 +1,272 @@
+"""Usage windows: sealed once, and reported from the sealed bytes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from ..platform import Compare, Delete, Entry, PlatformAnswer, Put, Store, StoreError
+from ._leases import DutyLease
+from ._usage import PREFIX, Counts, Part
+
+log = logging.getLogger(__name__)
+
+NEXT_KEY = PREFIX + "next"
+SEALED_PREFIX = PREFIX + "sealed/"
+ACCOUNTED_PREFIX = PREFIX + "accounted/"
+REPORTED_PREFIX = PREFIX + "reported/"
+PART_PREFIX = PREFIX + "part/"
+MAX_LATE_WINDOWS = 10
+MAX_SEALS_PER_STEP = 20
+MAX_DELETES = 100
+OK = 200
+
+Rows = dict[str, Counts]
+SendUsage = Callable[
+    [str, bytes, Callable[[], bool]],
+    Awaitable[Result[PlatformAnswer, StoreError]],
+]
+
+
+def _window_key(prefix: str, window: int) -> str:
+    return f"{prefix}{window:012d}"
+
+
+def sum_parts(parts: list[Part]) -> Rows:
+    """Add up the rows of a window's parts.
+
+    Parameters
+    ----------
+    parts : list of Part
+        One for each node.
+
+    Returns
+    -------
+    dict of str to Counts
+        Totals by customer and class.
+    """
+    rows: Rows = {}
+    for part in parts:
+        for key, counts in part.rows.items():
+            rows.setdefault(key, Counts()).add(counts)
+    return rows
+
+
+def subtract_rows(rows: Rows, accounted: Rows) -> Rows:
+    """Compute what rows have beyond those accounted for.
+
+    Parameters
+    ----------
+    rows, accounted : dict of str to Counts
+        Totals.
+
+    Returns
+    -------
+    dict of str to Counts
+        Only the rows that differ.
+    """
+    changed = {}
+    for key, counts in rows.items():
+        difference = counts.subtract(accounted.get(key, Counts()))
+        if difference != Counts():
+            changed[key] = difference
+    return changed
+
+
+def _dump(rows: Rows) -> dict[str, dict[str, int]]:
+    return {key: rows[key].model_dump() for key in sorted(rows)}
+
+
+def _load(raw: bytes) -> Rows:
+    return {k: Counts.model_validate(v) for k, v in orjson.loads(raw).items()}
+
+
+@dataclass
+class WindowDesk:
+    """Seals and reports windows while the duty ``usage`` is held.
+
+    Parameters
+    ----------
+    store : Store
+        The key-value service.
+    lease : DutyLease
+        The duty.
+    send : callable
+        Sends a report under a guard.
+    window_length : float
+        Seconds per window.
+    grace : float
+        Seconds after a window's end before it is sealed.
+    wall_clock : callable
+        Returns seconds since the epoch.
+
+    Notes
+    -----
+    A window's sealed record is created by compare-and-swap, so it exists once. A
+    part that comes later is reported as a correction within a later window's
+    record, and what was accounted for moves in the same transaction.
+    """
+
+    store: Store
+    lease: DutyLease
+    send: SendUsage
+    window_length: float
+    grace: float
+    wall_clock: Callable[[], float]
+
+    async def step(self) -> Result[int, StoreError]:
+        """Seal what is due and report what is sealed.
+
+        Returns
+        -------
+        Result of int or StoreError
+            Number of windows reported.
+        """
+        if not self.lease.may_order():
+            return Success(0)
+        sealed = await self._seal_due()
+        if isinstance(sealed, Failure):
+            return sealed
+        return await self._report_sealed()
+
+    async def _seal_due(self) -> Result[int, StoreError]:
+        last_due = int((self.wall_clock() - self.grace) // self.window_length) - 1
+        n_sealed = 0
+        for _ in range(MAX_SEALS_PER_STEP):
+            pointer = await self._read_next(last_due)
+            if isinstance(pointer, Failure):
+                return pointer
+            window, mod_revision = pointer.unwrap()
+            if window > last_due:
+                break
+            done = await self._seal(window, mod_revision)
+            if isinstance(done, Failure):
+                return done
+            n_sealed += 1
+        return Success(n_sealed)
+
+    async def _read_next(self, last_due: int) -> Result[tuple[int, int], StoreError]:
+        answer = await self.store.read(NEXT_KEY)
+        if isinstance(answer, Failure):
+            return answer
+        entries = answer.unwrap().entries
+        if entries:
+            return Success((int(entries[0].value), entries[0].mod_revision))
+        first = await self.store.read(PART_PREFIX, prefix=True, limit=1)
+        if isinstance(first, Failure):
+            return first
+        parts = _parse_parts(first.unwrap().entries)
+        return Success((parts[0].window if parts else last_due, 0))
+
+    async def _read_parts(self, window: int) -> Result[list[Part], StoreError]:
+        prefix = _window_key(PART_PREFIX, window) + "/"
+        answer = await self.store.read(prefix, prefix=True)
+        return answer.map(lambda got: _parse_parts(got.entries))
+
+    async def _seal(self, window: int, next_mod: int) -> Result[bool, StoreError]:
+        parts = await self._read_parts(window)
+        if isinstance(parts, Failure):
+            return parts
+        corrected = await self._find_corrections(window)
+        if isinstance(corrected, Failure):
+            return corrected
+        corrections, compares, puts = corrected.unwrap()
+        rows = sum_parts(parts.unwrap())
+        body = {
+            "window": window,
+            "start": window * self.window_length,
+            "end": (window + 1) * self.window_length,
+            "rows": _dump(rows),
+            "corrections": corrections,
+        }
+        sealed_key = _window_key(SEALED_PREFIX, window)
+        accounted_key = _window_key(ACCOUNTED_PREFIX, window)
+        operations = [
+            Put(sealed_key, orjson.dumps(body)),
+            Put(accounted_key, orjson.dumps(_dump(rows))),
+            Put(NEXT_KEY, str(window + 1).encode()),
+            *puts,
+        ]
+        conditions = [
+            Compare(self.lease.key, self.lease.fence),
+            Compare(sealed_key, 0),
+            Compare(NEXT_KEY, next_mod),
+            *compares,
+        ]
+        answer = await self.store.write(conditions, operations)
+        return answer.map(lambda got: got.succeeded)
+
+    async def _find_corrections(self, window: int):
+        """Find late parts of recent windows, and how to account for them."""
+        corrections: dict[str, dict] = {}
+        compares: list[Compare] = []
+        puts: list[Put] = []
+        for earlier in range(window - MAX_LATE_WINDOWS, window):
+            key = _window_key(ACCOUNTED_PREFIX, earlier)
+            known = await self.store.read(key)
+            if isinstance(known, Failure):
+                return known
+            if not known.unwrap().entries:
+                continue
+            entry = known.unwrap().entries[0]
+            parts = await self._read_parts(earlier)
+            if isinstance(parts, Failure):
+                return parts
+            rows = sum_parts(parts.unwrap())
+            late = subtract_rows(rows, _load(entry.value))
+            if late:
+                corrections[str(earlier)] = _dump(late)
+                compares.append(Compare(key, entry.mod_revision))
+                puts.append(Put(key, orjson.dumps(_dump(rows))))
+        return Success((corrections, compares, puts))
+
+    async def _report_sealed(self) -> Result[int, StoreError]:
+        sealed = await self.store.read(SEALED_PREFIX, prefix=True)
+        if isinstance(sealed, Failure):
+            return sealed
+        n_reported = 0
+        for entry in sealed.unwrap().entries:
+            done = await self._report(entry)
+            if isinstance(done, Failure):
+                return done
+            n_reported += done.unwrap()
+        return Success(n_reported)
+
+    async def _report(self, entry: Entry) -> Result[int, StoreError]:
+        """Send one window's sealed bytes and move the window to the reported ones."""
+        name = entry.key.removeprefix(SEALED_PREFIX)
+        sent = await self.send(name, entry.value, self.lease.may_order)
+        if isinstance(sent, Failure):
+            return sent
+        if sent.unwrap().status != OK:
+            log.error("usage report refused", extra={"window": name})
+            return Success(0)
+        window = int(name)
+        old = _window_key(REPORTED_PREFIX, window - MAX_LATE_WINDOWS)
+        operations = [
+            Put(REPORTED_PREFIX + name, entry.value),
+            Delete(entry.key),
+            Delete(old),
+            Delete(_window_key(ACCOUNTED_PREFIX, window - 2 * MAX_LATE_WINDOWS)),
+        ]
+        compares = [Compare(entry.key, entry.mod_revision)]
+        written = await self.store.write(compares, operations)
+        if isinstance(written, Failure):
+            return written
+        await self._delete_parts(window - 2 * MAX_LATE_WINDOWS)
+        return Success(1)
+
+    async def _delete_parts(self, window: int) -> None:
+        prefix = _window_key(PART_PREFIX, window) + "/"
+        answer = await self.store.read(prefix, prefix=True, limit=MAX_DELETES)
+        if isinstance(answer, Success) and answer.unwrap().entries:
+            deletes = [Delete(entry.key) for entry in answer.unwrap().entries]
+            await self.store.write([], deletes)
+
+
+def _parse_parts(entries: tuple[Entry, ...]) -> list[Part]:
+    return [Part.model_validate_json(entry.value) for entry in entries]
--- a/packages/medlargate/medlargate/policy/_scheduler.py
+++ b/packages/medlargate/medlargate/policy/_scheduler.py
@@ -11,6 +11,7 @@
     compute_drain_rate,
     compute_latest_start,
     compute_wait,
+    count_free,
     count_relief,
     has_slack,
     is_privileged,
@@ -253,11 +254,13 @@
         decisions: list[Decision] = []
         if now - self._health_at >= HEALTH_INTERVAL:
             self._check_health(now)
-        while (assignment := self._next_assignment(now)) is not None:
-            decisions.append(assignment)
-        if now - self._swept_at >= SWEEP_INTERVAL:
+        is_due = now - self._swept_at >= SWEEP_INTERVAL
+        if is_due:
             self._swept_at = now
             decisions.extend(self._sweep(now))
+        while (assignment := self._next_assignment(now)) is not None:
+            decisions.append(assignment)
+        if is_due:
             decisions.extend(self._preempt(now))
         return decisions
 
@@ -460,12 +463,13 @@
             if other is not lane and other.tier <= lane.tier
         )
         late = []
+        n_free = count_free(self.state, now)
         relief: dict[bool, int] = {}
         for job in lane.queue.order():
             heavy = lane.queue.is_heavy(job.customer, now)
             if heavy not in relief:
                 relief[heavy] = count_relief(self.state, job, now)
-            wait = max(0, rank - relief[heavy]) / rate
+            wait = max(0, rank - n_free - relief[heavy]) / rate
             if not job.resumed and self._is_late(job, wait, now):
                 late.append((job, wait, "deadline"))
             else:
