--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/tests/test_fuzz_claims.py
@@ -0,0 +1,160 @@
+import asyncio
+import unittest
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from medlargate_standins.fuzzing import make_fuzz_settings
+from medlargate_standins.world import World
+from returns.result import Failure, Success
+
+from ...policy import Verdict
+from .. import ClaimDesk, Claimed, make_claim_key, make_kept_answer
+
+NODES = ("n1", "n2", "n3")
+KEYS = ("k1", "k2", "k3")
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Callers send and resend bookings to any node while nodes and store fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.desks = {}
+        self.executions = Counter()
+        self.sent = Counter()
+        self.outcomes = []
+        self.incarnation = 0
+        self.service_delay = 0.01
+        self.refuse = False
+
+    @initialize()
+    def begin(self):
+        for name in NODES:
+            self.make_desk(name)
+
+    def make_desk(self, name):
+        self.incarnation += 1
+        owner = f"{name}-{self.incarnation}"
+        client = self.world.make_client(name)
+        self.desks[name] = ClaimDesk(client, owner, self.world.loop.time)
+
+    async def call(self, name, key):
+        """What the gateway does with a call that carries an Idempotency-Key."""
+        desk, attempt = self.desks[name], object()
+        got = await desk.claim(make_claim_key("c", "r", key), "body")
+        if isinstance(got, Failure):
+            self.outcomes.append((key, attempt, Verdict.NOT_RUN))
+            return
+        if not isinstance(got.unwrap(), Claimed):
+            self.outcomes.append((key, attempt, got.unwrap().verdict))
+            return
+        claimed = got.unwrap()
+        await self.world.wait_running(name)
+        if self.refuse:
+            await desk.release(claimed)
+            self.outcomes.append((key, attempt, Verdict.NOT_RUN))
+            return
+        self.sent[attempt] += 1
+        self.world.loop.call_later(self.service_delay, self.execute, key)
+        await asyncio.sleep(self.service_delay + 0.01)
+        await self.world.wait_running(name)
+        await desk.keep_answer(claimed, make_kept_answer(200, {}, b"booked"))
+        self.outcomes.append((key, attempt, Verdict.RAN))
+
+    def execute(self, key):
+        self.executions[key] += 1
+
+    @rule(name=st.sampled_from(NODES), key=st.sampled_from(KEYS))
+    def send(self, name, key):
+        self.world.start(name, self.call(name, key))
+
+    @rule(key=st.sampled_from(KEYS))
+    def send_to_all(self, key):
+        for name in NODES:
+            self.world.start(name, self.call(name, key))
+
+    @rule(name=st.sampled_from(NODES))
+    def kill(self, name):
+        self.world.kill(name)
+        self.make_desk(name)
+
+    @rule(name=st.sampled_from(NODES), stop=st.booleans())
+    def pause(self, name, stop):
+        (self.world.pause if stop else self.world.resume)(name)
+
+    @rule(down=st.booleans())
+    def outage(self, down):
+        self.world.store_down = down
+
+    @rule(name=st.sampled_from(NODES), lose=st.booleans())
+    def lose_answers(self, name, lose):
+        (self.world.losing.add if lose else self.world.losing.discard)(name)
+
+    @rule(delay=st.sampled_from([0.001, 0.3]), refuse=st.booleans())
+    def change_service(self, delay, refuse):
+        self.service_delay, self.refuse = delay, refuse
+
+    @rule(seconds=st.sampled_from([0.004, 0.015, 0.05, 0.4, 30.0]))
+    def advance(self, seconds):
+        self.world.run(seconds)
+
+    @invariant()
+    def no_call_runs_twice(self):
+        assert all(n <= 1 for n in self.executions.values()), "a call ran twice"
+
+    @invariant()
+    def not_run_is_true(self):
+        for _, attempt, verdict in self.outcomes:
+            assert verdict is not Verdict.NOT_RUN or not self.sent[attempt]
+
+    @invariant()
+    def ran_is_true(self):
+        for key, _, verdict in self.outcomes:
+            assert verdict is not Verdict.RAN or self.executions[key] == 1
+
+    def teardown(self):
+        if self.desks:
+            self.world.store_down = False
+            self.world.losing.clear()
+            for name in NODES:
+                self.world.resume(name)
+            self.world.run(5.0)
+            self.no_call_runs_twice()
+            self.check_fresh_call()
+        self.world.close()
+
+    def check_fresh_call(self):
+        """After everything has healed a new call runs exactly once."""
+        self.refuse = False
+        task = self.world.start("n1", self.call("n1", "fresh"))
+        self.world.run(5.0)
+        assert task.done()
+        assert self.executions["fresh"] == 1
+
+
+class ClaimFuzzTest(ClaimMachine.TestCase):
+    settings = make_fuzz_settings(n_long=5_000, n_ci=150)
+
+
+class ClaimGroupTest(unittest.TestCase):
+    def test_a_group_is_one_transaction(self):
+        world = World()
+        client = world.make_client("n1")
+        desk = ClaimDesk(client, "n1", world.loop.time)
+
+        async def run():
+            claims = [
+                desk.claim(make_claim_key("c", "r", str(i)), "b") for i in range(40)
+            ]
+            return await asyncio.gather(*claims)
+
+        results = world.loop.run_coroutine(run())
+        self.assertTrue(all(isinstance(got, Success) for got in results))
+        self.assertEqual(client.n_calls["txn"], 1)
+        world.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
