Join the nodes: heartbeats, slot shares, marks, usage copies, duties, claims

Cause: the fleet's pure parts ran only under fuzzers. Change: UDP heartbeats with a keyed digest, configuration pulled from peers, shares of slots by demand, suspects told to the mesh before an answer leaves, unflushed usage on a second VM, orders and usage windows under leases, claims before non-idempotent calls. The fuzzer of orders found an intent cancelled while its sender was paused between record and send; intents now count from the end of their attempt. Listeners close before idle connections at a stop, since one of 2,000 requests was cut.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -110,7 +110,7 @@
     Mutant(
         "an order is never doubled (cancel what may be on its way)",
         "fleet/_orders.py",
-        "return self.clock() - intent.at > 2 * self.lease.order_timeout",
+        "return self.clock() - ended_at > 2 * self.lease.order_timeout",
         "return True",
         "test_fuzz_leases",
     ),
@@ -161,7 +161,7 @@
         "fleet/_usage.py",
         "if known.sequence >= part.sequence:",
         "if known.sequence == part.sequence:",
-        "test_fuzz_usage",
+        "test_usage",
     ),
     Mutant(
         "a booking runs at most once (claim over an existing key)",
--- a/packages/medlargate-standins/medlargate_standins/demo.py
+++ b/packages/medlargate-standins/medlargate_standins/demo.py
@@ -7,6 +7,7 @@
 import json
 import secrets
 import signal
+import socket
 import sys
 import time
 
@@ -132,6 +133,19 @@
     done.unwrap()
 
 
+def find_free_port() -> int:
+    """Find a TCP port that is free at this moment.
+
+    Returns
+    -------
+    int
+        The port.
+    """
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
 async def run_demo(port: int) -> None:
     """Run the demo until SIGINT or SIGTERM.
 
@@ -140,6 +154,7 @@
     port : int
         The node's TCP port; 0 for any.
     """
+    port = port or find_free_port()
     servers = Servers()
     platform = Platform()
     platform_port = await servers.start(make_platform_app(platform))
@@ -155,21 +170,20 @@
                 "name": "demo",
                 "failure_domain": "fd-a",
                 "address": HOST,
-                "port": port or 1,
+                "port": port,
             },
             "platform": {"address": HOST, "port": platform_port},
             "stop": {"balancer_delay": 0.0},
         }
     )
     node = Node(settings)
-    await node.start()
     try:
         node_port = await servers.start(make_app(node), port)
     except OSError as exc:
         print(str(exc), file=sys.stderr)
-        await node.close()
         await servers.close()
         sys.exit(1)
+    await node.start()
     while not node.ready:
         await asyncio.sleep(0.01)
     first = {
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/tests/test_fleet_processes.py
@@ -0,0 +1,153 @@
+import asyncio
+import json
+import random
+import signal
+import unittest
+
+import aiohttp
+
+from ..cluster import SECRET, Cluster
+from ..engine import make_answer
+
+N_CALLERS = 200
+N_REQUESTS = 2_000
+
+
+class Caller:
+    """One caller behind a balancer that skips nodes which are not ready."""
+
+    def __init__(self, cluster, session, ready, seed):
+        self.cluster, self.session, self.ready = cluster, session, ready
+        self.random = random.Random(seed)
+        self.faults = []
+        self.bookings = []
+
+    def choose(self):
+        return self.random.choice(
+            [n for n in self.cluster.nodes if n.name in self.ready]
+        )
+
+    async def call(self, number):
+        kind = number % 4
+        try:
+            if kind == 0:
+                await self.stream(number)
+            elif kind == 1:
+                await self.whole(number)
+            elif kind == 2:
+                await self.plain("lookup", "GET", number)
+            else:
+                await self.plain("bookings", "POST", number)
+        except Exception as exc:
+            self.faults.append((number, f"{type(exc).__name__}: {exc}"))
+
+    def chat_body(self, number, n_tokens, stream):
+        return {
+            "model": "chat" if number % 8 < 4 else "summary",
+            "messages": [{"role": "user", "content": f"question {number}"}],
+            "max_tokens": n_tokens,
+            "stream": stream,
+        }
+
+    async def whole(self, number):
+        n_tokens = 3 + number % 9
+        url = self.choose().url + "/v1/chat/completions"
+        body = self.chat_body(number, n_tokens, False)
+        async with self.session.post(url, json=body) as resp:
+            answer = await resp.json()
+        text = answer["choices"][0]["message"]["content"]
+        self.check(number, text, "".join(make_answer(f"question {number}", n_tokens)))
+
+    async def stream(self, number):
+        n_tokens = 3 + number % 30
+        url = self.choose().url + "/v1/chat/completions"
+        body = self.chat_body(number, n_tokens, True)
+        text, done = "", False
+        async with self.session.post(url, json=body) as resp:
+            async for line in resp.content:
+                if not line.startswith(b"data: "):
+                    continue
+                if line.startswith(b"data: [DONE]"):
+                    done = True
+                    continue
+                choices = json.loads(line[6:])["choices"]
+                text += choices[0]["delta"].get("content", "")
+        expected = "".join(make_answer(f"question {number}", n_tokens))
+        self.check(number, text if done else text + " (cut)", expected)
+
+    async def plain(self, route, method, number):
+        url = f"{self.choose().url}/routes/{route}/x"
+        call = f"{route}-{number}"
+        options = {"json": {"call": call}} if method == "POST" else {}
+        if method == "GET":
+            url += f"?call={call}"
+        else:
+            self.bookings.append(call)
+        async with self.session.request(method, url, **options) as resp:
+            answer = await resp.json()
+        self.check(number, answer["call"], call)
+
+    def check(self, number, got, expected):
+        if got != expected:
+            self.faults.append((number, f"{got!r} instead of {expected!r}"))
+
+
+class FleetProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        await self.cluster.start()
+
+    async def watch_ready(self, session, ready):
+        """What the platform's balancer does: it asks each node whether it is ready."""
+        while True:
+            for node in self.cluster.nodes:
+                try:
+                    async with session.get(node.url + "/readyz") as resp:
+                        is_ready = resp.status == 200
+                except aiohttp.ClientError:
+                    is_ready = False
+                (ready.add if is_ready else ready.discard)(node.name)
+            await asyncio.sleep(0.1)
+
+    async def test_answers_are_whole_while_a_node_stops(self):
+        headers = {"Authorization": f"Bearer {SECRET}"}
+        ready = {node.name for node in self.cluster.nodes}
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        async with aiohttp.ClientSession(
+            headers=headers, connector=connector
+        ) as session:
+            watcher = asyncio.create_task(self.watch_ready(session, ready))
+            callers = [
+                Caller(self.cluster, session, ready, seed) for seed in range(N_CALLERS)
+            ]
+            stopped = self.cluster.nodes[2]
+            runs = [
+                asyncio.create_task(self.run_caller(caller, index))
+                for index, caller in enumerate(callers)
+            ]
+            await asyncio.sleep(0.5)
+            stopped.send_signal(signal.SIGTERM)
+            await asyncio.gather(*runs)
+            watcher.cancel()
+        faults = [fault for caller in callers for fault in caller.faults]
+        self.assertEqual(faults, [])
+        self.assertEqual(await asyncio.to_thread(stopped.popen.wait, 30), 0)
+        await self.check_executions(callers)
+
+    async def run_caller(self, caller, index):
+        for number in range(index, N_REQUESTS, N_CALLERS):
+            await caller.call(number)
+
+    async def check_executions(self, callers):
+        executions, credentials = {}, []
+        for service in self.cluster.services:
+            stats = await self.cluster.read_stats(service)
+            credentials += stats["credentials"]
+            for call, n in stats["executions"].items():
+                executions[call] = executions.get(call, 0) + n
+        for engine in self.cluster.engines:
+            credentials += (await self.cluster.read_stats(engine))["credentials"]
+        bookings = [call for caller in callers for call in caller.bookings]
+        self.assertEqual([executions.get(call) for call in bookings], [1] * 500)
+        self.assertEqual(credentials, [])
--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -30,7 +30,7 @@
         0, ge=0, le=65535, description="UDP port of heartbeats; 0 means that of HTTP"
     )
     fleet_secret: str = Field(
-        "", description="shared secret that other nodes must present; empty: none"
+        "", description="shared by all nodes; empty: this node speaks to no other"
     )
 
 
--- a/packages/medlargate/medlargate/fleet/_orders.py
+++ b/packages/medlargate/medlargate/fleet/_orders.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pydantic import BaseModel
 from returns.result import Failure, Result, Success
@@ -60,6 +60,7 @@
     read_done: ReadOrders
     clock: Callable[[], float]
     _n_orders: int = 0
+    _ended_at: dict[str, float] = field(default_factory=dict)
 
     def _key(self, order_id: str) -> str:
         return f"{PREFIX}{self.domain}/{order_id}"
@@ -92,7 +93,15 @@
             issuer=self.lease.owner,
         )
         intent = Intent(order=order, at=self.clock())
-        recorded = await self._write(intent, [Compare(self._key(order.order_id), 0)])
+        self._ended_at[order.order_id] = float("inf")
+        try:
+            return await self._record_and_send(intent)
+        finally:
+            self._ended_at[order.order_id] = self.clock()
+
+    async def _record_and_send(self, intent: Intent) -> Result[str, StoreError]:
+        compare = Compare(self._key(intent.order.order_id), 0)
+        recorded = await self._write(intent, [compare])
         if isinstance(recorded, Failure):
             return recorded
         return await self._send(intent)
@@ -158,10 +167,16 @@
         for intent in open_intents:
             is_done = intent.order.order_id in carried_out
             await self._close(intent, "confirm" if is_done else "cancel")
+            self._ended_at.pop(intent.order.order_id, None)
         return Success(len(open_intents))
 
     def _is_settled(self, intent: Intent) -> bool:
-        """Tell whether an intent's order can't be on its way any more."""
+        """Tell whether an intent's order can't be on its way any more.
+
+        An order of this node's own counts from the end of its attempt, not from its
+        record: a pause may lie between the two.
+        """
         if intent.order.fence != self.lease.fence:
             return True
-        return self.clock() - intent.at > 2 * self.lease.order_timeout
+        ended_at = self._ended_at.get(intent.order.order_id, float("inf"))
+        return self.clock() - ended_at > 2 * self.lease.order_timeout
--- a/packages/medlargate/medlargate/fleet/tests/test_fuzz_config.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_fuzz_config.py
@@ -162,6 +162,24 @@
         if store:
             self.world.cut_from_store |= inside
 
+    @rule(
+        inside=st.sets(st.sampled_from(NAMES), min_size=1, max_size=4),
+        key=st.sampled_from(KEYS),
+        seconds=st.sampled_from([0.3, 2.0, 8.0]),
+    )
+    def withdraw_within_a_split(self, inside, key, seconds):
+        """Only one side of a split reaches the store, and an operator is there."""
+        outside = set(NAMES) - inside
+        for one in inside:
+            for two in outside:
+                self.world.cuts.add(frozenset((one, two)))
+        self.world.cut_from_store |= outside
+        self.world.cut_from_store -= inside
+        self.world.store_down = False
+        self.world.run(seconds)
+        self.withdraw(min(inside), key)
+        self.world.run(6.0)
+
     @rule()
     def heal(self):
         self.world.store_down = False
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/tests/test_usage.py
@@ -0,0 +1,49 @@
+import asyncio
+import time
+import unittest
+
+from medlargate_standins._memory_store import MemoryStore, StoreClient
+
+from .. import Counts, Part, UsageLedger
+from .._usage import flush_part, make_part_key
+
+
+def make_part(sequence, tokens):
+    rows = {"a\tcls": Counts(requests=1, output_tokens=tokens)}
+    return Part(window=3, node="n1", sequence=sequence, rows=rows)
+
+
+class FlushTest(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore(time.monotonic)
+        self.client = StoreClient(self.store)
+
+    def read(self):
+        entry = self.store.read(make_part_key(3, "n1")).entries[0]
+        return Part.model_validate_json(entry.value)
+
+    def test_an_older_copy_never_replaces_a_newer_part(self):
+        asyncio.run(flush_part(self.client, make_part(5, 50)))
+        asyncio.run(flush_part(self.client, make_part(4, 40)))
+        self.assertEqual(self.read().sequence, 5)
+
+    def test_a_newer_part_replaces_an_older_one(self):
+        asyncio.run(flush_part(self.client, make_part(4, 40)))
+        asyncio.run(flush_part(self.client, make_part(5, 50)))
+        self.assertEqual(self.read().rows["a\tcls"].output_tokens, 50)
+
+
+class LedgerTest(unittest.TestCase):
+    def test_copies_keep_the_newest(self):
+        ledger = UsageLedger("n2", 60.0, time.time)
+        ledger.observe_copy(make_part(5, 50))
+        ledger.observe_copy(make_part(4, 40))
+        self.assertEqual(ledger.copies[3, "n1"].sequence, 5)
+
+    def test_a_flushed_copy_is_dropped(self):
+        ledger = UsageLedger("n2", 60.0, time.time)
+        ledger.observe_copy(make_part(5, 50))
+        ledger.observe_flushed(3, "n1", 4)
+        self.assertTrue(ledger.copies)
+        ledger.observe_flushed(3, "n1", 5)
+        self.assertFalse(ledger.copies)
--- a/packages/medlargate/medlargate/gateway/_app.py
+++ b/packages/medlargate/medlargate/gateway/_app.py
@@ -21,6 +21,7 @@
 from ._caller import OPEN_CUSTOMER, Caller, authenticate
 from ._chat import call_chat, stream_chat
 from ._exchange import Exchange
+from ._fleet_api import make_fleet_routes
 from ._node import Node
 from ._plain import SAFE_METHODS, call_plain, make_plain_call, make_plain_response
 from ._relay_response import RelayResponse
@@ -511,6 +512,7 @@
                 make_endpoint(node, serve_plain),
                 methods=METHODS,
             ),
+            *make_fleet_routes(node),
             *(extra or []),
         ],
     )
--- a/packages/medlargate/medlargate/gateway/_chat.py
+++ b/packages/medlargate/medlargate/gateway/_chat.py
@@ -165,6 +165,9 @@
     )
     if exch.states.state == "queued":
         exch.states.observe("assign")
+    if node.is_withdrawn(exch):
+        node.dispatcher.release(exch.job, done=False)
+        raise exch.make_failure(403, "key_withdrawn", "the key was withdrawn")
     exch.n_attempts += 1
     exch.backend = assignment.backend
     exch.preempted = exch.stalled = False
--- a/packages/medlargate/medlargate/gateway/_dispatcher.py
+++ b/packages/medlargate/medlargate/gateway/_dispatcher.py
@@ -72,6 +72,8 @@
     ----------
     pools : dict of str to PoolScheduler
         One scheduler for each model or plain service.
+    on_work : callable
+        Gets each job with the work that was charged or settled.
     views : dict of str to BackendView
         Every backend server, shared by the pools that it serves.
     """
@@ -81,6 +83,7 @@
     pools: dict[str, PoolScheduler] = field(default_factory=dict)
     views: dict[str, BackendView] = field(default_factory=dict)
     clock: Callable[[], float] = time.monotonic
+    on_work: Callable[[Job, float], None] = lambda job, work: None
     _futures: dict[str, asyncio.Future] = field(default_factory=dict)
     _preempt: dict[str, Callable[[Preemption], None]] = field(default_factory=dict)
 
@@ -227,6 +230,8 @@
         """
         self._preempt.pop(job.request_id, None)
         scheduler = self.pools[job.pool]
+        if work is not None:
+            self.on_work(job, work - job.charged)
         scheduler.observe_end(job, self.clock(), work=work, done=done)
         self.pump(scheduler)
 
@@ -242,6 +247,8 @@
             match decision:
                 case Assignment():
                     self._settle(decision.job, decision)
+                    if not decision.job.resumed:
+                        self.on_work(decision.job, decision.job.charged)
                 case Shed():
                     self._settle(decision.job, make_shed_refusal(decision))
                 case Preemption():
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -10,24 +10,25 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-from returns.pipeline import is_successful
 
 from .._settings import Settings
 from ..charts import Subject, load_chart
-from ..fleet import ConfigReplica, Counts, Record, UsageLedger
+from ..fleet import ClaimDesk, ConfigReplica, Counts, Record, UsageLedger
 from ..platform import HttpStore, PlatformClient
-from ..policy import CrashTracker, OutputEstimator, RetryBudget, Verdict
+from ..policy import CrashTracker, Job, OutputEstimator, RetryBudget, Verdict
 from ..telemetry import DecisionLog, Metrics
 from ._backend_client import BackendFault, is_alive, make_session
 from ._caller import is_withdrawn
 from ._chat import measure_work
 from ._dispatcher import Dispatcher
+from ._duties import Duties
+from ._events_log import EventLog
 from ._exchange import Exchange
+from ._fleet_side import FleetSide
 from ._watchdog import Watchdog
 
 log = logging.getLogger(__name__)
 
-SYNC_INTERVAL = 0.5  # seconds
 CRASH_MEMORY = 1.0  # seconds
 
 
@@ -71,10 +72,16 @@
             self.incarnation, settings.fleet.usage_window, time.time
         )
         self.n_active = 0
+        self.events = EventLog(self.decisions, self.metrics)
+        self.clock = read_boot_clock
+        self.fleet_secret = settings.node.fleet_secret or secrets.token_hex(16)
         self.session: aiohttp.ClientSession
+        self.platform_session: aiohttp.ClientSession
         self.store: HttpStore
         self.platform: PlatformClient
-        self._platform_session: aiohttp.ClientSession
+        self.fleet: FleetSide
+        self.duties: Duties
+        self.claims: ClaimDesk
         self._tasks: list[asyncio.Task] = []
         self._investigations: dict[str, asyncio.Task[bool]] = {}
         self.replica.add_listener(self._observe_record)
@@ -89,48 +96,49 @@
     async def start(self) -> None:
         """Open connections and start the node's tasks."""
         self.session = make_session()
-        self._platform_session = aiohttp.ClientSession()
+        self.platform_session = aiohttp.ClientSession()
         platform = self.settings.platform
         url = f"http://{platform.address}:{platform.port}"
-        self.store = HttpStore(self._platform_session, url, timeout=platform.timeout)
-        self.platform = PlatformClient(
-            self._platform_session, url, timeout=platform.timeout
-        )
-        self._spawn(self.dispatcher.run)
-        self._spawn(self.watchdog.run)
-        self._spawn(self._run_sync)
-        self._spawn(self._run_flush)
+        timeout = platform.timeout
+        self.store = HttpStore(self.platform_session, url, timeout=timeout)
+        self.platform = PlatformClient(self.platform_session, url, timeout=timeout)
+        self.fleet = FleetSide(self)
+        self.dispatcher.on_work = self._count_work
+        self.duties = Duties(self)
+        self.claims = ClaimDesk(self.store, self.incarnation, self.clock)
+        await self.fleet.start()
+        for job in (
+            self.dispatcher.run,
+            self.watchdog.run,
+            self.fleet.run_list,
+            self.fleet.run_shares,
+            self.fleet.run_copies,
+            self.fleet.agent.run_heartbeats,
+            self.fleet.agent.run_sync,
+            self.duties.run,
+            self._run_flush,
+        ):
+            self._spawn(job)
 
     def _spawn(self, job: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(asyncio.create_task(_log_failure(job)))
 
     async def close(self) -> None:
-        """Flush what is owed and end the node's tasks."""
+        """Flush what is owed, give duties up and end the node's tasks."""
         await self.flush_usage()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.duties.release()
+        self.fleet.close()
         await self.session.close()
-        await self._platform_session.close()
+        await self.platform_session.close()
         self.metrics.close()
 
-    async def _run_sync(self) -> None:
-        while True:
-            await self.sync()
-            await asyncio.sleep(SYNC_INTERVAL)
-
-    async def sync(self) -> bool:
-        """Take in the store's configuration.
-
-        Returns
-        -------
-        bool
-            False when the store did not answer.
-        """
-        done = is_successful(await self.replica.sync(self.store))
-        if done and self.states.state == "starting":
-            self.states.observe("configured")
-        return done
+    def _count_work(self, job: Job, work: float) -> None:
+        self.fleet.work.observe(
+            job.pool, job.class_name, job.customer, work / job.weight
+        )
 
     async def _run_flush(self) -> None:
         while True:
@@ -144,14 +152,33 @@
     # Facts
 
     def _observe_record(self, record: Record) -> None:
+        if self.states.state == "starting":
+            self.states.observe("configured")
         self.dispatcher.observe_config(self.replica.config)
         if any(op.kind == "key" for op in record.operations) or not record.operations:
             self._end_withdrawn()
-        log.info(
-            "configuration changed",
-            extra={"revision": record.revision, "author": record.author},
+        for operation in record.operations:
+            if operation.kind == "pardon":
+                self.crashes.observe_pardon(operation.name)
+        self.events.observe(
+            "configuration", f"revision {record.revision}", f"by {record.author}"
         )
 
+    def observe_leaving(self, backend: str, reason: str) -> None:
+        """Take in that a backend server is leaving.
+
+        Parameters
+        ----------
+        backend : str
+            Its name.
+        reason : str
+            Which source said so.
+        """
+        view = self.dispatcher.views.get(backend)
+        if view is not None and view.state != "leaving":
+            self.events.observe("backend_leaving", backend, reason)
+            self.dispatcher.observe_leaving(backend)
+
     def _end_withdrawn(self) -> None:
         """Break off the repeatable requests whose keys are gone."""
         for exch in self.watchdog.exchanges():
@@ -159,6 +186,21 @@
                 exch.withdrawn = True
                 self.watchdog.close(exch.request_id)
 
+    def is_withdrawn(self, exch: Exchange) -> bool:
+        """Tell whether a request's key was withdrawn since it arrived.
+
+        Parameters
+        ----------
+        exch : Exchange
+            The request.
+
+        Returns
+        -------
+        bool
+            False for requests of open routes.
+        """
+        return is_withdrawn(self.replica.config, exch.caller)
+
     def observe_first_token(self, exch: Exchange, elapsed: float) -> None:
         """Take in a measured time to the first token.
 
@@ -246,24 +288,10 @@
         )
         if view is not None:
             view.down_until = now + CRASH_MEMORY
-        self.decisions.observe_event(
-            time.time(), "backend_crash", backend, f"{len(marked)} requests marked"
-        )
-        log.warning("backend server crashed", extra={"backend": backend})
-        await self.share_marks(backend, marked)
+        self.events.observe("backend_crash", backend, f"{len(marked)} requests marked")
+        await self.fleet.share_marks(backend, marked)
         return True
 
-    async def share_marks(self, backend: str, marked: list[str]) -> None:
-        """Tell the other nodes which requests are suspects.
-
-        Parameters
-        ----------
-        backend : str
-            The server that crashed.
-        marked : list of str
-            Fingerprints.
-        """
-
     def observe_end(self, exch: Exchange, outcome: str) -> None:
         """Take in the end of a request: usage, metrics, log.
 
@@ -310,8 +338,7 @@
         bool
             False when a withdrawal could have been accepted unheard.
         """
-        age = read_boot_clock() - self.replica.confirmed_at
-        return age <= self.settings.fleet.trust_timeout
+        return self.fleet.agent.trusts_keys()
 
     def backend_url(self, name: str) -> str:
         """Return a backend server's base address.
--- a/packages/medlargate/medlargate/gateway/_plain.py
+++ b/packages/medlargate/medlargate/gateway/_plain.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import base64
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from returns.result import Failure
 from starlette.requests import Request
 from starlette.responses import Response
 
-from ..policy import Verdict, decide_retry
+from ..fleet import Claimed, Taken, make_claim_key, make_kept_answer
+from ..policy import Refusal, Verdict, decide_retry
 from ._answers import REQUEST_HEADER, RUN_HEADER
 from ._backend_client import BackendFault, open_call
 from ._caller import CREDENTIAL_HEADERS
@@ -19,6 +22,9 @@
 if TYPE_CHECKING:
     from ._node import Node
 
+IDEMPOTENCY_HEADER = "idempotency-key"
+REPLAY_HEADER = "Idempotent-Replayed"
+CLAIM_RETRY_AFTER = 2.0  # seconds
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 CALL_TIMEOUT = 60.0  # seconds
 MAX_ANSWER_BYTES = 16_777_216
@@ -127,17 +133,87 @@
     Refusal
         The request ends without an answer; its verdict says whether it ran.
     """
+    claimed: Claimed | None = None
     while True:
         assignment = await acquire(node, exch)
         fault: BackendFault | None = None
         try:
-            return await _attempt(node, exch, call, assignment.backend)
+            if claimed is None and needs_claim(exch, call):
+                got = await _claim(node, exch, call)
+                if isinstance(got, PlainAnswer):
+                    return got
+                claimed = got
+            answer = await _attempt(node, exch, call, assignment.backend)
+            if claimed is not None:
+                kept = make_kept_answer(answer.status, answer.headers, answer.body)
+                await node.claims.keep_answer(claimed, kept)
+            return answer
         except BackendFault as exc:
             fault = exc
             await node.observe_fault(exch, assignment.backend, exc)
         finally:
             node.release(exch, done=fault is None)
-        _decide_next(node, exch, fault)
+        try:
+            _decide_next(node, exch, fault)
+        except Refusal as exc:
+            if claimed is not None and exc.verdict is Verdict.NOT_RUN:
+                await node.claims.release(claimed)
+            raise
+
+
+def needs_claim(exch: Exchange, call: PlainCall) -> bool:
+    """Tell whether a call has to be claimed before it is sent.
+
+    Parameters
+    ----------
+    exch : Exchange
+        The request.
+    call : PlainCall
+        What to call.
+
+    Returns
+    -------
+    bool
+        True for non-idempotent calls with an Idempotency-Key.
+    """
+    return not exch.job.repeatable and IDEMPOTENCY_HEADER in call.headers
+
+
+async def _claim(node: Node, exch: Exchange, call: PlainCall) -> Claimed | PlainAnswer:
+    """Claim a call, or answer it from an earlier one."""
+    name = call.headers[IDEMPOTENCY_HEADER]
+    key = make_claim_key(exch.caller.customer, exch.route_name, name)
+    digest = exch.job.fingerprint
+    got = await node.claims.claim(key, digest)
+    if isinstance(got, Failure):
+        refusal = exch.make_failure(
+            503, "store_unavailable", "not run: the call could not be claimed"
+        )
+        refusal.retry_after = CLAIM_RETRY_AFTER
+        raise refusal
+    result = got.unwrap()
+    exch.record("claim", taken=isinstance(result, Taken))
+    if isinstance(result, Claimed):
+        return result
+    return _replay(exch, result, digest)
+
+
+def _replay(exch: Exchange, taken: Taken, digest: str) -> PlainAnswer:
+    if taken.claim.body_digest != digest:
+        raise exch.make_failure(
+            422, "idempotency_mismatch", "not run: the key belongs to another call"
+        )
+    answer = taken.claim.answer
+    if answer is None or (not answer.body and not answer.headers):
+        exch.states.observe("refuse")
+        raise Refusal(
+            409,
+            "already_claimed",
+            "an earlier call with this Idempotency-Key was sent; it is not repeated",
+            taken.verdict,
+        )
+    headers = {**answer.headers, REPLAY_HEADER: "true"}
+    return PlainAnswer(answer.status, headers, base64.b64decode(answer.body))
 
 
 async def _attempt(
--- a/packages/medlargate/medlargate/gateway/_server.py
+++ b/packages/medlargate/medlargate/gateway/_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 from collections.abc import Iterator
 
 import uvicorn
@@ -13,10 +14,24 @@
 from ._node import Node
 
 BACKLOG = 1024
+LISTENER_GRACE = 0.5  # seconds
 
 
 class _Server(uvicorn.Server):
-    """uvicorn's server without signal handlers of its own."""
+    """uvicorn's server without signal handlers of its own.
+
+    Notes
+    -----
+    Listeners close before idle connections do: what was just accepted still gets
+    its request read and answered.
+    """
+
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        for listener in self.servers:
+            listener.close()
+        if not self.force_exit:
+            await asyncio.sleep(LISTENER_GRACE)
+        await super().shutdown(sockets)
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -3,11 +3,13 @@
 from ._backends import BackendView, decide_ejections
 from ._choice import decide_backend
 from ._crashes import CrashDecision, CrashTracker, make_fingerprint
+from ._demand import DecayingRate
 from ._estimates import OutputEstimator
 from ._fairness import FairQueue
 from ._limits import ConcurrencyLimit
 from ._pool import PoolOptions
 from ._retries import RetryBudget, RetryDecision, decide_retry
+from ._scaling import PoolLoad, PoolScaler, ScalingDecision
 from ._scheduler import PoolScheduler
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._types import Assignment, Candidate, Job, Preemption, Shed, compute_work
@@ -20,16 +22,20 @@
     "ConcurrencyLimit",
     "CrashDecision",
     "CrashTracker",
+    "DecayingRate",
     "FairQueue",
     "Job",
     "OutputEstimator",
+    "PoolLoad",
     "PoolOptions",
+    "PoolScaler",
     "PoolScheduler",
     "Preemption",
     "Refusal",
     "RequestStates",
     "RetryBudget",
     "RetryDecision",
+    "ScalingDecision",
     "Shed",
     "Verdict",
     "compute_work",
