--- a/packages/medlargate-ctl/medlargate_ctl/__main__.py
+++ b/packages/medlargate-ctl/medlargate_ctl/__main__.py
@@ -2,13 +2,251 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import json
+import sys
+from typing import Any
+
+import aiohttp
 import click
+from medlargate.operators import suggest
+from rich.console import Console
+from rich.table import Table
+
+FAULT_STATUS = 1
+MAX_CELL = 60
+PIPE_WIDTH = 200
+TIMEOUT = 90.0  # seconds
+
+
+async def send_statement(
+    address: str, key: str, statement: str, *, wait: float = 0.0
+) -> tuple[int, dict[str, Any]]:
+    """Send one statement to a node.
+
+    Parameters
+    ----------
+    address : str
+        The node's base address.
+    key : str
+        The operator's secret.
+    statement : str
+        What to do.
+    wait : float, default=0.0
+        Seconds to wait until a change is in force on every live node.
+
+    Returns
+    -------
+    tuple of (int, dict)
+        HTTP status and the decoded answer.
+    """
+    headers = {"Authorization": f"Bearer {key}"}
+    body = json.dumps({"statement": statement, "wait": wait})
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT)
+    async with (
+        aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+        session.post(address.rstrip("/") + "/operator", data=body) as resp,
+    ):
+        return resp.status, await resp.json()
+
+
+def make_table(rows: list[dict[str, Any]]) -> Table:
+    """Make a table of rows.
+
+    Parameters
+    ----------
+    rows : list of dict
+        Rows with the same fields.
+
+    Returns
+    -------
+    Table
+        For a terminal.
+    """
+    fields = list(dict.fromkeys(field for row in rows for field in row))
+    table = Table(*fields)
+    for row in rows:
+        table.add_row(*(format_cell(row.get(field)) for field in fields))
+    return table
+
+
+def format_cell(value: Any) -> str:
+    """Write a value into a cell.
+
+    Parameters
+    ----------
+    value : object
+        Decoded JSON.
+
+    Returns
+    -------
+    str
+        At most ``MAX_CELL`` characters.
+    """
+    if value is None:
+        return "-"
+    if isinstance(value, list | dict):
+        value = json.dumps(value)
+    text = str(value)
+    return text if len(text) <= MAX_CELL else text[: MAX_CELL - 1] + "…"
+
+
+def print_answer(console: Console, answer: dict[str, Any], *, as_json: bool) -> None:
+    """Print an answer.
+
+    Parameters
+    ----------
+    console : Console
+        The terminal.
+    answer : dict
+        From ``send_statement``.
+    as_json : bool
+        Print it as JSON.
+    """
+    if as_json or answer.get("output") == "json":
+        click.echo(json.dumps(answer, indent=2))
+    elif "help" in answer:
+        click.echo(answer["help"])
+    elif "rows" in answer:
+        console.print(make_table(answer["rows"]))
+        _print_coverage(answer)
+    elif "answers" in answer:
+        _print_explanations(console, answer["answers"])
+    else:
+        for field, value in answer.items():
+            click.echo(f"{field}: {format_cell(value)}")
+
+
+def _print_coverage(answer: dict[str, Any]) -> None:
+    click.echo(
+        f"{len(answer['rows'])} rows from {answer['nodes_heard']} nodes, "
+        f"revision {answer['revision']}"
+    )
+    for name, age in answer["nodes_not_heard"].items():
+        click.echo(f"not heard: {name}, last word {age} s ago")
+
+
+def _print_explanations(console: Console, answers: list[dict[str, Any]]) -> None:
+    for part in answers:
+        steps = part.pop("steps", None)
+        for field, value in part.items():
+            click.echo(f"{field}: {format_cell(value)}")
+        if steps is not None:
+            rows = [
+                {
+                    "at": step.pop("at"),
+                    "step": step.pop("kind"),
+                    "reasons": ", ".join(
+                        f"{k}={format_cell(v)}" for k, v in step.items()
+                    ),
+                }
+                for step in steps
+            ]
+            console.print(make_table(rows))
+
+
+def _complete(_ctx: click.Context, _param: click.Parameter, text: str) -> list[str]:
+    return suggest(text)
 
 
 @click.command()
 @click.version_option(package_name="medlargate-ctl")
-def main() -> None:
-    """Query and command a fleet."""
+@click.option(
+    "--address",
+    envvar="MEDLARGATE_ADDRESS",
+    default="http://127.0.0.1:8080",
+    show_default=True,
+    help="any node's base address",
+)
+@click.option("--key", envvar="MEDLARGATE_OPERATOR_KEY", help="an operator's secret")
+@click.option("--wait", default=0.0, help="seconds until a change is in force")
+@click.option("--json", "as_json", is_flag=True, help="print JSON")
+@click.argument("statement", nargs=-1, shell_complete=_complete)
+def main(
+    address: str,
+    key: str | None,
+    wait: float,
+    as_json: bool,
+    statement: tuple[str, ...],
+) -> None:
+    """Send a STATEMENT, or read statements line by line without one."""
+    if not key:
+        click.echo("MEDLARGATE_OPERATOR_KEY or --key is required", err=True)
+        sys.exit(2)
+    if statement:
+        text = " ".join(statement)
+        sys.exit(run_statement(address, key, text, wait=wait, as_json=as_json))
+    run_shell(address, key, wait=wait, as_json=as_json)
+
+
+def run_statement(
+    address: str, key: str, text: str, *, wait: float, as_json: bool
+) -> int:
+    """Send a statement and print its answer.
+
+    Parameters
+    ----------
+    address, key, text : str
+        Node, secret and statement.
+    wait : float
+        Seconds.
+    as_json : bool
+        Print JSON.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        status, answer = asyncio.run(send_statement(address, key, text, wait=wait))
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        click.echo(f"{address} does not answer: {exc}", err=True)
+        return FAULT_STATUS
+    if status != 200:
+        error = answer.get("error", {})
+        click.echo(error.get("pointed") or error.get("message"), err=True)
+        return FAULT_STATUS
+    width = None if sys.stdout.isatty() else PIPE_WIDTH
+    print_answer(Console(width=width), answer, as_json=as_json)
+    return 0
+
+
+def run_shell(address: str, key: str, *, wait: float, as_json: bool) -> None:
+    """Read statements line by line, with history and completion.
+
+    Parameters
+    ----------
+    address, key : str
+        Node and secret.
+    wait : float
+        Seconds.
+    as_json : bool
+        Print JSON.
+    """
+    with contextlib.suppress(ImportError):
+        _enable_completion()
+    while True:
+        try:
+            text = input("medlargate> " if sys.stdin.isatty() else "")
+        except EOFError:
+            return
+        if text.strip() in ("quit", "exit"):
+            return
+        if text.strip():
+            run_statement(address, key, text, wait=wait, as_json=as_json)
+
+
+def _enable_completion() -> None:
+    import readline
+
+    def complete(_: str, state: int) -> str | None:
+        words = suggest(readline.get_line_buffer())
+        return words[state] + " " if state < len(words) else None
+
+    readline.set_completer(complete)
+    readline.parse_and_bind("tab: complete")
 
 
 if __name__ == "__main__":
--- a/packages/medlargate-standins/medlargate_standins/engine.py
+++ b/packages/medlargate-standins/medlargate_standins/engine.py
@@ -19,6 +19,7 @@
 
 DEFAULT_MAX_TOKENS = 40
 LOAD_LAG = 1.0  # seconds
+JSON_TYPE = "application/json"
 
 
 def make_answer(prompt: str, n_tokens: int) -> list[str]:
@@ -229,6 +230,11 @@
         engine.n_cancelled += not done
 
 
+async def _fail() -> AsyncIterator[bytes]:
+    yield b" "
+    raise ConnectionAbortedError("engine crashed")
+
+
 async def _whole(engine: Engine, call: _Call) -> Response:
     done = False
     await engine.enter(call.priority)
@@ -301,7 +307,10 @@
         if engine.fault == "poison" and "poison" in call.prompt:
             engine.crashed.set()
         if engine.crashed.is_set():
-            raise ConnectionAbortedError("engine crashed")
+            # Once a response has begun, the server closes the connection.
+            media_type = "text/event-stream" if body.get("stream") else None
+            lines = _fail()
+            return StreamingResponse(lines, media_type=media_type or JSON_TYPE)
         if body.get("stream"):
             lines = _stream(engine, call)
             return StreamingResponse(lines, media_type="text/event-stream")
--- a/packages/medlargate/medlargate/fleet/_agent.py
+++ b/packages/medlargate/medlargate/fleet/_agent.py
@@ -14,7 +14,7 @@
 from ..policy import rank_by_hash
 from ._config import ConfigReplica
 from ._membership import Heartbeat, Membership, Outgoing
-from ._model import Operation, Record
+from ._model import Config, Operation, Record
 
 log = logging.getLogger(__name__)
 
@@ -207,7 +207,7 @@
 
     def _needs_store(self) -> bool:
         """Tell whether this node has to read the store itself."""
-        if self.is_watcher() or self.replica.revision == 0:
+        if self.is_watcher() or not self.membership.vouches:
             return True
         now = self.clock()
         return now - self.membership.covered_at(now) > self.trust_timeout / 2
@@ -236,6 +236,7 @@
             self._backoff = min(MAX_BACKOFF, self._backoff * 2)
             return False
         self._backoff = SYNC_INTERVAL
+        self.membership.observe_sync()
         self.membership.observe_confirmation(
             self.replica.confirmed_at, self.replica.revision
         )
@@ -247,7 +248,7 @@
         *,
         change_id: str,
         author: str = "",
-        expected_revision: int | None = None,
+        precondition: Callable[[Config], None] | None = None,
     ) -> Result[Accepted, StoreError]:
         """Make one change and spread it to a majority of the failure domain.
 
@@ -259,8 +260,8 @@
             Identifies it; the same id twice makes one change.
         author : str, default=""
             Who asked for it.
-        expected_revision : int or None
-            Fail with a conflict when another change came first.
+        precondition : callable or None
+            See ``ConfigReplica.commit``.
 
         Returns
         -------
@@ -277,7 +278,7 @@
             operations,
             change_id=change_id,
             author=author,
-            expected_revision=expected_revision,
+            precondition=precondition,
         )
         if isinstance(stored, Failure):
             return stored
--- a/packages/medlargate/medlargate/fleet/_config.py
+++ b/packages/medlargate/medlargate/fleet/_config.py
@@ -13,7 +13,7 @@
 
 from ..platform import Compare, Delete, Entry, Put, Store, StoreError
 from ..policy import Verdict
-from ._model import Config, ConfigError, Operation, Record, check_operations
+from ._model import Config, Operation, Record, check_operations
 
 log = logging.getLogger(__name__)
 
@@ -163,6 +163,21 @@
         for listener in self._listeners:
             listener(change)
 
+    def check(self, operations: Sequence[Operation]) -> None:
+        """Check a change against the configuration in force.
+
+        Parameters
+        ----------
+        operations : sequence of Operation
+            The change.
+
+        Raises
+        ------
+        ConfigError
+            It does not fit.
+        """
+        check_operations(self.config, operations)
+
     def records_after(self, revision: int) -> list[Record] | None:
         """List the records after a revision, for a peer.
 
@@ -264,7 +279,7 @@
         *,
         change_id: str,
         author: str = "",
-        expected_revision: int | None = None,
+        precondition: Callable[[Config], None] | None = None,
     ) -> Result[int, StoreError]:
         """Make one atomic change.
 
@@ -278,8 +293,9 @@
             Identifies it; committing the same id twice makes one change.
         author : str, default=""
             Who asked for it.
-        expected_revision : int or None
-            Fail with a conflict when another change came first.
+        precondition : callable or None
+            Gets the newest configuration before each attempt and raises
+            ``ConfigError`` when the change does not follow from it any more.
 
         Returns
         -------
@@ -294,11 +310,8 @@
         for _ in range(MAX_ATTEMPTS):
             if change_id in self._changes:
                 return Success(self._changes[change_id])
-            if expected_revision not in (None, self.revision):
-                raise ConfigError(
-                    f"revision {expected_revision} was expected, "
-                    f"but {self.revision} is in force"
-                )
+            if precondition is not None:
+                precondition(self.config)
             check_operations(self.config, operations)
             record = Record(
                 revision=self.revision + 1,
--- a/packages/medlargate/medlargate/fleet/_membership.py
+++ b/packages/medlargate/medlargate/fleet/_membership.py
@@ -20,10 +20,14 @@
 PING_TIMEOUT = 2.0  # seconds
 LISTED_LIFETIME = 600.0  # seconds
 MAX_AGE = 3600.0  # seconds
+UNKNOWN = -1
 
 
 class Word(BaseModel):
-    """What a node says of another one or of a failure domain: how old, how complete."""
+    """What a node says of another one or of a failure domain: how old, how complete.
+
+    A node that has not read the store since its start has the revision ``UNKNOWN``.
+    """
 
     model_config = ConfigDict(frozen=True)
     age: float
@@ -38,6 +42,7 @@
     domain: str
     incarnation: str
     revision: int
+    vouches: bool = True
     serving: bool = True
     confirmed: Word | None = None
     members: dict[str, Word] = {}
@@ -109,7 +114,7 @@
     """
 
     heard_at: float = float("-inf")
-    revision: int = 0
+    revision: int = UNKNOWN
     direct_at: float = float("-inf")
     facts: Facts | None = None
 
@@ -161,6 +166,7 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
     revision: int = 0
+    vouches: bool = False
     serving: bool = True
     make_load: Callable[[], dict[str, Any]] = dict
     _confirmed: _Known = field(default_factory=_Known)
@@ -208,6 +214,10 @@
         if at > self._confirmed.at:
             self._confirmed = _Known(at, revision)
 
+    def observe_sync(self) -> None:
+        """Take in that this node itself has read the store since its start."""
+        self.vouches = True
+
     def observe(self, heartbeat: Heartbeat, now: float) -> Outgoing | None:
         """Take in a message.
 
@@ -244,7 +254,8 @@
     def _observe_answer(self, facts: Facts, sent_at: float, now: float) -> None:
         member = self.members[facts.node]
         member.direct_at = max(member.direct_at, sent_at)
-        self._observe_word(facts.node, sent_at, facts.revision)
+        revision = facts.revision if facts.vouches else UNKNOWN
+        self._observe_word(facts.node, sent_at, revision)
         if facts.confirmed is not None:
             word = facts.confirmed
             self.observe_confirmation(sent_at - word.age, word.revision)
@@ -258,8 +269,9 @@
     def _observe_word(self, name: str, at: float, revision: int) -> None:
         member = self.members.setdefault(name, Member())
         if at > member.heard_at:
+            # Later word replaces earlier: a restarted node has forgotten.
             member.heard_at = at
-            member.revision = max(member.revision, revision)
+            member.revision = revision
 
     def _observe_domain(self, domain: str, at: float, revision: int) -> None:
         if domain == self.domain:
@@ -431,6 +443,7 @@
             domain=self.domain,
             incarnation=self.incarnation,
             revision=self.revision,
+            vouches=self.vouches,
             serving=self.serving,
             confirmed=confirmed,
             members=members if self.relay else {},
@@ -445,25 +458,21 @@
 
         A change is accepted only once a majority of a domain's nodes have it. So
         when so few nodes are unheard that they are no majority, one of the heard
-        ones knows of every accepted change.
+        ones knows of every accepted change. A node that was restarted since may
+        have forgotten one, and counts again only once it has read the store.
         """
         others = self._domain_members(self.domain)
         n_members = len(others) + 1
         n_needed = n_members - n_members // 2
-        heard = sorted(
-            (self.members[n].heard_at for n in others if n in self.members),
-            reverse=True,
-        )
-        times = [now, *heard]
-        if len(times) < n_needed:
+        known = [self.members[n] for n in others if n in self.members]
+        words = [(m.heard_at, m.revision) for m in known if m.revision != UNKNOWN]
+        if self.vouches:
+            words.append((now, self.revision))
+        if len(words) < n_needed:
             return _Known()
-        at = times[n_needed - 1]
-        revisions = [
-            self.members[n].revision
-            for n in others
-            if n in self.members and self.members[n].heard_at >= at
-        ]
-        return _Known(at, max([self.revision, *revisions]))
+        words.sort(reverse=True)
+        at = words[n_needed - 1][0]
+        return _Known(at, max(revision for heard, revision in words if heard >= at))
 
     def covered_at(self, now: float) -> float:
         """Compute as of when this node knows every accepted change.
--- a/packages/medlargate/medlargate/fleet/_usage.py
+++ b/packages/medlargate/medlargate/fleet/_usage.py
@@ -231,7 +231,8 @@
             Number of parts written.
         """
         n_written = 0
-        for part in parts:
+        # Counting goes on during the writes: only what was copied here is flushed.
+        for part in [part.model_copy(deep=True) for part in parts]:
             written = await flush_part(store, part)
             if isinstance(written, Failure):
                 return written
--- a/packages/medlargate/medlargate/gateway/_app.py
+++ b/packages/medlargate/medlargate/gateway/_app.py
@@ -15,10 +15,17 @@
 from starlette.routing import Route as HttpRoute
 
 from ..fleet import Route
+from ..operators import make_operator_routes
 from ..policy import Job, Refusal, Verdict, compute_work, make_fingerprint
 from ..telemetry import RequestTrace
 from ._answers import REQUEST_HEADER, RUN_HEADER, make_error, make_refusal_response
-from ._caller import OPEN_CUSTOMER, Caller, authenticate
+from ._caller import (
+    OPEN_CUSTOMER,
+    Caller,
+    authenticate,
+    authenticate_operator,
+    compute_digest,
+)
 from ._chat import call_chat, stream_chat
 from ._exchange import Exchange
 from ._fleet_api import make_fleet_routes
@@ -144,24 +151,10 @@
     -------
     Exchange
         Registered with the node.
-
-    Raises
-    ------
-    Refusal
-        422 while the request is quarantined.
     """
     now = time.monotonic()
     request_class = node.replica.config.classes[route.request_class]
     fingerprint = make_fingerprint(caller.customer, route_name, body)
-    crash = node.crashes.decide(fingerprint, now)
-    if not crash.run:
-        raise Refusal(
-            422,
-            "quarantined",
-            "not run: this request crashed backend servers",
-            retry_after=crash.retry_after,
-            reasons={"fingerprint": fingerprint},
-        )
     job = Job(
         request_id=request_id,
         customer=caller.customer,
@@ -179,7 +172,6 @@
         prefix=xxhash.xxh64_intdigest(prefix.encode()) if prefix else 0,
         prompt_tokens=prompt_tokens,
         fingerprint=fingerprint,
-        isolated=crash.isolated,
     )
     trace = RequestTrace(
         request_id, caller.customer, route.request_class, route_name, time.time()
@@ -470,15 +462,13 @@
     return endpoint
 
 
-def make_app(node: Node, extra: list[HttpRoute] | None = None) -> Starlette:
+def make_app(node: Node) -> Starlette:
     """Make the node's HTTP application.
 
     Parameters
     ----------
     node : Node
         This node.
-    extra : list of starlette Route, optional
-        Further endpoints, for operators and other nodes.
 
     Returns
     -------
@@ -513,6 +503,8 @@
                 methods=METHODS,
             ),
             *make_fleet_routes(node),
-            *(extra or []),
+            *make_operator_routes(
+                node, authenticate_operator, make_refusal_response, compute_digest
+            ),
         ],
     )
--- a/packages/medlargate/medlargate/gateway/_chat.py
+++ b/packages/medlargate/medlargate/gateway/_chat.py
@@ -10,7 +10,14 @@
 import aiohttp
 import orjson
 
-from ..policy import Assignment, Preemption, Verdict, compute_work, decide_retry
+from ..policy import (
+    Assignment,
+    Preemption,
+    Refusal,
+    Verdict,
+    compute_work,
+    decide_retry,
+)
 from ._backend_client import BackendFault, open_call
 from ._events import EventRelay, StreamFaultError
 from ._exchange import Exchange
@@ -158,11 +165,19 @@
         node.watchdog.close(exch.request_id)
 
     returned = exch.n_attempts > 0
+    if node.crashes.is_known(exch.job.fingerprint):
+        await node.separate_suspect(exch)
     if not returned:
         exch.states.observe("enqueue")
-    assignment = await node.dispatcher.acquire(
-        exch.job, returned=returned, on_preempt=on_preempt
-    )
+    try:
+        assignment = await node.dispatcher.acquire(
+            exch.job, returned=returned, on_preempt=on_preempt
+        )
+    except Refusal as exc:
+        # The chart knows of earlier attempts; the scheduler's word covers this one.
+        exc.verdict = exch.make_failure(exc.status, exc.code, exc.message).verdict
+        exch.record("refusal", code=exc.code, **exc.reasons)
+        raise
     if exch.states.state == "queued":
         exch.states.observe("assign")
     if node.is_withdrawn(exch):
@@ -269,13 +284,7 @@
         message = f"backend server failed: {fault.message} ({decision.reason})"
         raise exch.make_failure(502, f"backend_{fault.kind}", message)
     node.metrics.observe_retry(fault.kind)
-    crash = node.crashes.decide(exch.job.fingerprint, time.monotonic())
-    if not crash.run:
-        raise exch.make_failure(
-            422, "quarantined", "the request crashed backend servers"
-        )
-    exch.job.isolated = crash.isolated
-    exch.job.resumed = exch.n_tokens > 0
+    exch.job.resumed = exch.verdict is not Verdict.NOT_RUN
 
 
 async def call_chat(node: Node, exch: Exchange, document: dict[str, Any]) -> bytes:
--- a/packages/medlargate/medlargate/gateway/_exchange.py
+++ b/packages/medlargate/medlargate/gateway/_exchange.py
@@ -123,6 +123,38 @@
         assert self.last_token_at is not None
         return (self.last_token_at - self.first_token_at) / (self.n_tokens - 1)
 
+    def meets_targets(self) -> bool:
+        """Tell whether first token and interval are within the class's targets.
+
+        Returns
+        -------
+        bool
+            Only meaningful once the answer is whole.
+        """
+        if self.first_token_at is None:
+            return False
+        interval = self.interval()
+        is_fast = interval is None or interval <= self.request_class.token_interval
+        waited = self.first_token_at - self.started_at
+        return is_fast and waited <= self.request_class.first_token
+
+    def observe_end(self, outcome: str) -> None:
+        """Close the request's trace.
+
+        Parameters
+        ----------
+        outcome : str
+            ``"ok"`` or a refusal's code.
+        """
+        trace = self.trace
+        trace.outcome = outcome
+        trace.verdict = str(self.verdict)
+        trace.met = outcome == "ok" and self.meets_targets()
+        trace.n_tokens = self.n_tokens
+        trace.queue_wait = self.queue_wait
+        if self.first_token_at is not None:
+            trace.first_token = round(self.first_token_at - self.started_at, 6)
+
     def make_failure(self, status: int, code: str, message: str) -> Refusal:
         """Make the refusal that ends this request, with its chart's verdict.
 
--- a/packages/medlargate/medlargate/gateway/_fleet_api.py
+++ b/packages/medlargate/medlargate/gateway/_fleet_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hmac
 import time
 from collections.abc import Awaitable, Callable
 
@@ -12,7 +11,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ._fleet_side import FLEET_HEADER, CopiesBody, MarksBody, PulledBody
+from ._fleet_side import CopiesBody, MarksBody, PulledBody
 from ._node import Node
 
 Endpoint = Callable[[Request], Awaitable[Response]]
@@ -38,8 +37,7 @@
 
     def guarded(endpoint: Endpoint) -> Endpoint:
         async def checked(req: Request) -> Response:
-            given = req.headers.get(FLEET_HEADER, "").encode("latin-1")
-            if not hmac.compare_digest(given, node.fleet_secret.encode()):
+            if not node.is_fleet_request(req.headers):
                 return _json(b'{"error": "the fleet\'s secret is required"}', 403)
             try:
                 return await endpoint(req)
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import contextlib
+import hmac
 import logging
 import secrets
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 
@@ -15,7 +16,14 @@
 from ..charts import Subject, load_chart
 from ..fleet import ClaimDesk, ConfigReplica, Counts, Record, UsageLedger
 from ..platform import HttpStore, PlatformClient
-from ..policy import CrashTracker, Job, OutputEstimator, RetryBudget, Verdict
+from ..policy import (
+    CrashTracker,
+    Job,
+    OutputEstimator,
+    RetryBudget,
+    Verdict,
+    decide_separation,
+)
 from ..telemetry import DecisionLog, Metrics
 from ._backend_client import BackendFault, is_alive, make_session
 from ._caller import is_withdrawn
@@ -24,7 +32,7 @@
 from ._duties import Duties
 from ._events_log import EventLog
 from ._exchange import Exchange
-from ._fleet_side import FleetSide
+from ._fleet_side import FLEET_HEADER, FleetSide
 from ._watchdog import Watchdog
 
 log = logging.getLogger(__name__)
@@ -259,6 +267,47 @@
         if fault.kind == "broken" and not exch.stalled:
             await self._investigate(backend)
 
+    async def separate_suspect(self, exch: Exchange) -> None:
+        """Keep a suspect apart before it is dispatched.
+
+        Parameters
+        ----------
+        exch : Exchange
+            The request.
+
+        Raises
+        ------
+        Refusal
+            The request is quarantined.
+        """
+        decision = self.crashes.decide(exch.job.fingerprint, time.monotonic())
+        if decision.isolated and decision.run:
+            scheduler = self.dispatcher.pools.get(exch.job.pool)
+            views = scheduler.views if scheduler else {}
+            domains = {
+                name: v.failure_domain for name, v in self.dispatcher.views.items()
+            }
+            usable = {
+                name
+                for name, view in views.items()
+                if view.state in ("live", "suspect")
+                and name not in decision.crashed
+                and (exch.job.cheap_allowed or not view.cheap)
+            }
+            excluded, wait = decide_separation(decision, domains, usable)
+            exch.job.excluded |= excluded
+            exch.record("suspect", crashed=list(decision.crashed), wait=round(wait, 3))
+            if wait:
+                await asyncio.sleep(wait)
+                decision = self.crashes.decide(exch.job.fingerprint, time.monotonic())
+        if not decision.run:
+            refusal = exch.make_failure(
+                422, "quarantined", "this request crashed backend servers"
+            )
+            refusal.retry_after = decision.retry_after
+            raise refusal
+        exch.job.isolated = decision.isolated
+
     async def _investigate(self, backend: str) -> bool:
         """Ask once for all requests of a server whether it still answers."""
         task = self._investigations.get(backend)
@@ -306,8 +355,7 @@
             return
         exch.finished = True
         self.n_active -= 1
-        exch.trace.outcome = outcome
-        exch.trace.verdict = str(exch.verdict)
+        exch.observe_end(outcome)
         if exch.n_tokens or outcome == "ok":
             counts = Counts(
                 requests=int(outcome == "ok"),
@@ -340,6 +388,22 @@
         """
         return self.fleet.agent.trusts_keys()
 
+    def is_fleet_request(self, headers: Mapping[str, str]) -> bool:
+        """Tell whether a request comes from another node of the fleet.
+
+        Parameters
+        ----------
+        headers : mapping of str to str
+            Of the request.
+
+        Returns
+        -------
+        bool
+            Whether it presents the fleet's secret.
+        """
+        given = headers.get(FLEET_HEADER, "").encode("latin-1")
+        return hmac.compare_digest(given, self.fleet_secret.encode())
+
     def backend_url(self, name: str) -> str:
         """Return a backend server's base address.
 
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -2,7 +2,12 @@
 
 from ._backends import BackendView, decide_ejections
 from ._choice import decide_backend
-from ._crashes import CrashDecision, CrashTracker, make_fingerprint
+from ._crashes import (
+    CrashDecision,
+    CrashTracker,
+    decide_separation,
+    make_fingerprint,
+)
 from ._demand import DecayingRate
 from ._estimates import OutputEstimator
 from ._fairness import FairQueue
@@ -43,6 +48,7 @@
     "decide_ejections",
     "decide_quotas",
     "decide_retry",
+    "decide_separation",
     "decide_share",
     "make_fingerprint",
     "rank_by_hash",
--- a/packages/medlargate/medlargate/policy/_crashes.py
+++ b/packages/medlargate/medlargate/policy/_crashes.py
@@ -13,6 +13,44 @@
 MAX_CRASHES = 2
 ZONE_LOSS_WINDOW = 1.0  # seconds
 ZONE_LOSS_SERVERS = 2
+SUSPECT_DELAY = 1.2  # seconds
+
+
+def decide_separation(
+    decision: CrashDecision, domains: dict[str, str], usable: set[str]
+) -> tuple[set[str], float]:
+    """Decide where a suspect must not run, or how long it has to wait.
+
+    Parameters
+    ----------
+    decision : CrashDecision
+        What is known of the request.
+    domains : dict of str to str
+        Failure domain of each backend server.
+    usable : set of str
+        Servers that could take the request.
+
+    Returns
+    -------
+    tuple of (set of str, float)
+        Servers to exclude, and seconds to wait.
+
+    Notes
+    -----
+    A suspect that crashes a second server of the same failure domain at once could
+    not be told from a loss of the domain. It goes to another one, or waits.
+
+    Examples
+    --------
+    >>> suspect = CrashDecision(True, True, crashed=("a",), wait=1.0)
+    >>> decide_separation(suspect, {"a": "x", "b": "x", "c": "y"}, {"b", "c"})
+    ({'b'}, 0.0)
+    """
+    crashed = {domains.get(name, "") for name in decision.crashed}
+    excluded = {name for name in usable if domains.get(name, "") in crashed}
+    if usable - excluded:
+        return excluded, 0.0
+    return set(), decision.wait
 
 
 def make_fingerprint(customer: str, route: str, body: bytes) -> str:
@@ -65,11 +103,18 @@
         It is a suspect and may not share a server with another suspect.
     retry_after : float
         Seconds until the quarantine ends.
+    crashed : tuple of str
+        Servers that crashed while they ran it.
+    wait : float
+        Seconds until a second crash in the same failure domain could not be taken
+        for a loss of the domain.
     """
 
     run: bool
     isolated: bool = False
     retry_after: float = 0.0
+    crashed: tuple[str, ...] = ()
+    wait: float = 0.0
 
 
 class CrashTracker:
@@ -91,8 +136,8 @@
     >>> tracker = CrashTracker()
     >>> tracker.observe_crash("b1", ["f"], now=0.0, domain="d1")
     ['f']
-    >>> tracker.decide("f", now=1.0)
-    CrashDecision(run=True, isolated=True, retry_after=0.0)
+    >>> tracker.decide("f", now=1.0).isolated
+    True
     """
 
     def __init__(self, *, lifetime: float = QUARANTINE_LIFETIME) -> None:
@@ -108,6 +153,21 @@
             return None
         return entry
 
+    def is_known(self, fingerprint: str) -> bool:
+        """Tell whether anything is held against a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+            From ``make_fingerprint``.
+
+        Returns
+        -------
+        bool
+            A cheap test before ``decide``.
+        """
+        return fingerprint in self._entries
+
     def decide(self, fingerprint: str, now: float) -> CrashDecision:
         """Decide whether a request may run.
 
@@ -128,7 +188,9 @@
             return CrashDecision(True)
         if len(entry.backends) >= MAX_CRASHES:
             return CrashDecision(False, True, entry.at + self._lifetime - now)
-        return CrashDecision(True, isolated=True)
+        wait = max(0.0, entry.at + SUSPECT_DELAY - now)
+        crashed = tuple(sorted(entry.backends))
+        return CrashDecision(True, isolated=True, crashed=crashed, wait=wait)
 
     def observe_crash(
         self,
--- a/packages/medlargate/medlargate/policy/_scheduler.py
+++ b/packages/medlargate/medlargate/policy/_scheduler.py
@@ -25,6 +25,7 @@
 SHED_MARGIN = 1.3
 MAX_CREDIT_JOBS = 4.0
 MAX_HEADS = 8
+MAX_RESUME_WAIT = 120.0  # seconds
 URGENT_FRACTION = 0.8
 HEAVY_URGENT_FRACTION = 0.8
 OVERFLOW_URGENCY = 0.8
@@ -121,6 +122,15 @@
         now : float
             Seconds.
         """
+        usable = {
+            name
+            for name, view in self.views.items()
+            if job.cheap_allowed or not view.cheap
+        }
+        if usable <= job.excluded:
+            # Every server has failed it once; any of them may try again.
+            job.excluded.clear()
+        job.returned_at = now
         self.state.enqueue(job, now, first=True)
 
     def observe_cancel(self, job: Job, now: float) -> None:
@@ -470,13 +480,15 @@
             if heavy not in relief:
                 relief[heavy] = count_relief(self.state, job, now)
             wait = max(0, rank - n_free - relief[heavy]) / rate
-            if not job.resumed and self._is_late(job, wait, now):
+            if self._is_late(job, wait, now):
                 late.append((job, wait, "deadline"))
             else:
                 rank += 1
         return late
 
     def _is_late(self, job: Job, wait: float, now: float) -> bool:
+        if job.resumed:
+            return now - job.returned_at > MAX_RESUME_WAIT
         allowed = compute_latest_start(self.state, job) - now
         if allowed <= 0:
             return True
--- a/packages/medlargate/medlargate/policy/_types.py
+++ b/packages/medlargate/medlargate/policy/_types.py
@@ -67,7 +67,9 @@
     charged : float
         Work already charged to the customer.
     resumed : bool
-        Its caller already got part of the answer.
+        It may have run already; its caller may have part of the answer.
+    returned_at : float
+        When it last came back from a dispatch, seconds.
     n_preemptions : int
         How often it had to yield its slot.
     """
@@ -92,6 +94,7 @@
     isolated: bool = False
     charged: float = 0.0
     resumed: bool = False
+    returned_at: float = 0.0
     n_preemptions: int = 0
 
 
--- a/packages/medlargate/medlargate/telemetry/_decisions.py
+++ b/packages/medlargate/medlargate/telemetry/_decisions.py
@@ -43,6 +43,12 @@
         Decisions, oldest first.
     outcome, verdict : str
         How it ended; empty while it runs.
+    met : bool
+        It was answered whole within its class's targets.
+    n_tokens : int
+        Output tokens.
+    queue_wait, first_token : float or None
+        Seconds since its arrival.
     """
 
     request_id: str
@@ -53,6 +59,10 @@
     steps: list[Step] = field(default_factory=list)
     outcome: str = ""
     verdict: str = ""
+    met: bool = False
+    n_tokens: int = 0
+    queue_wait: float | None = None
+    first_token: float | None = None
 
     def observe(self, at: float, kind: str, **facts: Any) -> None:
         """Record a decision.
@@ -84,6 +94,10 @@
             "route": self.route,
             "arrived_at": self.arrived_at,
             "outcome": self.outcome or "running",
+            "met": self.met,
+            "tokens": self.n_tokens,
+            "queue_wait": self.queue_wait,
+            "first_token": self.first_token,
             "verdict": self.verdict,
             "steps": [
                 {
