--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,203 @@
+"""Faults against seven real nodes in four failure domains under load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+import click
+from medlargate_standins.cluster import SECRET, Cluster, Process, ask_operator
+
+RATE = 200.0  # requests per second
+LEASE = 6.0  # seconds
+
+
+@dataclass
+class Load:
+    """Callers at a fixed rate, and what they saw.
+
+    Attributes
+    ----------
+    outcomes : list of (float, str)
+        When each request ended and how.
+    refused_not_run, sent : set of str
+        Bookings that were refused as not run, and all of them.
+    """
+
+    cluster: Cluster
+    session: aiohttp.ClientSession
+    outcomes: list[tuple[float, str]] = field(default_factory=list)
+    refused_not_run: set[str] = field(default_factory=set)
+    sent: set[str] = field(default_factory=set)
+    alive: list[Process] = field(default_factory=list)
+    _tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        for number in range(10**9):
+            task = asyncio.create_task(self._one(number))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(1 / RATE)
+
+    async def finish(self) -> None:
+        """Wait for what is still open."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _one(self, number: int) -> None:
+        node = random.choice(self.alive)
+        try:
+            outcome = await (
+                self._chat(node, number) if number % 2 else self._book(node, number)
+            )
+        except (aiohttp.ClientError, TimeoutError):
+            outcome = "broken"
+        self.outcomes.append((time.monotonic(), outcome))
+
+    async def _chat(self, node: Process, number: int) -> str:
+        body = {
+            "model": "chat",
+            "messages": [{"role": "user", "content": f"q{number}"}],
+            "max_tokens": 8,
+        }
+        url = node.url + "/v1/chat/completions"
+        async with self.session.post(url, json=body) as resp:
+            answer = await resp.json()
+            return "ok" if resp.status == 200 else answer["error"]["code"]
+
+    async def _book(self, node: Process, number: int) -> str:
+        call = f"b{number}"
+        self.sent.add(call)
+        headers = {"Idempotency-Key": call}
+        url = node.url + "/routes/bookings/x"
+        async with self.session.post(
+            url, data=json.dumps({"call": call}), headers=headers
+        ) as resp:
+            answer = await resp.json()
+            if resp.status == 200:
+                return "ok"
+            if answer["error"]["run"] == "not_run":
+                self.refused_not_run.add(call)
+            return answer["error"]["code"]
+
+    def goodput(self, start: float, end: float) -> float:
+        """Return good answers a second in an interval."""
+        good = sum(start <= at < end and what == "ok" for at, what in self.outcomes)
+        return good / (end - start)
+
+    def count(self, start: float, end: float) -> dict[str, int]:
+        """Count the outcomes of an interval."""
+        return dict(Counter(w for at, w in self.outcomes if start <= at < end))
+
+
+async def _phase(load: Load, name: str, seconds: float, before: float) -> float:
+    begun = time.monotonic()
+    await asyncio.sleep(seconds)
+    goodput = load.goodput(begun, time.monotonic())
+    ratio = f", {goodput / before:.2f} of before" if before else ""
+    counts = load.count(begun, time.monotonic())
+    click.echo(f"{name}: {goodput:.0f} good answers/s{ratio}; {counts}")
+    return goodput
+
+
+async def _find_holder(load: Load, duty: str) -> Process | None:
+    answer = await ask_operator(load.session, load.alive[0], "show leases")
+    for row in answer.get("rows", []):
+        if row["name"] == duty and row["held"]:
+            return next(n for n in load.cluster.nodes if n.name == row["node"])
+    return None
+
+
+async def run(outage: float) -> None:
+    """Run all faults and print the counts.
+
+    Parameters
+    ----------
+    outage : float
+        Seconds without the platform.
+    """
+    cluster = Cluster(node_options={"fleet": {"lease_timeout": LEASE}})
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    headers = {"Authorization": f"Bearer {SECRET}"}
+    timeout = aiohttp.ClientTimeout(total=20)
+    try:
+        await cluster.start()
+        async with aiohttp.ClientSession(
+            headers=headers, connector=connector, timeout=timeout
+        ) as session:
+            load = Load(cluster, session, alive=list(cluster.nodes))
+            runner = asyncio.create_task(load.run())
+            await asyncio.sleep(8)
+            before = await _phase(load, "before", 6, 0)
+            await _stop_holder(load, before)
+            await _kill_two(load, before)
+            await cluster.set_fault(cluster.platform, down=outage)
+            await _phase(load, f"platform away {outage:.0f} s", outage, before)
+            await _phase(load, "platform back", 8, before)
+            runner.cancel()
+            await load.finish()
+            await asyncio.sleep(20)
+            await _check(load)
+    finally:
+        cluster.close()
+
+
+async def _stop_holder(load: Load, before: float) -> None:
+    holder = await _find_holder(load, "usage")
+    if holder is None:
+        click.echo("nobody holds the duty usage")
+        return
+    holder.send_signal(signal.SIGSTOP)
+    load.alive.remove(holder)
+    await _phase(load, f"holder {holder.name} stopped", 2 * LEASE, before)
+    holder.send_signal(signal.SIGCONT)
+    load.alive.append(holder)
+    await _phase(load, "holder continued", 6, before)
+
+
+async def _kill_two(load: Load, before: float) -> None:
+    for node in load.cluster.nodes[1:3]:
+        node.popen.kill()
+        if node in load.alive:
+            load.alive.remove(node)
+    await _phase(load, "two nodes killed", 8, before)
+
+
+async def _check(load: Load) -> None:
+    executions: Counter[str] = Counter()
+    for service in load.cluster.services:
+        executions.update((await load.cluster.read_stats(service))["executions"])
+    stats = await load.cluster.read_stats(load.cluster.platform)
+    doubled = [call for call, n in executions.items() if n > 1]
+    false = [call for call in load.refused_not_run if executions[call]]
+    figures = {w: len(set(bodies)) for w, bodies in stats["reports"].items()}
+    two = [window for window, n in figures.items() if n > 1]
+    fences: dict[str, int] = {}
+    back = 0
+    for order in stats["orders"]:
+        domain = order["failure_domain"]
+        back += order["fence"] < fences.get(domain, 0)
+        fences[domain] = max(fences.get(domain, 0), order["fence"])
+    click.echo(f"bookings sent {len(load.sent)}, doubled {len(doubled)}")
+    click.echo(
+        f"refused as not run {len(load.refused_not_run)}, of them run {len(false)}"
+    )
+    click.echo(f"windows reported {len(figures)}, with two figures {len(two)}")
+    click.echo(f"orders {len(stats['orders'])}, by an earlier holder {back}")
+
+
+@click.command()
+@click.option("--outage", default=60.0, show_default=True, help="seconds")
+def main(outage: float) -> None:
+    """Stop a holder, kill two nodes, take the platform away."""
+    asyncio.run(run(outage))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -9,11 +9,13 @@
 import click
 
 from ._settings import SettingsError, check_model, read_settings
+from .charts import load_chart, make_mermaid
 from .fleet import SeedFile
 from .gateway import Node, make_app, run_node
 from .telemetry import configure_logging
 
 FAULT_STATUS = 2
+CHARTS = ("request", "node", "lease", "order", "backend", "window", "claim")
 
 
 @click.group()
@@ -66,6 +68,13 @@
     click.echo(f"{len(settings) + (config is not None)} files without faults")
 
 
+@main.command()
+def charts() -> None:
+    """Draw the state charts as Mermaid diagrams."""
+    for name in CHARTS:
+        click.echo(f"## {name}\n\n```mermaid\n{make_mermaid(load_chart(name))}\n```\n")
+
+
 @main.command()
 @click.option("--port", default=8080, show_default=True, help="0 for any free port")
 @click.option("--log-level", default="WARNING", show_default=True)
--- a/packages/medlargate/medlargate/policy/_choice.py
+++ b/packages/medlargate/medlargate/policy/_choice.py
@@ -100,9 +100,16 @@
     Affinity to a cached prefix counts only while the server's load exceeds the mean
     by no more than ``MAX_EXCESS_LOAD``.
     """
-    eligible = [
-        view for view in views if is_eligible(job, view, now, overflow=overflow)
-    ]
+    views = list(views)
+    eligible: list[BackendView] = []
+    if len(views) > MAX_CANDIDATES:
+        sample = random_state.sample(views, MAX_CANDIDATES)
+        if job.prefix:
+            sample += [v for v in views if job.prefix in v.prefixes][:MAX_CANDIDATES]
+        unique = {view.name: view for view in sample}.values()
+        eligible = [v for v in unique if is_eligible(job, v, now, overflow=overflow)]
+    if not eligible:
+        eligible = [v for v in views if is_eligible(job, v, now, overflow=overflow)]
     if not eligible:
         return ()
     mean_load = sum(
--- a/packages/medlargate/medlargate/policy/tests/test_fuzz_scheduler.py
+++ b/packages/medlargate/medlargate/policy/tests/test_fuzz_scheduler.py
@@ -74,7 +74,7 @@
         assert self.now >= view.down_until
         assert decision.reason == "probe" or view.state != "ejected"
         if decision.reason in ("tier", "overflow"):
-            self.check_order(job, view)
+            self.check_order(job, view, decision)
         if not job.repeatable:
             verdict = self.states[job.request_id].verdict
             assert verdict is Verdict.NOT_RUN, "a second run was possible"
@@ -89,7 +89,7 @@
             suspects = [r for r in others if self.jobs[r].isolated]
             assert suspects == [job.request_id], "suspects share a server"
 
-    def check_order(self, job, view):
+    def check_order(self, job, view, decision):
         """No customer's first request of a higher tier could have gone there."""
         heads = [
             head
@@ -100,7 +100,10 @@
             free = other.cheap_allowed or not view.cheap
             fits = view.name not in other.excluded and not other.isolated
             if other.tier < job.tier and free and fits:
-                raise AssertionError(f"tier {job.tier} went before {other.tier}")
+                raise AssertionError(
+                    f"tier {job.tier} went before {other.tier}: {decision}, {other}, "
+                    f"{view.snapshot()} at {self.now}"
+                )
 
     def check_shed(self, decision):
         job = decision.job
