--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,6 +8,7 @@
 import asyncio
 import gc
 import json
+import logging
 import time
 import tracemalloc
 import zlib
@@ -18,6 +19,8 @@
 import click
 import matplotlib
 import numpy as np
+import psutil
+from medlargate._settings import Settings
 from medlargate.fleet import (
     Config,
     ConfigReplica,
@@ -26,9 +29,13 @@
     Membership,
     Operation,
     Peer,
+    Route,
     UsageLedger,
     encode_part,
 )
+from medlargate.gateway import Node
+from medlargate.gateway._app import make_exchange
+from medlargate.gateway._caller import Caller
 from medlargate.gateway._link import COMPRESSION_LEVEL, DIGEST_BYTES
 from medlargate.policy import (
     BackendView,
@@ -319,6 +326,37 @@
     return float(len(encode_part(part)))
 
 
+def measure_node_memory() -> dict[int, float]:
+    """Return a node's resident megabytes after requests of 5,000 customers."""
+    settings = {
+        "node": {"name": "n", "failure_domain": "d", "address": "127.0.0.1"},
+        "platform": {"address": "127.0.0.1"},
+    }
+    node = Node(Settings.model_validate(settings))
+    node.replica.config = make_config(5_000)
+    node.replica.config.observe(
+        Operation(action="put", kind="class", name="cls", value={"tier": 0})
+    )
+    route = Route(request_class="cls", pool="m")
+    found = {}
+    logging.disable(logging.CRITICAL)
+    for number in range(100_001):
+        if number in (0, 25_000, 50_000, 75_000, 100_000):
+            gc.collect()
+            found[number] = psutil.Process().memory_info().rss / 1e6
+        caller = Caller(f"customer-{number % 5000:05d}", "key")
+        exch = make_exchange(
+            node, caller, "r", route, request_id=f"{number:024x}", body=b"{}"
+        )
+        exch.record("dispatch", backend="e1", reason="tier", candidates=())
+        exch.n_tokens = 100
+        exch.states.observe("enqueue")
+        exch.states.observe("refuse")
+        node.observe_end(exch, "ok")
+    logging.disable(logging.NOTSET)
+    return found
+
+
 def make_log(n: int) -> DecisionLog:
     """Make a record of requests with the usual steps."""
     log = DecisionLog(max_requests=n)
@@ -498,6 +536,7 @@
 @click.option("--store-seconds", default=10.0, show_default=True)
 def main(store_seconds: float) -> None:
     """Measure, print the table, write data and plots."""
+    node_memory = measure_node_memory()
     slopes = measure_all()
     calls = asyncio.run(count_store_calls(store_seconds))
     FOLDER.mkdir(exist_ok=True)
@@ -506,6 +545,7 @@
     rows = [{**vars(slope), "projected": slope.projected} for slope in slopes]
     flat = {n: measure_metrics_memory(n) for n in (200, 2000, 5000)}
     data = {"full": FULL, "slopes": rows, "store_calls": calls, "metrics": flat}
+    data["node_megabytes"] = node_memory
     (FOLDER / "data.json").write_text(json.dumps(data, indent=1) + "\n")
     click.echo("| what | unit | base | slope | residual | at full size |")
     click.echo("| --- | --- | --- | --- | --- | --- |")
@@ -515,6 +555,7 @@
             f"| {slope.residual:.0%} | {slope.projected:.4g} |"
         )
     click.echo(f"store calls a second, 7 idle nodes: {calls}")
+    click.echo(f"node's megabytes by requests: {node_memory}")
     click.echo(f"metrics' memory by customers: {flat}")
 
 
--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -4,14 +4,23 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
+import aiohttp
 import click
 
-from ._settings import SettingsError, check_model, read_settings
+from ._settings import (
+    Settings,
+    SettingsError,
+    SettingsFault,
+    check_model,
+    read_settings,
+)
 from .charts import load_chart, make_mermaid
-from .fleet import SeedFile
+from .fleet import Config, ConfigError, ConfigReplica, SeedFile, check_operations
 from .gateway import Node, make_app, run_node
+from .platform import HttpStore
 from .telemetry import configure_logging
 
 FAULT_STATUS = 2
@@ -59,15 +68,83 @@
         except SettingsError as exc:
             faults.extend(exc.faults)
     if config is not None:
-        try:
-            check_model(config.read_text(), str(config), SeedFile)
-        except SettingsError as exc:
-            faults.extend(exc.faults)
+        faults.extend(_check_config(config))
     if faults:
         _exit_with_faults(SettingsError(faults))
     click.echo(f"{len(settings) + (config is not None)} files without faults")
 
 
+def _check_config(path: Path) -> list[SettingsFault]:
+    """Check a seed file, its entities and what they refer to."""
+    try:
+        seed = check_model(path.read_text(), str(path), SeedFile)
+    except SettingsError as exc:
+        return exc.faults
+    except OSError as exc:
+        return [SettingsFault(str(path), 0, "(file)", str(exc))]
+    try:
+        check_operations(Config(), seed.make_operations())
+    except ConfigError as exc:
+        return [SettingsFault(str(path), 0, "(references)", str(exc))]
+    return []
+
+
+@main.command()
+@click.argument("seed", type=click.Path(path_type=Path))
+@click.option("--address", default="127.0.0.1", show_default=True, help="platform")
+@click.option("--port", default=2379, show_default=True)
+def seed(seed: Path, address: str, port: int) -> None:
+    """Write a SEED file as the first configuration into the platform's store."""
+    faults = _check_config(seed)
+    if faults:
+        _exit_with_faults(SettingsError(faults))
+    checked = check_model(seed.read_text(), str(seed), SeedFile)
+    click.echo(f"revision {asyncio.run(_seed(checked, address, port))}")
+
+
+async def _seed(checked: SeedFile, address: str, port: int) -> int:
+    async with aiohttp.ClientSession() as session:
+        store = HttpStore(session, f"http://{address}:{port}")
+        replica = ConfigReplica(time.monotonic)
+        (await replica.sync(store)).unwrap()
+        done = await replica.commit(
+            store, checked.make_operations(), change_id="seed", author="seed"
+        )
+        return done.unwrap()
+
+
+@main.command()
+def reference() -> None:
+    """Write the reference of settings and configuration from the models."""
+    for title, model in (("Node settings", Settings), ("Configuration", SeedFile)):
+        click.echo(f"## {title}\n")
+        definitions = model.model_json_schema()["$defs"]
+        for name, section in definitions.items():
+            _write_section(name, section)
+
+
+def _write_section(name: str, section: dict) -> None:
+    click.echo(f"### {name}\n\n{section.get('description', '')}\n")
+    click.echo("| parameter | default | range | meaning |\n| --- | --- | --- | --- |")
+    for field, schema in section.get("properties", {}).items():
+        default = schema.get("default", "required")
+        bounds = _format_bounds(schema)
+        meaning = schema.get("description", "")
+        click.echo(f"| `{field}` | {default} | {bounds} | {meaning} |")
+    click.echo("")
+
+
+def _format_bounds(schema: dict) -> str:
+    if "enum" in schema:
+        return ", ".join(map(str, schema["enum"]))
+    low = schema.get("minimum", schema.get("exclusiveMinimum"))
+    high = schema.get("maximum", schema.get("exclusiveMaximum"))
+    if low is None and high is None:
+        return schema.get("type", "")
+    mark = "over " if "exclusiveMinimum" in schema else ""
+    return f"{mark}{low} to {high}"
+
+
 @main.command()
 def charts() -> None:
     """Draw the state charts as Mermaid diagrams."""
--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from ipaddress import IPv4Address, IPv6Address
 from pathlib import Path
 
 import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, IPvAnyAddress, ValidationError
 
 Name = Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
 
@@ -22,9 +21,7 @@
     name: str = Name
     failure_domain: str = Name
     region: str = Field("default", pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
-    address: IPv4Address | IPv6Address = Field(
-        description="IP number for callers and other nodes"
-    )
+    address: IPvAnyAddress = Field(description="IP number for callers and other nodes")
     port: int = Field(8080, ge=1, le=65535, description="TCP port for HTTP")
     fleet_port: int = Field(
         0, ge=0, le=65535, description="UDP port of heartbeats; 0 means that of HTTP"
@@ -37,7 +34,7 @@
 class PlatformSection(_Section):
     """Where the platform's services are."""
 
-    address: IPv4Address | IPv6Address = Field(description="IP number")
+    address: IPvAnyAddress = Field(description="IP number")
     port: int = Field(2379, ge=1, le=65535, description="TCP port")
     timeout: float = Field(2.0, gt=0, le=60, description="seconds per call")
 
--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -23,10 +23,11 @@
     RequestClass,
     Route,
     SeedFile,
+    check_operations,
     describe_validation,
 )
 from ._orders import OrderDesk
-from ._usage import Counts, Part, UsageLedger, encode_part
+from ._usage import Counts, Part, UsageLedger, decode_part, encode_part
 from ._windows import WindowDesk
 
 __all__ = [
@@ -61,6 +62,8 @@
     "UsageLedger",
     "WindowDesk",
     "Word",
+    "check_operations",
+    "decode_part",
     "describe_validation",
     "encode_part",
     "make_claim_key",
--- a/packages/medlargate/medlargate/fleet/_usage.py
+++ b/packages/medlargate/medlargate/fleet/_usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
 
 PREFIX = "medlargate/usage/"
 KEY_SEPARATOR = "\t"
+COMPRESSION_LEVEL = 3
 
 
 class Counts(BaseModel):
@@ -67,11 +69,13 @@
     -----
     Cumulative counters with a sequence number make every write and every copy
     idempotent: of two parts of one node the one with the higher number holds all.
+    A part with a base holds only the rows that changed after that number.
     """
 
     window: int
     node: str
     sequence: int = 0
+    base: int = 0
     rows: dict[str, Counts] = {}
 
 
@@ -120,9 +124,25 @@
     Returns
     -------
     bytes
-        JSON.
+        Compressed JSON.
     """
-    return orjson.dumps(part.model_dump())
+    return zlib.compress(orjson.dumps(part.model_dump()), COMPRESSION_LEVEL)
+
+
+def decode_part(raw: bytes) -> Part:
+    """Decode a part.
+
+    Parameters
+    ----------
+    raw : bytes
+        From ``encode_part``.
+
+    Returns
+    -------
+    Part
+        The part.
+    """
+    return Part.model_validate_json(zlib.decompress(raw))
 
 
 @dataclass
@@ -152,6 +172,7 @@
     parts: dict[int, Part] = field(default_factory=dict)
     copies: dict[tuple[int, str], Part] = field(default_factory=dict)
     _flushed: dict[tuple[int, str], int] = field(default_factory=dict)
+    _changed: dict[int, dict[str, int]] = field(default_factory=dict)
 
     def window_of(self, at: float) -> int:
         """Return the window of a point in time.
@@ -182,22 +203,59 @@
         part = self.parts.get(window)
         if part is None:
             part = self.parts[window] = Part(window=window, node=self.node)
-        row = part.rows.setdefault(make_row_key(customer, request_class), Counts())
-        row.add(counts)
+        key = make_row_key(customer, request_class)
+        part.rows.setdefault(key, Counts()).add(counts)
         part.sequence += 1
+        self._changed.setdefault(window, {})[key] = part.sequence
+
+    def make_delta(self, window: int, base: int) -> Part:
+        """Make the part of a window that a peer with a copy lacks.
 
-    def observe_copy(self, part: Part) -> None:
+        Parameters
+        ----------
+        window : int
+            One of ``parts``.
+        base : int
+            Sequence number of the peer's copy; 0 for none.
+
+        Returns
+        -------
+        Part
+            The rows that changed since, or all of them.
+        """
+        part = self.parts[window]
+        changed = self._changed.get(window, {})
+        rows = {
+            key: row for key, row in part.rows.items() if changed.get(key, 0) > base
+        }
+        return part.model_copy(update={"rows": rows, "base": base})
+
+    def observe_copy(self, part: Part) -> bool:
         """Keep a copy of another node's part.
 
         Parameters
         ----------
         part : Part
-            Newer than the one kept, or ignored.
+            The whole part, or what changed since the copy that is kept.
+
+        Returns
+        -------
+        bool
+            False when the copy that it builds on is not here.
         """
         key = (part.window, part.node)
         known = self.copies.get(key)
-        if known is None or known.sequence < part.sequence:
-            self.copies[key] = part
+        if part.base == 0:
+            if known is None or known.sequence < part.sequence:
+                self.copies[key] = part
+            return True
+        if known is None or known.sequence < part.base:
+            return False
+        if known.sequence < part.sequence:
+            # Rows are cumulative: the later one holds the earlier.
+            known.rows.update(part.rows)
+            known.sequence = part.sequence
+        return True
 
     def unflushed(self) -> list[Part]:
         """List own parts that the store does not have yet.
@@ -278,6 +336,7 @@
             key = (window, self.parts[window].node)
             if self._flushed.get(key, 0) >= self.parts[window].sequence:
                 del self.parts[window]
+                self._changed.pop(window, None)
         for key in [k for k in self._flushed if k[0] < present - 60]:
             del self._flushed[key]
 
@@ -306,7 +365,7 @@
         entries = created.unwrap().entries
         if not entries:
             return await flush_part(store, part)
-        known = Part.model_validate_json(entries[0].value)
+        known = decode_part(entries[0].value)
         if known.sequence >= part.sequence:
             return Success(False)
         compare = Compare(key, entries[0].mod_revision)
--- a/packages/medlargate/medlargate/fleet/_windows.py
+++ b/packages/medlargate/medlargate/fleet/_windows.py
@@ -11,7 +11,7 @@
 
 from ..platform import Compare, Delete, Entry, PlatformAnswer, Put, Store, StoreError
 from ._leases import DutyLease
-from ._usage import PREFIX, Counts, Part
+from ._usage import PREFIX, Counts, Part, decode_part
 
 log = logging.getLogger(__name__)
 
@@ -269,4 +269,4 @@
 
 
 def _parse_parts(entries: tuple[Entry, ...]) -> list[Part]:
-    return [Part.model_validate_json(entry.value) for entry in entries]
+    return [decode_part(entry.value) for entry in entries]
--- a/packages/medlargate/medlargate/fleet/tests/test_fuzz_usage.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_fuzz_usage.py
@@ -97,8 +97,12 @@
     def copy(self, name):
         """Put the unflushed counters on a second node, as the fleet does."""
         other = NODES[(NODES.index(name) + 1) % len(NODES)]
-        for part in self.nodes[name].ledger.unflushed():
-            self.nodes[other].ledger.observe_copy(part.model_copy(deep=True))
+        ledger, keeper = self.nodes[name].ledger, self.nodes[other].ledger
+        for part in ledger.unflushed():
+            kept = keeper.copies.get((part.window, part.node))
+            base = kept.sequence if kept else 0
+            delta = ledger.make_delta(part.window, base).model_copy(deep=True)
+            assert keeper.observe_copy(delta)
 
     @rule(name=st.sampled_from(NODES), copied=st.booleans())
     def kill(self, name, copied):
--- a/packages/medlargate/medlargate/fleet/tests/test_usage.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_usage.py
@@ -4,7 +4,7 @@
 
 from medlargate_standins._memory_store import MemoryStore, StoreClient
 
-from .. import Counts, Part, UsageLedger
+from .. import Counts, Part, UsageLedger, decode_part
 from .._usage import flush_part, make_part_key
 
 
@@ -20,7 +20,7 @@
 
     def read(self):
         entry = self.store.read(make_part_key(3, "n1")).entries[0]
-        return Part.model_validate_json(entry.value)
+        return decode_part(entry.value)
 
     def test_an_older_copy_never_replaces_a_newer_part(self):
         asyncio.run(flush_part(self.client, make_part(5, 50)))
@@ -47,3 +47,40 @@
         self.assertTrue(ledger.copies)
         ledger.observe_flushed(3, "n1", 5)
         self.assertFalse(ledger.copies)
+
+
+class DeltaTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = UsageLedger("n1", 60.0, lambda: 180.0)
+        self.keeper = UsageLedger("n2", 60.0, lambda: 180.0)
+        self.use("a")
+        self.use("b")
+
+    def use(self, customer):
+        counts = Counts(requests=1, output_tokens=10)
+        self.ledger.observe(customer, "cls", counts)
+
+    def send(self, base):
+        return self.keeper.observe_copy(
+            self.ledger.make_delta(3, base).model_copy(deep=True)
+        )
+
+    def test_a_delta_has_only_the_changed_rows_and_completes_the_copy(self):
+        self.assertTrue(self.send(0))
+        self.use("b")
+        self.assertEqual(list(self.ledger.make_delta(3, 2).rows), ["b\tcls"])
+        self.assertTrue(self.send(2))
+        copy = self.keeper.copies[3, "n1"]
+        self.assertEqual(copy.rows, self.ledger.parts[3].rows)
+        self.assertEqual(copy.sequence, 3)
+
+    def test_a_delta_without_its_base_is_refused(self):
+        self.assertFalse(self.send(1))
+        self.assertEqual(self.keeper.copies, {})
+
+    def test_a_repeated_delta_changes_nothing(self):
+        self.send(0)
+        self.use("a")
+        self.send(2)
+        self.send(2)
+        self.assertEqual(self.keeper.copies[3, "n1"].rows["a\tcls"].output_tokens, 20)
--- a/packages/medlargate/medlargate/gateway/_fleet_api.py
+++ b/packages/medlargate/medlargate/gateway/_fleet_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import zlib
 from collections.abc import Awaitable, Callable
 
 import orjson
@@ -41,7 +42,7 @@
                 return _json(b'{"error": "the fleet\'s secret is required"}', 403)
             try:
                 return await endpoint(req)
-            except (ValidationError, ValueError) as exc:
+            except (ValidationError, ValueError, zlib.error) as exc:
                 return _json(orjson.dumps({"error": str(exc)[:500]}), 400)
 
         return checked
@@ -62,8 +63,9 @@
         return _json(b"{}")
 
     async def copies(req: Request) -> Response:
-        node.fleet.observe_copies(CopiesBody.model_validate_json(await req.body()))
-        return _json(b"{}")
+        raw = zlib.decompress(await req.body())
+        answer = node.fleet.observe_copies(CopiesBody.model_validate_json(raw))
+        return _json(answer.model_dump_json().encode())
 
     return [
         Route("/fleet/config", guarded(config)),
--- a/packages/medlargate/medlargate/gateway/_fleet_side.py
+++ b/packages/medlargate/medlargate/gateway/_fleet_side.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+import zlib
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
@@ -25,7 +26,6 @@
     Peer,
     Pulled,
     Record,
-    encode_part,
 )
 from ..platform import Vm
 from ..policy import decide_quotas, decide_share, rank_by_hash
@@ -61,12 +61,18 @@
 
 
 class CopiesBody(BaseModel):
-    """Copies of usage counters, and what was flushed since, as JSON."""
+    """Copies of usage counters, and what was flushed since, as compressed JSON."""
 
     parts: list[Part] = []
     flushed: list[tuple[int, str, int]] = []
 
 
+class CopiesAnswer(BaseModel):
+    """Windows whose earlier copy is not here, as JSON."""
+
+    missing: list[int] = []
+
+
 class FleetSide:
     """Everything that this node exchanges with others.
 
@@ -317,38 +323,56 @@
 
     async def run_copies(self) -> None:
         """Keep a copy of unflushed counters on a second VM, until cancelled."""
-        sent: dict[int, int] = {}
+        sent: dict[tuple[str, int], int] = {}
         while True:
             await asyncio.sleep(COPY_INTERVAL)
             await self._send_copies(sent)
             await self._flush_orphans()
 
-    async def _send_copies(self, sent: dict[int, int]) -> None:
+    async def _send_copies(self, sent: dict[tuple[str, int], int]) -> None:
+        """Send the keeper what changed; all of it when it has no earlier copy."""
         usage = self._node.usage
-        parts = [p for p in usage.unflushed() if sent.get(p.window, 0) < p.sequence]
         names = self.membership.alive_mesh(self._node.clock())
-        if not parts or not names:
+        if not names:
             return
         keeper = rank_by_hash(f"copy/{self._node.name}", names)[0]
-        rows = b",".join(encode_part(part) for part in parts)
-        flushed = orjson.dumps(usage.flushed())
-        body = b'{"parts":[' + rows + b'],"flushed":' + flushed + b"}"
-        answer = await self.call_peer(keeper, "POST", "/fleet/copies", body=body)
-        if answer is not None:
-            sent.update({part.window: part.sequence for part in parts})
-
-    def observe_copies(self, body: CopiesBody) -> None:
+        deltas = [
+            usage.make_delta(part.window, sent.get((keeper, part.window), 0))
+            for part in usage.unflushed()
+            if sent.get((keeper, part.window), 0) < part.sequence
+        ]
+        if not deltas:
+            return
+        body = CopiesBody(parts=deltas, flushed=usage.flushed())
+        raw = zlib.compress(body.model_dump_json().encode())
+        answer = await self.call_peer(keeper, "POST", "/fleet/copies", body=raw)
+        if answer is None:
+            return
+        for delta in deltas:
+            sent[keeper, delta.window] = delta.sequence
+        for window in CopiesAnswer.model_validate_json(answer).missing:
+            sent.pop((keeper, window), None)
+        for key in [key for key in sent if key[1] not in usage.parts]:
+            del sent[key]
+
+    def observe_copies(self, body: CopiesBody) -> CopiesAnswer:
         """Keep another node's counters.
 
         Parameters
         ----------
         body : CopiesBody
             From its ``run_copies``.
+
+        Returns
+        -------
+        CopiesAnswer
+            Which windows have to be sent whole.
         """
-        for part in body.parts:
-            self._node.usage.observe_copy(part)
+        usage = self._node.usage
+        missing = [part.window for part in body.parts if not usage.observe_copy(part)]
         for window, node, sequence in body.flushed:
-            self._node.usage.observe_flushed(window, node, sequence)
+            usage.observe_flushed(window, node, sequence)
+        return CopiesAnswer(missing=missing)
 
     async def _flush_orphans(self) -> None:
         """Flush the copies of nodes that are gone."""
