--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,6 +9,7 @@
 import gc
 import json
 import logging
+import random
 import time
 import tracemalloc
 import zlib
@@ -314,8 +315,13 @@
 def make_ledger(n_rows: int) -> UsageLedger:
     """Make a ledger with rows of many customers."""
     ledger = UsageLedger("n0-abcdef", 60.0, time.time)
-    counts = Counts(requests=1, prompt_tokens=812, output_tokens=467)
+    rng = random.Random(1)
     for i in range(n_rows):
+        counts = Counts(
+            requests=rng.randrange(1, 5),
+            prompt_tokens=rng.randrange(20, 9000),
+            output_tokens=rng.randrange(5, 4000),
+        )
         ledger.observe(f"customer-{i:05d}", "class-1", counts)
     return ledger
 
--- a/packages/medlargate/medlargate/fleet/_agent.py
+++ b/packages/medlargate/medlargate/fleet/_agent.py
@@ -19,7 +19,7 @@
 log = logging.getLogger(__name__)
 
 N_WATCHERS = 2
-SYNC_INTERVAL = 0.5  # seconds
+SYNC_INTERVAL = 1.0  # seconds
 FALLBACK_INTERVAL = 2.0  # seconds
 SPREAD_INTERVAL = 0.1  # seconds
 SPREAD_TIMEOUT = 4.0  # seconds
--- a/packages/medlargate/medlargate/gateway/_dispatcher.py
+++ b/packages/medlargate/medlargate/gateway/_dispatcher.py
@@ -270,7 +270,8 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL)
             for scheduler in self.pools.values():
-                self.pump(scheduler)
+                if scheduler.state.n_waiting:
+                    self.pump(scheduler)
 
     def snapshot(self) -> list[dict[str, object]]:
         """Report all pools.
