--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := packages/medlargate packages/medlargate-ctl packages/medlargate-standins
 EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
 
-.PHONY: run test fuzz mutants bench capacity lint format load
+.PHONY: run test fuzz mutants bench capacity lint format load faults membership
 
 $(VENV)/installed: requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -41,3 +41,9 @@
 
 capacity: $(VENV)/installed
 	@$(BIN)/python benchmarks/capacity.py
+
+faults: $(VENV)/installed
+	@$(BIN)/python benchmarks/faults.py
+
+membership: $(VENV)/installed
+	@$(BIN)/python benchmarks/membership.py
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -35,7 +35,7 @@
     encode_part,
 )
 from medlargate.gateway import Node
-from medlargate.gateway._app import make_exchange
+from medlargate.gateway._admission import make_exchange
 from medlargate.gateway._caller import Caller
 from medlargate.gateway._link import COMPRESSION_LEVEL, DIGEST_BYTES
 from medlargate.policy import (
--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -71,7 +71,7 @@
     lease_timeout: float = Field(6.0, ge=1, le=300, description="seconds")
     order_timeout: float = Field(2.0, gt=0, le=60, description="seconds")
     usage_window: float = Field(60.0, ge=1, le=86_400, description="seconds")
-    usage_flush_interval: float = Field(5.0, gt=0, le=600, description="seconds")
+    usage_flush_interval: float = Field(15.0, gt=0, le=600, description="seconds")
 
 
 class LogSection(_Section):
--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -9,8 +9,9 @@
     make_kept_answer,
 )
 from ._config import ConfigConflictError, ConfigReplica
+from ._heartbeats import Facts, Heartbeat, Outgoing, Peer, Word
 from ._leases import DutyLease
-from ._membership import Facts, Heartbeat, Membership, Outgoing, Peer, Word
+from ._membership import Membership
 from ._model import (
     KINDS,
     Backend,
--- a/packages/medlargate/medlargate/fleet/_agent.py
+++ b/packages/medlargate/medlargate/fleet/_agent.py
@@ -13,7 +13,8 @@
 from ..platform import Store, StoreError
 from ..policy import rank_by_hash
 from ._config import ConfigReplica
-from ._membership import Heartbeat, Membership, Outgoing
+from ._heartbeats import Heartbeat, Outgoing
+from ._membership import Membership
 from ._model import Config, Operation, Record
 
 log = logging.getLogger(__name__)
--- a/packages/medlargate/medlargate/fleet/_membership.py
+++ b/packages/medlargate/medlargate/fleet/_membership.py
@@ -10,9 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict
-
 from ..policy import rank_by_hash
+from ._heartbeats import UNKNOWN, Facts, Heartbeat, Outgoing, Peer, Word
 
 MAX_MESH = 32
 FANOUT = 4
@@ -20,81 +19,6 @@
 PING_TIMEOUT = 2.0  # seconds
 LISTED_LIFETIME = 600.0  # seconds
 MAX_AGE = 3600.0  # seconds
-UNKNOWN = -1
-
-
-class Word(BaseModel):
-    """What a node says of another one or of a failure domain: how old, how complete.
-
-    A node that has not read the store since its start has the revision ``UNKNOWN``.
-    """
-
-    model_config = ConfigDict(frozen=True)
-    age: float
-    revision: int
-
-
-class Facts(BaseModel):
-    """What a heartbeat carries."""
-
-    model_config = ConfigDict(frozen=True)
-    node: str
-    domain: str
-    incarnation: str
-    revision: int
-    vouches: bool = True
-    serving: bool = True
-    confirmed: Word | None = None
-    members: dict[str, Word] = {}
-    domains: dict[str, Word] = {}
-    demand: dict[str, dict[int, float]] = {}
-    waiting: dict[str, dict[int, int]] = {}
-    work: dict[str, float] = {}
-
-
-class Heartbeat(BaseModel):
-    """A heartbeat or its answer."""
-
-    model_config = ConfigDict(frozen=True)
-    number: int
-    is_answer: bool
-    facts: Facts
-
-
-@dataclass(frozen=True, slots=True)
-class Peer:
-    """Another node as the platform lists it.
-
-    Attributes
-    ----------
-    name, domain : str
-        Identity.
-    address : tuple of (str, int)
-        IP number and UDP port.
-    http_port : int
-        TCP port.
-    """
-
-    name: str
-    domain: str
-    address: tuple[str, int]
-    http_port: int
-
-
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A message to be sent.
-
-    Attributes
-    ----------
-    peer : str
-        To whom.
-    heartbeat : Heartbeat
-        What.
-    """
-
-    peer: str
-    heartbeat: Heartbeat
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/medlargate/medlargate/gateway/_attempts.py
@@ -0,0 +1,121 @@
+"""Attempts of a request on backend servers: its slot, and what follows a fault."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ..policy import Assignment, Preemption, Refusal, Verdict, decide_retry
+from ._backend_client import BackendFault
+from ._exchange import Exchange
+
+if TYPE_CHECKING:
+    from ._node import Node
+
+FAULT_EVENTS = {
+    "connect": "connect_failure",
+    "refused": "backend_refusal",
+    "rejected": "backend_refusal",
+}
+
+
+async def acquire(node: Node, exch: Exchange) -> Assignment:
+    """Wait for a backend server and record the dispatch.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    exch : Exchange
+        The request.
+
+    Returns
+    -------
+    Assignment
+        Where to send it; ``node.release`` must follow.
+
+    Raises
+    ------
+    Refusal
+        The scheduler refused it.
+    """
+
+    def on_preempt(decision: Preemption) -> None:
+        exch.preempted = True
+        exch.record("preemption", beneficiary=decision.beneficiary)
+        node.watchdog.close(exch.request_id)
+
+    returned = exch.n_attempts > 0
+    if node.crashes.is_known(exch.job.fingerprint):
+        await node.separate_suspect(exch)
+    if not returned:
+        exch.states.observe("enqueue")
+    try:
+        assignment = await node.dispatcher.acquire(
+            exch.job, returned=returned, on_preempt=on_preempt
+        )
+    except Refusal as exc:
+        # The chart knows of earlier attempts; the scheduler's word covers this one.
+        exc.verdict = exch.make_failure(exc.status, exc.code, exc.message).verdict
+        exch.record("refusal", code=exc.code, **exc.reasons)
+        raise
+    if exch.states.state == "queued":
+        exch.states.observe("assign")
+    if node.is_withdrawn(exch):
+        node.dispatcher.release(exch.job, done=False)
+        raise exch.make_failure(403, "key_withdrawn", "the key was withdrawn")
+    exch.n_attempts += 1
+    exch.backend = assignment.backend
+    exch.preempted = exch.stalled = False
+    if exch.queue_wait is None:
+        exch.queue_wait = exch.elapsed()
+    exch.record(
+        "dispatch",
+        backend=assignment.backend,
+        reason=assignment.reason,
+        candidates=assignment.candidates[:8],
+    )
+    return assignment
+
+
+def decide_next(node: Node, exch: Exchange, fault: BackendFault) -> None:
+    """Prepare the next attempt, or end the request.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    exch : Exchange
+        The request.
+    fault : BackendFault
+        How the last attempt ended.
+
+    Raises
+    ------
+    Refusal
+        No further attempt is made; the verdict is that of the chart.
+    """
+    if exch.withdrawn:
+        raise exch.make_failure(403, "key_withdrawn", "the key was withdrawn")
+    event = FAULT_EVENTS.get(fault.kind, "resend")
+    exch.states.observe(event)
+    if fault.kind == "rejected":
+        raise exch.make_failure(400, "rejected", f"the engine {fault.message}")
+    if exch.preempted:
+        exch.job.resumed = True
+        return
+    exch.job.excluded.add(exch.backend)
+    decision = decide_retry(
+        exch.job,
+        fault.verdict,
+        n_attempts=exch.n_attempts,
+        budget=node.budget,
+        now=time.monotonic(),
+        delivered=exch.n_tokens > 0,
+    )
+    exch.record("retry", again=decision.again, reason=decision.reason, fault=fault.kind)
+    if not decision.again:
+        message = f"backend server failed: {fault.message} ({decision.reason})"
+        raise exch.make_failure(502, f"backend_{fault.kind}", message)
+    node.metrics.observe_retry(fault.kind)
+    exch.job.resumed = exch.verdict is not Verdict.NOT_RUN
--- a/packages/medlargate/medlargate/gateway/_chat.py
+++ b/packages/medlargate/medlargate/gateway/_chat.py
@@ -11,12 +11,10 @@
 
 from ..policy import (
     Assignment,
-    Preemption,
-    Refusal,
     Verdict,
     compute_work,
-    decide_retry,
 )
+from ._attempts import acquire, decide_next
 from ._backend_client import BackendFault, open_call
 from ._events import EventRelay, StreamFaultError
 from ._exchange import Exchange
@@ -32,11 +30,6 @@
 WHOLE_ANSWER_TIMEOUT = 600.0  # seconds
 REFUSAL_STATUSES = frozenset({429, 503})
 KEEP_ALIVE = b": waiting\n\n"
-FAULT_EVENTS = {
-    "connect": "connect_failure",
-    "refused": "backend_refusal",
-    "rejected": "backend_refusal",
-}
 
 
 def make_upstream_body(
@@ -131,7 +124,7 @@
         if fault is None:
             exch.states.observe("finish")
             return
-        _decide_next(node, exch, fault)
+        decide_next(node, exch, fault)
         relay.restart()
         if relay.n_tokens:
             await sink(KEEP_ALIVE)
@@ -143,65 +136,6 @@
     exch.cached_tokens = relay.cached_tokens
 
 
-async def acquire(node: Node, exch: Exchange) -> Assignment:
-    """Wait for a backend server and record the dispatch.
-
-    Parameters
-    ----------
-    node : Node
-        This node.
-    exch : Exchange
-        The request.
-
-    Returns
-    -------
-    Assignment
-        Where to send it; ``node.release`` must follow.
-
-    Raises
-    ------
-    Refusal
-        The scheduler refused it.
-    """
-
-    def on_preempt(decision: Preemption) -> None:
-        exch.preempted = True
-        exch.record("preemption", beneficiary=decision.beneficiary)
-        node.watchdog.close(exch.request_id)
-
-    returned = exch.n_attempts > 0
-    if node.crashes.is_known(exch.job.fingerprint):
-        await node.separate_suspect(exch)
-    if not returned:
-        exch.states.observe("enqueue")
-    try:
-        assignment = await node.dispatcher.acquire(
-            exch.job, returned=returned, on_preempt=on_preempt
-        )
-    except Refusal as exc:
-        # The chart knows of earlier attempts; the scheduler's word covers this one.
-        exc.verdict = exch.make_failure(exc.status, exc.code, exc.message).verdict
-        exch.record("refusal", code=exc.code, **exc.reasons)
-        raise
-    if exch.states.state == "queued":
-        exch.states.observe("assign")
-    if node.is_withdrawn(exch):
-        node.dispatcher.release(exch.job, done=False)
-        raise exch.make_failure(403, "key_withdrawn", "the key was withdrawn")
-    exch.n_attempts += 1
-    exch.backend = assignment.backend
-    exch.preempted = exch.stalled = False
-    if exch.queue_wait is None:
-        exch.queue_wait = exch.elapsed()
-    exch.record(
-        "dispatch",
-        backend=assignment.backend,
-        reason=assignment.reason,
-        candidates=assignment.candidates[:8],
-    )
-    return assignment
-
-
 async def _attempt_stream(
     node: Node,
     exch: Exchange,
@@ -264,34 +198,6 @@
         raise BackendFault("invalid", message, Verdict.MAY_HAVE_RUN)
 
 
-def _decide_next(node: Node, exch: Exchange, fault: BackendFault) -> None:
-    """Prepare the next attempt, or raise the final refusal."""
-    if exch.withdrawn:
-        raise exch.make_failure(403, "key_withdrawn", "the key was withdrawn")
-    event = FAULT_EVENTS.get(fault.kind, "resend")
-    exch.states.observe(event)
-    if fault.kind == "rejected":
-        raise exch.make_failure(400, "rejected", f"the engine {fault.message}")
-    if exch.preempted:
-        exch.job.resumed = True
-        return
-    exch.job.excluded.add(exch.backend)
-    decision = decide_retry(
-        exch.job,
-        fault.verdict,
-        n_attempts=exch.n_attempts,
-        budget=node.budget,
-        now=time.monotonic(),
-        delivered=exch.n_tokens > 0,
-    )
-    exch.record("retry", again=decision.again, reason=decision.reason, fault=fault.kind)
-    if not decision.again:
-        message = f"backend server failed: {fault.message} ({decision.reason})"
-        raise exch.make_failure(502, f"backend_{fault.kind}", message)
-    node.metrics.observe_retry(fault.kind)
-    exch.job.resumed = exch.verdict is not Verdict.NOT_RUN
-
-
 async def call_chat(node: Node, exch: Exchange, document: dict[str, Any]) -> bytes:
     """Get a whole answer.
 
@@ -324,7 +230,7 @@
             await node.observe_fault(exch, assignment.backend, exc)
         finally:
             node.release(exch, done=fault is None)
-        _decide_next(node, exch, fault)
+        decide_next(node, exch, fault)
 
 
 async def _attempt_whole(
--- a/packages/medlargate/medlargate/gateway/_plain.py
+++ b/packages/medlargate/medlargate/gateway/_plain.py
@@ -12,11 +12,11 @@
 from starlette.responses import Response
 
 from ..fleet import Claimed, Taken, make_claim_key, make_kept_answer
-from ..policy import Refusal, Verdict, decide_retry
+from ..policy import Refusal, Verdict
 from ._answers import REQUEST_HEADER, RUN_HEADER
+from ._attempts import acquire, decide_next
 from ._backend_client import BackendFault, open_call
 from ._caller import CREDENTIAL_HEADERS
-from ._chat import FAULT_EVENTS, acquire
 from ._exchange import Exchange
 
 if TYPE_CHECKING:
@@ -154,7 +154,7 @@
         finally:
             node.release(exch, done=fault is None)
         try:
-            _decide_next(node, exch, fault)
+            decide_next(node, exch, fault)
         except Refusal as exc:
             if claimed is not None and exc.verdict is Verdict.NOT_RUN:
                 await node.claims.release(claimed)
@@ -250,23 +250,6 @@
     return answer
 
 
-def _decide_next(node: Node, exch: Exchange, fault: BackendFault) -> None:
-    exch.states.observe(FAULT_EVENTS.get(fault.kind, "resend"))
-    exch.job.excluded.add(exch.backend)
-    decision = decide_retry(
-        exch.job,
-        fault.verdict,
-        n_attempts=exch.n_attempts,
-        budget=node.budget,
-        now=time.monotonic(),
-    )
-    exch.record("retry", again=decision.again, reason=decision.reason, fault=fault.kind)
-    if not decision.again:
-        message = f"backend server failed: {fault.message} ({decision.reason})"
-        raise exch.make_failure(502, f"backend_{fault.kind}", message)
-    node.metrics.observe_retry(fault.kind)
-
-
 def make_plain_response(exch: Exchange, answer: PlainAnswer) -> Response:
     """Make the caller's response from a service's answer.
 
--- a/packages/medlargate/medlargate/gateway/tests/test_gateway.py
+++ b/packages/medlargate/medlargate/gateway/tests/test_gateway.py
@@ -57,7 +57,11 @@
                 "max_header_bytes": 4_096,
                 "body_timeout": 0.3,
             },
-            "fleet": {"trust_timeout": 1.0, "usage_window": 1.0},
+            "fleet": {
+                "trust_timeout": 1.0,
+                "usage_window": 1.0,
+                "usage_flush_interval": 0.5,
+            },
         }
         self.node = Node(Settings.model_validate(settings))
         await self.servers.start(make_app(self.node), port)
