Serve callers through the bare router

Cause: every relayed chunk passed three send wrappers of starlette's application and its function endpoints. Change: endpoints are ASGI applications of their own behind a bare Router. A test that cut the store off before the first read was over now waits for trust.

--- a/packages/medlargate/medlargate/gateway/_app.py
+++ b/packages/medlargate/medlargate/gateway/_app.py
@@ -7,10 +7,11 @@
 import secrets
 from collections.abc import Awaitable, Callable
 
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route as HttpRoute
+from starlette.routing import Router
+from starlette.types import Receive, Scope, Send
 
 from ..operators import make_operator_routes
 from ..policy import Refusal, Verdict
@@ -234,8 +235,8 @@
     return JSONResponse({"object": "list", "data": rows})
 
 
-def make_endpoint(node: Node, handler: Handler):
-    """Wrap a handler: name the request, check its head, answer refusals.
+class Endpoint:
+    """A handler as an ASGI application: names requests, answers refusals.
 
     Parameters
     ----------
@@ -244,36 +245,52 @@
     handler : callable
         Gets the node, the request and its id.
 
-    Returns
-    -------
-    callable
-        Endpoint for starlette.
+    Notes
+    -----
+    starlette wraps plain functions, and its application each response, in layers
+    that every relayed chunk passes through; an application of its own behind the
+    bare router has none of them.
     """
 
-    async def endpoint(req: Request) -> Response:
-        request_id = secrets.token_hex(12)
+    def __init__(self, node: Node, handler: Handler) -> None:
+        self._node = node
+        self._handler = handler
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request.
+
+        Parameters
+        ----------
+        scope : dict
+            ASGI scope.
+        receive, send : callable
+            ASGI channels.
+        """
+        req = Request(scope, receive, send)
+        resp = await self._respond(req, secrets.token_hex(12))
+        if not self._node.ready:
+            resp.headers["Connection"] = "close"
+        await resp(scope, receive, send)
+
+    async def _respond(self, req: Request, request_id: str) -> Response:
         try:
-            check_headers(req, node.settings.limits)
-            resp = await handler(node, req, request_id)
+            check_headers(req, self._node.settings.limits)
+            return await self._handler(self._node, req, request_id)
         except Refusal as exc:
             resp = make_refusal_response(exc, request_id)
             # What is left of the body can't be skipped safely.
             if exc.status in (408, 413, 431):
                 resp.headers["Connection"] = "close"
+            return resp
         except Exception:
             log.exception("request failed", extra={"request": request_id})
             refusal = Refusal(
                 500, "internal_error", "the router failed", Verdict.MAY_HAVE_RUN
             )
-            resp = make_refusal_response(refusal, request_id)
-        if not node.ready:
-            resp.headers["Connection"] = "close"
-        return resp
-
-    return endpoint
+            return make_refusal_response(refusal, request_id)
 
 
-def make_app(node: Node) -> Starlette:
+def make_app(node: Node) -> Router:
     """Make the node's HTTP application.
 
     Parameters
@@ -283,7 +300,7 @@
 
     Returns
     -------
-    Starlette
+    Router
         The application.
     """
 
@@ -297,20 +314,20 @@
     async def metrics(_: Request) -> Response:
         return Response(node.metrics.snapshot(), media_type="text/plain")
 
-    return Starlette(
+    return Router(
         routes=[
             HttpRoute("/healthz", healthz),
             HttpRoute("/readyz", readyz),
             HttpRoute("/metrics", metrics),
             HttpRoute(
                 "/v1/chat/completions",
-                make_endpoint(node, serve_chat),
+                Endpoint(node, serve_chat),
                 methods=["POST"],
             ),
-            HttpRoute("/v1/models", make_endpoint(node, serve_models)),
+            HttpRoute("/v1/models", Endpoint(node, serve_models)),
             HttpRoute(
                 "/routes/{name}/{path:path}",
-                make_endpoint(node, serve_plain),
+                Endpoint(node, serve_plain),
                 methods=METHODS,
             ),
             *make_fleet_routes(node),
--- a/packages/medlargate/medlargate/gateway/tests/test_gateway.py
+++ b/packages/medlargate/medlargate/gateway/tests/test_gateway.py
@@ -72,7 +72,9 @@
             f"http://{HOST}:{port}", headers=headers, connector=connector
         )
         self.port = port
-        while not self.node.ready:
+        # A node is ready with its first records, and trusts keys once the read of the
+        # store that brought them is over.
+        while not (self.node.ready and self.node.trusts_keys()):
             await asyncio.sleep(0.01)
 
     async def asyncTearDown(self):
@@ -284,8 +286,7 @@
         self.assertEqual([e.credentials for e in self.engines], [[], []])
         self.assertEqual(self.service.credentials, [])
 
-    async def test_keys_are_not_trusted_alone_for_long_without_the_store(self):
-        """With one node in the fleet its own word covers the whole fleet."""
+    async def test_one_nodes_own_word_covers_a_fleet_of_one_without_the_store(self):
         self.platform.down_until = time.monotonic() + 30
         await asyncio.sleep(1.5)
         status, _, _ = await self.chat()
