Fuzz a planned stop of a duty's holder with its last order on the way

Cause: no rule released a duty, so the successor's wait could be skipped unnoticed. Change: a rule that stops the holder right after an order.

--- a/packages/medlargate/medlargate/fleet/tests/test_fuzz_leases.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_fuzz_leases.py
@@ -160,6 +160,17 @@
                 self.world.run(0.02)
                 self.world.pause(name)
 
+    @rule(seconds=st.sampled_from([0.02, 0.05, 0.7]))
+    def stop_holder_after_an_order(self, seconds):
+        """A planned stop releases the duty while its last order still travels."""
+        for name, node in list(self.nodes.items()):
+            if node.lease.may_order():
+                self.order(name, 1)
+                self.world.run(seconds)
+                self.replace(name)
+                self.world.start(name, node.lease.release())
+                return
+
     @rule(name=st.sampled_from(NODES))
     def resume(self, name):
         self.world.resume(name)
