--- a/packages/medlargate/medlargate/fleet/_leases.py
+++ b/packages/medlargate/medlargate/fleet/_leases.py
@@ -90,10 +90,9 @@
         float
             Seconds.
         """
+        # A duty may have been released, not only expired: nothing can be taken off.
         wait = self.order_timeout + MAX_SKEW
-        if self.checks_fence:
-            wait -= (1 - HOLD_FRACTION) * self.lease_timeout
-        return max(0.0, wait)
+        return wait if self.checks_fence else wait + self.order_timeout
 
     def may_order(self) -> bool:
         """Tell whether this node holds the duty at this moment.
