Choose a domain's nodes for a task in one place; drop what nothing calls

Cause: watchers and candidates of duties each ranked the alive nodes of the failure domain with a loop of their own; find_ahead, read_log, a constant and three unused parameters were left over; whether receivers check fencing numbers was computed at start from an empty configuration and again each round. Change: Membership.is_chosen serves both, the rest is gone.

--- a/packages/medlargate-standins/medlargate_standins/cluster.py
+++ b/packages/medlargate-standins/medlargate_standins/cluster.py
@@ -212,11 +212,6 @@
             self.nodes.append(node)
         return node
 
-    def read_log(self, name: str) -> str:
-        """Return what a process has logged."""
-        assert self._folder is not None
-        return (Path(self._folder.name) / f"{name}.log").read_text()
-
     async def read_stats(self, process: Process) -> dict[str, Any]:
         """Ask a stand-in what it has counted."""
         url = process.url + "/standin/stats"
--- a/packages/medlargate/medlargate/fleet/_agent.py
+++ b/packages/medlargate/medlargate/fleet/_agent.py
@@ -11,7 +11,6 @@
 from returns.result import Failure, Result, Success
 
 from ..platform import Store, StoreError
-from ..policy import rank_by_hash
 from ._config import ConfigReplica
 from ._heartbeats import Heartbeat, Outgoing
 from ._membership import Membership
@@ -196,15 +195,9 @@
         bool
             True for ``N_WATCHERS`` of the nodes that count as alive.
         """
-        now = self.clock()
         members = self.membership
-        names = [
-            name
-            for name, peer in members.peers.items()
-            if peer.domain == members.domain and members.is_alive(name, now)
-        ]
-        ranked = rank_by_hash(f"watch/{members.domain}", [*names, members.node])
-        return members.node in ranked[:N_WATCHERS]
+        subject = f"watch/{members.domain}"
+        return members.is_chosen(subject, N_WATCHERS, self.clock())
 
     def _needs_store(self) -> bool:
         """Tell whether this node has to read the store itself."""
@@ -290,7 +283,7 @@
         members = self.membership
         while True:
             now = self.clock()
-            n_nodes, n_listed = members.count_in_force(revision, now)
+            n_nodes, n_listed = members.count_in_force(revision)
             accepted = n_nodes > n_listed // 2
             if accepted or now >= deadline:
                 return Accepted(revision, n_nodes, n_listed, accepted)
--- a/packages/medlargate/medlargate/fleet/_membership.py
+++ b/packages/medlargate/medlargate/fleet/_membership.py
@@ -17,7 +17,6 @@
 FANOUT = 4
 N_SPEAKERS = 2
 PING_TIMEOUT = 2.0  # seconds
-LISTED_LIFETIME = 600.0  # seconds
 MAX_AGE = 3600.0  # seconds
 
 
@@ -159,7 +158,7 @@
         """
         facts = heartbeat.facts
         if not heartbeat.is_answer:
-            self._observe_load(facts, now)
+            self._observe_load(facts)
             answer = Heartbeat(
                 number=heartbeat.number, is_answer=True, facts=self.make_facts(now)
             )
@@ -167,15 +166,15 @@
         sent = self._pings.pop(heartbeat.number, None)
         if sent is None or sent.peer != facts.node:
             return None
-        self._observe_load(facts, now)
-        self._observe_answer(facts, sent.at, now)
+        self._observe_load(facts)
+        self._observe_answer(facts, sent.at)
         return None
 
-    def _observe_load(self, facts: Facts, now: float) -> None:
+    def _observe_load(self, facts: Facts) -> None:
         member = self.members.setdefault(facts.node, Member())
         member.facts = facts
 
-    def _observe_answer(self, facts: Facts, sent_at: float, now: float) -> None:
+    def _observe_answer(self, facts: Facts, sent_at: float) -> None:
         member = self.members[facts.node]
         member.direct_at = max(member.direct_at, sent_at)
         revision = facts.revision if facts.vouches else UNKNOWN
@@ -253,6 +252,26 @@
         """
         return [name for name in self.mesh() if self.is_alive(name, now)]
 
+    def is_chosen(self, subject: str, n_chosen: int, now: float) -> bool:
+        """Tell whether this node is among those chosen for a task of its domain.
+
+        Parameters
+        ----------
+        subject : str
+            The task.
+        n_chosen : int
+            How many nodes are chosen.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            By rendezvous hash among the domain's nodes that count as alive.
+        """
+        names = [n for n in self._domain_members(self.domain) if self.is_alive(n, now)]
+        return self.node in rank_by_hash(subject, [*names, self.node])[:n_chosen]
+
     def decide_heartbeats(self, now: float) -> list[Outgoing]:
         """Choose whom to ask in this interval.
 
@@ -428,15 +447,13 @@
             times.append(known.at if fits else float("-inf"))
         return min(times)
 
-    def count_in_force(self, revision: int, now: float) -> tuple[int, int]:
+    def count_in_force(self, revision: int) -> tuple[int, int]:
         """Count the nodes of this domain that are known to have a revision.
 
         Parameters
         ----------
         revision : int
             The revision.
-        now : float
-            Seconds.
 
         Returns
         -------
@@ -449,28 +466,6 @@
         )
         return n_have + (self.revision >= revision), len(others) + 1
 
-    def find_ahead(self, now: float) -> str | None:
-        """Find a peer that has a newer revision.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        str or None
-            The alive peer that is furthest ahead.
-        """
-        ahead = [
-            (member.facts.revision, name)
-            for name, member in self.members.items()
-            if member.facts is not None
-            and name in self.peers
-            and member.facts.revision > self.revision
-        ]
-        return max(ahead)[1] if ahead else None
-
     def snapshot(self, now: float) -> list[dict[str, Any]]:
         """Report the known nodes.
 
--- a/packages/medlargate/medlargate/gateway/_duties.py
+++ b/packages/medlargate/medlargate/gateway/_duties.py
@@ -60,7 +60,6 @@
 
     def _make_lease(self, duty: str) -> DutyLease:
         fleet = self._node.settings.fleet
-        backends = self._node.replica.config.backends.values()
         return DutyLease(
             self._node.store,
             duty,
@@ -68,20 +67,13 @@
             self._node.clock,
             lease_timeout=fleet.lease_timeout,
             order_timeout=fleet.order_timeout,
-            checks_fence=all(backend.checks_fence for backend in backends),
         )
 
     def _is_candidate(self, duty: str, n_candidates: int) -> bool:
         """Tell whether this node should try for a duty, so that few nodes ask."""
-        members = self._node.fleet.membership
-        now = self._node.clock()
-        names = [
-            name
-            for name, peer in members.peers.items()
-            if peer.domain == members.domain and members.is_alive(name, now)
-        ]
-        ranked = rank_by_hash(f"duty/{duty}", [*names, members.node])
-        return members.node in ranked[:n_candidates]
+        return self._node.fleet.membership.is_chosen(
+            f"duty/{duty}", n_candidates, self._node.clock()
+        )
 
     async def run(self) -> None:
         """Take part in the duties, until cancelled."""
