Join the nodes: word between peers, relayed beliefs, usage windows, engine orders

Nodes tell each other loads, ages of beliefs and usage in datagrams; one holds a lease and reports sealed windows and orders engines, reclaimable ones first.

--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -29,7 +29,11 @@
     describe_validation,
 )
 from ._orders import OrderDesk
+from ._peers import KnownPeer, PeerTable, PeerTalk, PeerWord, decode_node, encode_node
+from ._true_time import TrueTime
 from ._usage import Counts, Part, UsageLedger, decode_part, encode_part
+from ._usage_counts import UsageCounts
+from ._usage_duty import UsageDuty, UsageParts
 from ._watching import StoreWatcher
 from ._windows import WindowDesk
 
@@ -52,12 +56,16 @@
     "FleetAgent",
     "Heartbeat",
     "Key",
+    "KnownPeer",
     "Membership",
     "Operation",
     "OrderDesk",
     "Outgoing",
     "Part",
     "Peer",
+    "PeerTable",
+    "PeerTalk",
+    "PeerWord",
     "Pulled",
     "Record",
     "RequestClass",
@@ -65,12 +73,18 @@
     "SeedFile",
     "StoreWatcher",
     "Taken",
+    "TrueTime",
+    "UsageCounts",
+    "UsageDuty",
     "UsageLedger",
+    "UsageParts",
     "WindowDesk",
     "Word",
     "check_operations",
+    "decode_node",
     "decode_part",
     "describe_validation",
+    "encode_node",
     "encode_part",
     "make_claim_key",
     "make_kept_answer",
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -0,0 +1,318 @@
+"""What nodes tell each other in small datagrams: loads, ages of beliefs, usage.
+
+A node hears of the others from the store once, and from then on from themselves, so
+that the fleet holds together while the store is away. Within a failure domain word
+goes round several times a second; across domains, where bytes are priced, once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from pydantic import BaseModel, Field, ValidationError
+
+log = logging.getLogger(__name__)
+
+NEAR_INTERVAL = 0.2  # seconds, within the failure domain
+FAR_INTERVAL = 1.0  # seconds, across failure domains
+# Peers told in one round; a larger domain is told in turns, so that a node's part
+# in it does not grow with the fleet.
+MAX_NEAR = 10
+MAX_FAR = 12
+ALIVE_TIME = 3.0  # seconds without word after which a peer counts as away
+FORGET_TIME = 60.0  # seconds without word after which it is told nothing more
+LOST_TELL_SHARE = 0.1  # of the rounds, for peers that are away
+MAX_DATAGRAM = 60_000  # bytes
+OPTIONS = orjson.OPT_NON_STR_KEYS
+
+
+class PeerWord(BaseModel):
+    """One node's word on itself.
+
+    Attributes
+    ----------
+    name, incarnation, zone, address : str
+        Who speaks, and ``IP:PORT`` for datagrams and for pulling beliefs.
+    time : float
+        Its time of day, seconds since 1970.
+    config_revision, servers_revision : int
+        How far its beliefs reach.
+    config_age, servers_age : float
+        Seconds since the store confirmed them.
+    store_up : bool
+        The store answers it.
+    loads : dict of str to (int, float)
+        Its own requests and seconds of reading by server.
+    demand : dict of str to float
+        Work that arrives at it by service, engine-seconds a second.
+    usage : dict of int to dict
+        Its counts by window and customer.
+    hears : list of str
+        Nodes whose usage it has heard, told by the holder of that duty.
+    holder : bool
+        It holds the duties.
+    crashes : dict of str to int
+        Fingerprints of requests that crashed engines, and how many.
+    """
+
+    name: str
+    incarnation: str
+    zone: str
+    address: str
+    time: float
+    config_revision: int = 0
+    servers_revision: int = 0
+    config_age: float = 1e9
+    servers_age: float = 1e9
+    store_up: bool = True
+    loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
+    demand: dict[str, float] = Field(default_factory=dict)
+    usage: dict[int, dict[str, int]] = Field(default_factory=dict)
+    hears: list[str] = Field(default_factory=list)
+    holder: bool = False
+    crashes: dict[str, int] = Field(default_factory=dict)
+
+
+@dataclass
+class KnownPeer:
+    """A peer and its last word.
+
+    Attributes
+    ----------
+    name, zone, address : str
+        Who and where.
+    heard_at : float
+        Seconds on the node's clock; minus infinity before the first word.
+    known_at : float
+        When its address was learned.
+    word : PeerWord or None
+        What it said last.
+    """
+
+    name: str
+    zone: str
+    address: str
+    known_at: float
+    heard_at: float = float("-inf")
+    word: PeerWord | None = None
+
+
+@dataclass
+class PeerTable:
+    """The other nodes, as far as known.
+
+    Parameters
+    ----------
+    name, zone : str
+        This node.
+    clock : callable
+        Returns seconds.
+    random_state : random.Random
+        Chooses whom to tell.
+    """
+
+    name: str
+    zone: str
+    clock: Callable[[], float]
+    random_state: random.Random = field(default_factory=random.Random)
+    peers: dict[str, KnownPeer] = field(default_factory=dict)
+
+    def observe_address(self, name: str, zone: str, address: str) -> None:
+        """Take in where a node is, as the store or a setting says.
+
+        Parameters
+        ----------
+        name, zone, address : str
+            The node; a seed whose name is not known goes by its address.
+        """
+        if name == self.name:
+            return
+        known = self.peers.get(name)
+        if known is None or known.address != address:
+            if known is not None and self.is_alive(known):
+                return
+            self.peers[name] = KnownPeer(name, zone, address, self.clock())
+
+    def observe_word(self, word: PeerWord) -> None:
+        """Take in a node's word."""
+        if word.name == self.name:
+            return
+        known = self.peers.get(word.name)
+        if known is None:
+            known = KnownPeer(word.name, word.zone, word.address, self.clock())
+            self.peers[word.name] = known
+            self.peers.pop(word.address, None)
+        if not self.is_alive(known):
+            log.info("peer heard", extra={"peer": word.name, "zone": word.zone})
+        known.zone, known.address = word.zone, word.address
+        known.heard_at, known.word = self.clock(), word
+
+    def is_alive(self, peer: KnownPeer) -> bool:
+        """Tell whether a peer was heard a moment ago."""
+        return self.clock() - peer.heard_at < ALIVE_TIME
+
+    def alive(self, *, zone: str | None = None) -> list[KnownPeer]:
+        """List the peers that are heard, of one failure domain or all."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if self.is_alive(peer) and (zone is None or peer.zone == zone)
+        ]
+
+    def count_nodes(self) -> int:
+        """Count the nodes that may share a budget, those just lost included."""
+        now = self.clock()
+        recent = [p for p in self.peers.values() if now - p.heard_at < FORGET_TIME]
+        return 1 + len(recent)
+
+    def rank_near(self) -> int:
+        """Return how many live peers of the failure domain come before this node."""
+        return sum(peer.name < self.name for peer in self.alive(zone=self.zone))
+
+    def decide_targets(self, *, near: bool) -> list[KnownPeer]:
+        """Choose whom to tell in this round.
+
+        Parameters
+        ----------
+        near : bool
+            Those of the failure domain, or the others.
+
+        Returns
+        -------
+        list of KnownPeer
+            Peers, with those that are away only now and then.
+        """
+        now = self.clock()
+        found = []
+        for key, peer in list(self.peers.items()):
+            if now - max(peer.heard_at, peer.known_at) > FORGET_TIME:
+                del self.peers[key]
+                continue
+            if (peer.zone == self.zone) != near:
+                continue
+            fresh = self.is_alive(peer) or now - peer.known_at < ALIVE_TIME
+            if fresh or self.random_state.random() < LOST_TELL_SHARE:
+                found.append(peer)
+        limit = MAX_NEAR if near else MAX_FAR
+        if len(found) <= limit:
+            return found
+        return self.random_state.sample(found, limit)
+
+
+class _Endpoint(asyncio.DatagramProtocol):
+    def __init__(self, on_word: Callable[[PeerWord], None]) -> None:
+        self._on_word = on_word
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        try:
+            word = PeerWord.model_validate(orjson.loads(data))
+        except (orjson.JSONDecodeError, ValidationError) as exc:
+            log.warning(
+                "datagram not readable",
+                extra={"peer": addr[0], "fault": str(exc)[:200]},
+            )
+            return
+        self._on_word(word)
+
+    def error_received(self, exc: Exception) -> None:
+        # An unreachable peer is seen by its silence.
+        log.debug("datagram not delivered", extra={"fault": str(exc)})
+
+
+class PeerTalk:
+    """Sends this node's word and takes the others'.
+
+    Parameters
+    ----------
+    table : PeerTable
+        Whom to tell.
+    make_word : callable
+        Returns this node's word; its argument tells whether it stays in the
+        failure domain.
+    on_word : callable
+        Told each word that comes in.
+    """
+
+    def __init__(
+        self,
+        table: PeerTable,
+        make_word: Callable[[bool], PeerWord],
+        on_word: Callable[[PeerWord], None],
+    ) -> None:
+        self._table = table
+        self._make_word = make_word
+        self._on_word = on_word
+        self._transport: asyncio.DatagramTransport | None = None
+        self.n_sent = 0
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for datagrams."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Endpoint(self._take), local_addr=(host, port)
+        )
+
+    def _take(self, word: PeerWord) -> None:
+        self._table.observe_word(word)
+        self._on_word(word)
+
+    def tell(self, *, near: bool) -> None:
+        """Send this node's word now."""
+        targets = self._table.decide_targets(near=near)
+        if not targets or self._transport is None:
+            return
+        word = self._make_word(near)
+        data = orjson.dumps(word.model_dump(exclude_defaults=True), option=OPTIONS)
+        if len(data) > MAX_DATAGRAM:
+            log.error("word too large for a datagram", extra={"n_bytes": len(data)})
+            return
+        for peer in targets:
+            host, _, port = peer.address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+            self.n_sent += 1
+
+    def tell_all(self) -> None:
+        """Send this node's word to both near and far peers."""
+        self.tell(near=True)
+        self.tell(near=False)
+
+    async def run_near(self) -> None:
+        """Tell the peers of the failure domain, until cancelled."""
+        await self._run(NEAR_INTERVAL, near=True)
+
+    async def run_far(self) -> None:
+        """Tell the other peers, until cancelled."""
+        await self._run(FAR_INTERVAL, near=False)
+
+    async def _run(self, interval: float, *, near: bool) -> None:
+        random_state = self._table.random_state
+        while True:
+            self.tell(near=near)
+            await asyncio.sleep(interval * random_state.uniform(0.8, 1.2))
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+def encode_node(zone: str, address: str, incarnation: str) -> bytes:
+    """Encode a node's entry in the store."""
+    return orjson.dumps({"zone": zone, "address": address, "incarnation": incarnation})
+
+
+def decode_node(data: bytes) -> Mapping[str, str] | None:
+    """Decode a node's entry in the store; None when it is not one."""
+    try:
+        row = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(row, dict) or not {"zone", "address"} <= set(row):
+        return None
+    return row
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from ._catalog import decode_declaration, decode_registration
 from ._names import CONFIG_KEY, SERVERS_PREFIX
+from ._orders import DutyCall, OrdersClient
 from ._requests import (
     AnswerFacts,
     PromptPart,
@@ -43,11 +44,13 @@
     "Changes",
     "Compare",
     "Delete",
+    "DutyCall",
     "Entry",
     "GuardError",
     "GuardedPayload",
     "HttpStore",
     "Order",
+    "OrdersClient",
     "PlatformAnswer",
     "PlatformClient",
     "PromptPart",
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -1,6 +1,7 @@
 """Pure decisions: admission, fairness, limits, routing, retries, quarantine."""
 
 from ._backends import BackendView, decide_ejections
+from ._capacity import CapacityOrder, ZoneEngines, decide_capacity
 from ._choice import decide_backend
 from ._crashes import (
     CrashDecision,
@@ -33,6 +34,7 @@
     "Assignment",
     "BackendView",
     "Candidate",
+    "CapacityOrder",
     "ConcurrencyLimit",
     "CrashDecision",
     "CrashTracker",
@@ -57,8 +59,10 @@
     "Shed",
     "Verdict",
     "WaitDecision",
+    "ZoneEngines",
     "compute_work",
     "decide_backend",
+    "decide_capacity",
     "decide_ejections",
     "decide_placement",
     "decide_quotas",
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -0,0 +1,315 @@
+"""Duties that one node of the fleet carries out: usage reports, orders of engines."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result
+
+from ..fleet import Beliefs, DutyLease, PeerTable, UsageDuty, UsageParts
+from ..platform import DutyCall, OrdersClient, StoreError
+from ..policy import CapacityOrder, DecayingRate, ZoneEngines, decide_capacity
+from ..routing import ScalingSpec, ServiceSpec
+
+log = logging.getLogger(__name__)
+
+STEP_INTERVAL = 0.4  # seconds; several renewals within the lease's safe part
+# A node tries for the duty after this long without a holder, later by rank, so that
+# one of them asks the store and not all.
+NO_HOLDER_WAIT = 0.8  # seconds
+RANK_WAIT = 0.6  # seconds a rank
+ACQUIRE_PAUSE = 1.5  # seconds between tries
+# The load that capacity follows: up at once, down by half in about 14 s, since waves
+# come back and an engine that was given back takes its boot time to return.
+PEAK_DECAY = 0.05  # of the peak, a second
+START_UTILIZATION = 0.22  # presumed of the engines found at the start
+REFUSED_PAUSE = 3.0  # seconds until an order that found none is tried again
+UNFILLED_PAUSE = 2.5  # seconds beyond the boot time until an order is repeated
+ORDER_TIMEOUT = 1.5  # seconds
+
+SendUsage = Callable[[int, dict[str, int]], Awaitable[Result[int, StoreError]]]
+SendScale = Callable[[str, str, int, bool], Awaitable[Result[int, StoreError]]]
+
+
+@dataclass
+class Demand:
+    """Work that arrives at this node, by service."""
+
+    rates: dict[str, DecayingRate] = field(default_factory=dict)
+
+    def observe(self, service: str, seconds: float, now: float) -> None:
+        """Take in engine-seconds of a request that was sent."""
+        rate = self.rates.setdefault(service, DecayingRate(window=3.0))
+        rate.observe(now, seconds)
+
+    def snapshot(self, now: float) -> dict[str, float]:
+        """Report engine-seconds a second by service."""
+        return {name: round(rate.decide(now), 4) for name, rate in self.rates.items()}
+
+
+@dataclass
+class _Ordered:
+    desired: int
+    at: float
+    refused: bool = False
+
+
+class ScaleDuty:
+    """The holder's part in ordering engines.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Services and registered engines.
+    table : PeerTable
+        Peers' demand.
+    own_demand : callable
+        Returns this node's demand by service.
+    send : callable
+        Sends an order.
+    clock : callable
+        Returns seconds.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        table: PeerTable,
+        own_demand: Callable[[], dict[str, float]],
+        send: SendScale,
+        clock: Callable[[], float],
+    ) -> None:
+        self._beliefs = beliefs
+        self._table = table
+        self._own_demand = own_demand
+        self._send = send
+        self._clock = clock
+        self._peaks: dict[str, tuple[float, float]] = {}
+        self._ordered: dict[tuple[str, str, bool], _Ordered] = {}
+
+    async def step(self, may_order: Callable[[], bool]) -> None:
+        """Order what the load calls for."""
+        table = self._beliefs.table
+        if table is None:
+            return
+        for service in list(table.declaration.services.values()):
+            if service.scaling is None:
+                continue
+            zones = self._make_zones(service, service.scaling)
+            demand = self._observe_demand(service.name, zones)
+            for order in decide_capacity(zones, service.scaling, demand=demand):
+                if not may_order():
+                    return
+                await self._place(service, service.scaling, order, zones, demand)
+
+    def _make_zones(self, service: ServiceSpec, spec: ScalingSpec) -> list[ZoneEngines]:
+        engines = [
+            it
+            for it in self._beliefs.servers.values()
+            if it.service == service.name and not it.draining
+        ]
+        names = sorted(set(spec.zone_prices) | {it.zone for it in engines})
+        return [
+            ZoneEngines(
+                zone=name,
+                n_steady=sum(it.zone == name and not it.spot for it in engines),
+                n_spot=sum(it.zone == name and it.spot for it in engines),
+                spot_refused=self._is_refused(service.name, name),
+            )
+            for name in names
+        ]
+
+    def _is_refused(self, service: str, zone: str) -> bool:
+        ordered = self._ordered.get((service, zone, True))
+        return ordered is not None and ordered.refused
+
+    def _observe_demand(self, service: str, zones: Iterable[ZoneEngines]) -> float:
+        now = self._clock()
+        rates = [self._own_demand().get(service, 0.0)]
+        for peer in self._table.alive():
+            if peer.word is not None:
+                rates.append(peer.word.demand.get(service, 0.0))
+        current = sum(rates)
+        if service not in self._peaks:
+            n_engines = sum(zone.n_steady + zone.n_spot for zone in zones)
+            self._peaks[service] = (START_UTILIZATION * n_engines, now)
+        peak, at = self._peaks[service]
+        peak = max(current, peak * (1 - PEAK_DECAY) ** (now - at))
+        self._peaks[service] = (peak, now)
+        return peak
+
+    async def _place(
+        self,
+        service: ServiceSpec,
+        spec: ScalingSpec,
+        order: CapacityOrder,
+        zones: list[ZoneEngines],
+        demand: float,
+    ) -> None:
+        key = (service.name, order.zone, order.spot)
+        zone = next(it for it in zones if it.zone == order.zone)
+        present = zone.n_spot if order.spot else zone.n_steady
+        now = self._clock()
+        last = self._ordered.get(key)
+        if last is None and present == order.desired:
+            return
+        if last is not None:
+            same = last.desired == order.desired
+            pause = spec.boot_time + UNFILLED_PAUSE
+            if last.refused:
+                same, pause = True, REFUSED_PAUSE
+            if same and (present == order.desired or now - last.at < pause):
+                return
+        result = await self._send(service.name, order.zone, order.desired, order.spot)
+        failed = isinstance(result, Failure)
+        status = 0 if failed else result.unwrap()
+        refused = status == 409
+        if not failed:
+            self._ordered[key] = _Ordered(order.desired, now, refused)
+        log.info(
+            "engines ordered",
+            extra={
+                "service": service.name,
+                "zone": order.zone,
+                "spot": order.spot,
+                "desired": order.desired,
+                "present": present,
+                "demand": round(demand, 3),
+                "status": status,
+                "fault": result.failure().message if failed else None,
+            },
+        )
+
+    def forget(self) -> None:
+        """Drop what was ordered, when the duty is lost."""
+        self._ordered.clear()
+
+
+class Duties:
+    """Takes part in the fleet's duties.
+
+    Parameters
+    ----------
+    lease : DutyLease
+        The right to carry them out.
+    table : PeerTable
+        The other nodes.
+    usage : UsageDuty or None
+        Reports usage.
+    parts : UsageParts
+        This node's own counts.
+    scale : ScaleDuty or None
+        Orders engines.
+    clock : callable
+        Returns seconds.
+    is_ready : callable
+        Tells whether this node should try for the duty.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease: DutyLease,
+        table: PeerTable,
+        usage: UsageDuty | None,
+        parts: UsageParts,
+        scale: ScaleDuty | None,
+        clock: Callable[[], float],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self.lease = lease
+        self._table = table
+        self._usage = usage
+        self._parts = parts
+        self._scale = scale
+        self._clock = clock
+        self._is_ready = is_ready
+        self._holder_seen_at = clock()
+        self._tried_at = float("-inf")
+
+    def is_holder(self) -> bool:
+        """Tell whether this node has the duty or waits to take it up."""
+        return self.lease.states.state != "follower"
+
+    async def run_lease(self) -> None:
+        """Keep the lease, or try for it when nobody has it; until cancelled."""
+        while True:
+            before = self.lease.states.state
+            if before != "follower" or self._may_try():
+                await self.lease.step()
+            after = self.lease.states.state
+            if before != after:
+                log.info("duty", extra={"state": after, "fence": self.lease.fence})
+                if after == "follower" and self._scale is not None:
+                    self._scale.forget()
+            await asyncio.sleep(STEP_INTERVAL)
+
+    def _may_try(self) -> bool:
+        now = self._clock()
+        alive = self._table.alive()
+        if any(peer.word is not None and peer.word.holder for peer in alive):
+            self._holder_seen_at = now
+            return False
+        rank = sum(peer.name < self._table.name for peer in alive)
+        wait = NO_HOLDER_WAIT + RANK_WAIT * rank
+        if not self._is_ready() or now - self._holder_seen_at < wait:
+            return False
+        if now - self._tried_at < ACQUIRE_PAUSE:
+            return False
+        self._tried_at = now
+        return True
+
+    async def run_usage(self) -> None:
+        """Report usage while the duty is held; until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_INTERVAL)
+            await self._parts.step(heard=self._is_heard())
+            if self._usage is not None and self.lease.may_order():
+                await self._usage.step()
+
+    def _is_heard(self) -> bool:
+        if self.is_holder():
+            return True
+        return any(
+            peer.word is not None
+            and peer.word.holder
+            and self._table.name in peer.word.hears
+            for peer in self._table.alive()
+        )
+
+    async def run_scale(self) -> None:
+        """Order engines while the duty is held; until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_INTERVAL)
+            if self._scale is not None and self.lease.may_order():
+                await self._scale.step(self.lease.may_order)
+
+    async def release(self) -> None:
+        """Write what was counted and give the duty up."""
+        await self._parts.flush()
+        await self.lease.release()
+
+
+def make_send_usage(orders: OrdersClient, lease: DutyLease, name: str) -> SendUsage:
+    """Make the function that sends a usage report under a lease."""
+
+    async def send(window: int, counts: dict[str, int]) -> Result[int, StoreError]:
+        call = DutyCall(name, lease.fence, lease.may_order)
+        return await orders.send_usage(window, counts, call)
+
+    return send
+
+
+def make_send_scale(orders: OrdersClient, lease: DutyLease, name: str) -> SendScale:
+    """Make the function that sends an order under a lease."""
+
+    async def send(
+        service: str, zone: str, desired: int, spot: bool
+    ) -> Result[int, StoreError]:
+        call = DutyCall(name, lease.fence, lease.may_order)
+        return await orders.send_scale(service, zone, desired, spot, call)
+
+    return send
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -0,0 +1,310 @@
+"""The node's part in the fleet: word to peers, relayed beliefs, usage counts."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+from returns.result import Failure
+
+from ..fleet import (
+    Beliefs,
+    PeerTable,
+    PeerTalk,
+    PeerWord,
+    TrueTime,
+    UsageCounts,
+    decode_node,
+    encode_node,
+)
+from ..platform import Change, Entry, Put, Store
+from ..routing import IngressLimits
+from ..transport import (
+    ConnectFaultError,
+    ExchangeFaultError,
+    IncomingRequest,
+    IngressServer,
+    Responder,
+    open_connection,
+)
+from ._loads import LoadBook
+
+log = logging.getLogger(__name__)
+
+NODES_PREFIX = "medlargate/nodes/"
+# The node's own watch mostly brings the same news within this time.
+PULL_DELAY = 0.15  # seconds
+PULL_TIMEOUT = 1.0  # seconds
+TRANSIT = 0.1  # seconds that word may have been on its way
+REGISTER_PAUSE = 1.0  # seconds between tries to write this node's entry
+N_WATCHERS = 2  # nodes of a failure domain that watch the store; others hear them
+USAGE_WINDOWS_TOLD = 2  # the running window and those before it
+
+
+class FleetSide:
+    """Joins this node's beliefs and loads with its peers'.
+
+    Parameters
+    ----------
+    name, zone, host : str
+        This node.
+    port : int
+        Datagrams and pulls.
+    incarnation : str
+        This start of the process.
+    beliefs : Beliefs
+        Relayed to and from peers.
+    loads : LoadBook
+        Own load told, peers' taken in.
+    store : Store
+        Where nodes find each other.
+    clock : callable
+        Returns seconds.
+    true_time : TrueTime
+        The time of day.
+    usage : UsageCounts
+        Counts told and merged.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        host: str,
+        port: int,
+        incarnation: str,
+        beliefs: Beliefs,
+        loads: LoadBook,
+        store: Store,
+        clock: Callable[[], float],
+        true_time: TrueTime,
+        usage: UsageCounts,
+    ) -> None:
+        self.table = PeerTable(name, zone, clock)
+        self.talk = PeerTalk(self.table, self._make_word, self._take_word)
+        self.incarnation = incarnation
+        self.is_holder: Callable[[], bool] = lambda: False
+        self.make_demand: Callable[[], dict[str, float]] = dict
+        self.store_up: Callable[[], bool] = lambda: True
+        self._host = host
+        self._port = port
+        self._beliefs = beliefs
+        self._loads = loads
+        self._store = store
+        self._clock = clock
+        self._true_time = true_time
+        self._usage = usage
+        self._pulls = IngressServer(self._answer_pull, IngressLimits)
+        self._pulling: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        await self.talk.start(self._host, self._port)
+        await self._pulls.start(self._host, self._port)
+        self._beliefs.on_config.append(self.talk.tell_all)
+        self._beliefs.on_server.append(self._tell_news)
+
+    def observe_seeds(self, seeds: str) -> None:
+        """Take in addresses that the settings name.
+
+        Parameters
+        ----------
+        seeds : str
+            ``IP:PORT`` joined by commas; only the IP numbers are used.
+        """
+        for seed in filter(None, seeds.split(",")):
+            host = seed.strip().rpartition(":")[0]
+            if host != self._host:
+                address = f"{host}:{self._port}"
+                self.table.observe_address(address, "", address)
+
+    async def run_registration(self) -> None:
+        """Write this node's entry and read the others', until both are done."""
+        key = NODES_PREFIX + self.table.name
+        address = f"{self._host}:{self._port}"
+        value = encode_node(self.table.zone, address, self.incarnation)
+        while True:
+            written = await self._store.write([], [Put(key, value)])
+            found = await self._store.read(NODES_PREFIX, prefix=True)
+            if not isinstance(found, Failure):
+                self._observe_nodes(found.unwrap().entries)
+            if not isinstance(written, Failure) and not isinstance(found, Failure):
+                break
+            await asyncio.sleep(REGISTER_PAUSE)
+        self.talk.tell_all()
+        await asyncio.Event().wait()
+
+    def _observe_nodes(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            row = decode_node(entry.value)
+            if row is not None:
+                name = entry.key.removeprefix(NODES_PREFIX)
+                self.table.observe_address(name, row["zone"], row["address"])
+
+    def watches(self) -> bool:
+        """Tell whether this node holds watches of the store for its domain."""
+        return self.table.rank_near() < N_WATCHERS
+
+    # Word out
+
+    def _make_word(self, near: bool) -> PeerWord:
+        age = self._beliefs.age()
+        now = self._clock()
+        window = self._usage.window_at(self._true_time.now())
+        holder = self.is_holder()
+        return PeerWord(
+            name=self.table.name,
+            incarnation=self.incarnation,
+            zone=self.table.zone,
+            address=f"{self._host}:{self._port}",
+            time=round(self._true_time.now(), 3),
+            config_revision=age.config_revision,
+            servers_revision=age.servers_revision,
+            config_age=round(min(1e6, now - age.config_confirmed_at), 3),
+            servers_age=round(min(1e6, now - age.servers_confirmed_at), 3),
+            store_up=self.store_up(),
+            loads=self._loads.snapshot_own() if near else {},
+            demand=self.make_demand(),
+            usage=self._usage.snapshot(
+                self.incarnation, since=window - USAGE_WINDOWS_TOLD + 1
+            ),
+            hears=[peer.name for peer in self.table.alive()] if holder else [],
+            holder=holder,
+        )
+
+    def _tell_news(self, server_id: str) -> None:
+        del server_id
+        self.talk.tell(near=True)
+
+    # Word in
+
+    def _take_word(self, word: PeerWord) -> None:
+        shift = self._true_time.observe_peer(word.name, word.time)
+        if shift:
+            log.warning("time of day corrected", extra={"seconds": round(shift, 3)})
+        self._usage.merge(word.incarnation, word.usage)
+        if word.zone == self.table.zone:
+            self._loads.observe_peer(word.name, word.loads)
+        self._take_ages(word)
+
+    def _take_ages(self, word: PeerWord) -> None:
+        beliefs, now = self._beliefs, self._clock()
+        age = beliefs.age()
+        config_at = now - word.config_age - TRANSIT
+        servers_at = now - word.servers_age - TRANSIT
+        if word.config_revision == age.config_revision:
+            beliefs.config_confirmed_at = max(beliefs.config_confirmed_at, config_at)
+        if word.servers_revision == age.servers_revision:
+            beliefs.servers_confirmed_at = max(beliefs.servers_confirmed_at, servers_at)
+        behind = (
+            word.config_revision > age.config_revision
+            or word.servers_revision > age.servers_revision
+        )
+        if behind and (self._pulling is None or self._pulling.done()):
+            self._pulling = asyncio.create_task(self._pull(word))
+
+    async def _pull(self, word: PeerWord) -> None:
+        """Take a peer's beliefs unless the store brings them first."""
+        await asyncio.sleep(PULL_DELAY)
+        age = self._beliefs.age()
+        if (
+            word.config_revision <= age.config_revision
+            and word.servers_revision <= age.servers_revision
+        ):
+            return
+        if word.zone != self.table.zone and self.store_up() and self.watches():
+            # Bytes between failure domains are priced; the store is asked anyway.
+            return
+        host, _, port = word.address.rpartition(":")
+        target = f"/beliefs?config={age.config_revision}&servers={age.servers_revision}"
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT):
+                conn = await open_connection(host, int(port), timeout=PULL_TIMEOUT)
+                try:
+                    conn.send("GET", target, [(b"Host", host.encode())], b"")
+                    await conn.read_head()
+                    body = b"".join([data async for data in conn.read_body()])
+                finally:
+                    conn.abort()
+        except (ConnectFaultError, ExchangeFaultError, TimeoutError) as exc:
+            log.info("pull failed", extra={"peer": word.name, "fault": str(exc)})
+            return
+        self._take_pulled(word.name, orjson.loads(body))
+
+    def _take_pulled(self, peer: str, page: dict[str, Any]) -> None:
+        now = self._clock() - TRANSIT
+        if page["config"] is not None:
+            entry = _decode_entry(page["config"])
+            self._beliefs.observe_config(entry, confirmed_at=now - page["config_age"])
+        servers = page["servers"]
+        if servers is None:
+            return
+        confirmed_at = now - page["servers_age"]
+        entries = [_decode_entry(row) for row in servers["entries"]]
+        if servers["full"]:
+            self._beliefs.observe_servers(
+                entries, servers["revision"], confirmed_at=confirmed_at
+            )
+        else:
+            changes = [Change(it.key, it.mod_revision, it) for it in entries]
+            changes += [Change(key, rev, None) for key, rev in servers["gone"]]
+            changes.sort(key=lambda it: it.revision)
+            self._beliefs.observe_changes(
+                changes, servers["revision"], confirmed_at=confirmed_at
+            )
+        log.info(
+            "beliefs relayed",
+            extra={"peer": peer, "servers_revision": servers["revision"]},
+        )
+
+    async def _answer_pull(self, req: IncomingRequest, responder: Responder) -> None:
+        query = dict(
+            item.partition("=")[::2] for item in req.target.partition("?")[2].split("&")
+        )
+        page = self._make_page(int(query.get("config", 0)), int(query["servers"]))
+        await responder.send(200, [], orjson.dumps(page))
+
+    def _make_page(self, config_revision: int, servers_revision: int) -> dict[str, Any]:
+        beliefs, now = self._beliefs, self._clock()
+        age = beliefs.age()
+        newer = beliefs.config_entry if age.config_revision > config_revision else None
+        servers: dict[str, Any] | None = None
+        if age.servers_revision > servers_revision:
+            changes = beliefs.changes_since(servers_revision)
+            full = changes is None
+            rows = (
+                list(beliefs.entries())
+                if changes is None
+                else [it.entry for it in changes if it.entry is not None]
+            )
+            gone = [(it.key, it.revision) for it in changes or () if it.entry is None]
+            servers = {
+                "full": full,
+                "revision": age.servers_revision,
+                "entries": [_encode_entry(entry) for entry in rows],
+                "gone": gone,
+            }
+        return {
+            "config": _encode_entry(newer) if newer else None,
+            "config_age": min(1e6, now - age.config_confirmed_at),
+            "servers": servers,
+            "servers_age": min(1e6, now - age.servers_confirmed_at),
+        }
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self.talk.close()
+        await self._pulls.close()
+
+
+def _encode_entry(entry: Entry) -> list[Any]:
+    return [entry.key, base64.b64encode(entry.value).decode(), entry.mod_revision]
+
+
+def _decode_entry(row: list[Any]) -> Entry:
+    return Entry(row[0], base64.b64decode(row[1]), int(row[2]), 0)
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import secrets
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -13,11 +14,20 @@
 import aiohttp
 
 from .._settings import Settings
-from ..fleet import Beliefs, StoreWatcher
+from ..fleet import (
+    Beliefs,
+    DutyLease,
+    StoreWatcher,
+    TrueTime,
+    UsageCounts,
+    UsageDuty,
+    UsageParts,
+)
 from ..platform import (
     CONFIG_KEY,
     SERVERS_PREFIX,
     HttpStore,
+    OrdersClient,
     decode_declaration,
     decode_registration,
 )
@@ -27,6 +37,15 @@
 from ..transport import ConnectionPool, IncomingRequest, IngressServer, Responder
 from ._accept import Acceptor
 from ._account import Account
+from ._duties import (
+    ORDER_TIMEOUT,
+    Demand,
+    Duties,
+    ScaleDuty,
+    make_send_scale,
+    make_send_usage,
+)
+from ._fleet_side import FleetSide
 from ._line import RequestLine
 from ._loads import LoadBook
 from ._sender import Sender
@@ -38,6 +57,7 @@
 # connections that were on their way then are still accepted.
 BALANCER_NOTICE = 3.0  # seconds
 STOP_RESERVE = 0.7  # seconds of the grace left for closing
+METERING, AUTOSCALE = "metering", "autoscale"  # duties as the settings name them
 STOP_CHECK_INTERVAL = 0.05  # seconds
 RESTART_PAUSE = 0.5  # seconds
 LISTEN_LIMITS = IngressLimits()
@@ -76,7 +96,13 @@
         self.metrics = Metrics(max_label_values=settings.limits.max_label_values)
         self.loads = LoadBook(settings.node.failure_domain)
         self.pool = ConnectionPool()
-        self.waiting = WaitingRoom(self.beliefs, self.loads, self.clock)
+        self.demand = Demand()
+        self.waiting = WaitingRoom(
+            self.beliefs, self.loads, self.clock, self._observe_work
+        )
+        self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
+        self.true_time = TrueTime(self.clock, time.time)
+        self.usage = UsageCounts(self.ingress.usage_window)
         self.account = Account(
             self.metrics, self._observe_usage, self.clock, self.record_line
         )
@@ -99,6 +125,8 @@
         self.stopping = False
         self.session: aiohttp.ClientSession
         self.watcher: StoreWatcher
+        self.fleet: FleetSide
+        self.duties: Duties
 
     # What the parts ask of each other
 
@@ -114,10 +142,16 @@
         return await self.watcher.refresh_config()
 
     def _observe_usage(self, customer: str) -> None:
-        del customer
+        self.usage.observe(self.incarnation, customer, self.true_time.now())
+
+    def _observe_work(self, service: str, seconds: float) -> None:
+        self.demand.observe(service, seconds, self.clock())
+
+    def _snapshot_demand(self) -> dict[str, float]:
+        return self.demand.snapshot(self.clock())
 
     def _count_nodes(self) -> int:
-        return 8
+        return self.fleet.table.count_nodes()
 
     def _budget(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
@@ -159,28 +193,103 @@
 
     async def start(self) -> None:
         """Open listeners and start the node's tasks."""
-        platform = self.settings.platform
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
         )
+        platform = self.settings.platform
         store = HttpStore(self.session, platform.url, timeout=platform.timeout)
+        self.fleet = self._make_fleet_side(store)
         self.watcher = StoreWatcher(
-            store, self.beliefs, CONFIG_KEY, SERVERS_PREFIX, self.clock
+            store,
+            self.beliefs,
+            CONFIG_KEY,
+            SERVERS_PREFIX,
+            self.clock,
+            watches=self.fleet.watches,
         )
-        ingress = self.ingress
-        await self.probes.start(*ingress.readiness_address)
-        await self.server.start(*ingress.frontend_address)
-        if ingress.metrics_port:
-            address = str(self.settings.node.address)
-            await self.pages.start(address, ingress.metrics_port)
+        self.fleet.store_up = lambda: self.watcher.store_up
+        self.duties = self._make_duties(store)
+        self.fleet.is_holder = self.duties.is_holder
+        self.fleet.make_demand = self._snapshot_demand
+        await self._listen()
         for job in (
             self.watcher.run_config,
             self.watcher.run_servers,
             self.watcher.run_polls,
             self.waiting.run,
+            self.fleet.run_registration,
+            self.fleet.talk.run_near,
+            self.fleet.talk.run_far,
+            self.duties.run_lease,
+            self.duties.run_usage,
+            self.duties.run_scale,
         ):
             self._spawn(job)
-        log.info("node started")
+        log.info("node started", extra={"incarnation": self.incarnation})
+
+    def _make_fleet_side(self, store: HttpStore) -> FleetSide:
+        node = self.settings.node
+        side = FleetSide(
+            name=node.name,
+            zone=node.failure_domain,
+            host=str(node.address),
+            port=self.ingress.fleet_port,
+            incarnation=self.incarnation,
+            beliefs=self.beliefs,
+            loads=self.loads,
+            store=store,
+            clock=self.clock,
+            true_time=self.true_time,
+            usage=self.usage,
+        )
+        side.observe_seeds(self.ingress.seeds)
+        return side
+
+    def _make_duties(self, store: HttpStore) -> Duties:
+        name = self.settings.node.name
+        lease = DutyLease(
+            store,
+            "platform",
+            self.incarnation,
+            self.clock,
+            lease_timeout=self.ingress.lease_ms / 1000,
+            order_timeout=ORDER_TIMEOUT,
+            checks_fence=False,
+        )
+        orders = OrdersClient(
+            self.session, f"http://{self.ingress.orders}", timeout=ORDER_TIMEOUT
+        )
+        names = self.ingress.duties.split(",")
+        usage = scale = None
+        if METERING in names:
+            send = make_send_usage(orders, lease, name)
+            usage = UsageDuty(store, lease, self.usage, send, self.true_time.now)
+        if AUTOSCALE in names:
+            scale = ScaleDuty(
+                self.beliefs,
+                self.fleet.table,
+                self._snapshot_demand,
+                make_send_scale(orders, lease, name),
+                self.clock,
+            )
+        return Duties(
+            lease=lease,
+            table=self.fleet.table,
+            usage=usage,
+            parts=UsageParts(store, self.usage, self.incarnation, self.true_time.now),
+            scale=scale,
+            clock=self.clock,
+            is_ready=lambda: self.is_ready,
+        )
+
+    async def _listen(self) -> None:
+        ingress = self.ingress
+        await self.probes.start(*ingress.readiness_address)
+        await self.server.start(*ingress.frontend_address)
+        if ingress.metrics_port:
+            address = str(self.settings.node.address)
+            await self.pages.start(address, ingress.metrics_port)
+        await self.fleet.start()
 
     def _spawn(self, job: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(asyncio.create_task(_log_failure(job)))
@@ -193,6 +302,7 @@
         self.stopping = True
         self.server.draining = True
         started_at = self.clock()
+        await self._release_duties()
         log.info("node stopping", extra={"n_active": self.line.n_active})
         end = started_at + self.ingress.grace - STOP_RESERVE
         while self.clock() < end:
@@ -204,11 +314,18 @@
         log.info("node stopped", extra={"n_active": self.line.n_active})
         await self.close()
 
+    async def _release_duties(self) -> None:
+        """Give duties up early, so that a successor takes them over in time."""
+        self.fleet.talk.tell_all()
+        await self.duties.release()
+
     async def close(self) -> None:
         """End tasks and connections."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.fleet.talk.tell_all()
+        await self.fleet.close()
         for server in (self.server, self.probes, self.pages):
             await server.close()
         self.pool.close()
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -63,11 +63,18 @@
         How busy they are.
     clock : callable
         Returns seconds.
+    observe_work : callable
+        Told the service and the seconds of reading of each request that goes on.
     """
 
     def __init__(
-        self, beliefs: Beliefs, loads: LoadBook, clock: Callable[[], float]
+        self,
+        beliefs: Beliefs,
+        loads: LoadBook,
+        clock: Callable[[], float],
+        observe_work: Callable[[str, float], None],
     ) -> None:
+        self._observe_work = observe_work
         self._beliefs = beliefs
         self._loads = loads
         self._clock = clock
@@ -160,6 +167,10 @@
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._beliefs.servers_revision,
         )
+        if exch.service.engine is not None:
+            times = self._loads.times(exch.service)
+            reading = assigned.state.n_uncached * times.per_token
+            self._observe_work(exch.service.name, reading)
         # Counted at once, so that the next decision sees it.
         self._loads.observe_send(
             exch.number,
