Keep long prompts from each other and from short ones; one home for a shared prompt

A long prompt now waits for an engine that reads nothing else long, the reading ahead is a clock per engine that errors of predictions move, all nodes presume the same home for a shared beginning, also across failure domains, and a long prompt is told to peers at once.

--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -29,7 +29,15 @@
     describe_validation,
 )
 from ._orders import OrderDesk
-from ._peers import KnownPeer, PeerTable, PeerTalk, PeerWord, decode_node, encode_node
+from ._peers import (
+    KnownPeer,
+    LoadNote,
+    PeerTable,
+    PeerTalk,
+    PeerWord,
+    decode_node,
+    encode_node,
+)
 from ._true_time import TrueTime
 from ._usage import Counts, Part, UsageLedger, decode_part, encode_part
 from ._usage_counts import UsageCounts
@@ -57,6 +65,7 @@
     "Heartbeat",
     "Key",
     "KnownPeer",
+    "LoadNote",
     "Membership",
     "Operation",
     "OrderDesk",
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 NEAR_INTERVAL = 0.2  # seconds, within the failure domain
-FAR_INTERVAL = 1.0  # seconds, across failure domains
+FAR_INTERVAL = 0.5  # seconds, across failure domains
 # Peers told in one round; a larger domain is told in turns, so that a node's part
 # in it does not grow with the fleet.
 MAX_NEAR = 10
@@ -29,7 +29,6 @@
 FORGET_TIME = 60.0  # seconds without word after which it is told nothing more
 LOST_TELL_SHARE = 0.1  # of the rounds, for peers that are away
 MAX_DATAGRAM = 60_000  # bytes
-OPTIONS = orjson.OPT_NON_STR_KEYS
 
 
 class PeerWord(BaseModel):
@@ -79,6 +78,27 @@
     crashes: dict[str, int] = Field(default_factory=dict)
 
 
+class LoadNote(BaseModel):
+    """A node's load on one server, told when it has just grown by much.
+
+    Attributes
+    ----------
+    sender : str
+        The node.
+    server : str
+        The server.
+    n_running : int
+        Its own requests there.
+    reading : float
+        Seconds of reading that they still need.
+    """
+
+    sender: str
+    server: str
+    n_running: int
+    reading: float
+
+
 @dataclass
 class KnownPeer:
     """A peer and its last word.
@@ -206,12 +226,21 @@
 
 
 class _Endpoint(asyncio.DatagramProtocol):
-    def __init__(self, on_word: Callable[[PeerWord], None]) -> None:
+    def __init__(
+        self,
+        on_word: Callable[[PeerWord], None],
+        on_note: Callable[[LoadNote], None],
+    ) -> None:
         self._on_word = on_word
+        self._on_note = on_note
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         try:
-            word = PeerWord.model_validate(orjson.loads(data))
+            row = orjson.loads(data)
+            if isinstance(row, dict) and "sender" in row:
+                self._on_note(LoadNote.model_validate(row))
+                return
+            word = PeerWord.model_validate(row)
         except (orjson.JSONDecodeError, ValidationError) as exc:
             log.warning(
                 "datagram not readable",
@@ -233,18 +262,21 @@
     table : PeerTable
         Whom to tell.
     make_word : callable
-        Returns this node's word; its argument tells whether it stays in the
-        failure domain.
+        Returns this node's word.
     on_word : callable
         Told each word that comes in.
+    on_note : callable
+        Told each note on a load.
     """
 
     def __init__(
         self,
         table: PeerTable,
-        make_word: Callable[[bool], PeerWord],
+        make_word: Callable[[], PeerWord],
         on_word: Callable[[PeerWord], None],
+        on_note: Callable[[LoadNote], None],
     ) -> None:
+        self._on_note = on_note
         self._table = table
         self._make_word = make_word
         self._on_word = on_word
@@ -255,7 +287,7 @@
         """Listen for datagrams."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Endpoint(self._take), local_addr=(host, port)
+            lambda: _Endpoint(self._take, self._on_note), local_addr=(host, port)
         )
 
     def _take(self, word: PeerWord) -> None:
@@ -267,9 +299,18 @@
         targets = self._table.decide_targets(near=near)
         if not targets or self._transport is None:
             return
-        word = self._make_word(near)
-        data = orjson.dumps(word.model_dump(exclude_defaults=True), option=OPTIONS)
-        if len(data) > MAX_DATAGRAM:
+        word = self._make_word()
+        self._send(word, targets)
+
+    def note(self, note: LoadNote) -> None:
+        """Send a note on a load to near and far peers."""
+        targets = self._table.decide_targets(near=True)
+        self._send(note, targets + self._table.decide_targets(near=False))
+
+    def _send(self, message: BaseModel, targets: list[KnownPeer]) -> None:
+        row = message.model_dump(exclude_defaults=True)
+        data = orjson.dumps(row, option=orjson.OPT_NON_STR_KEYS)
+        if len(data) > MAX_DATAGRAM or self._transport is None:
             log.error("word too large for a datagram", extra={"n_bytes": len(data)})
             return
         for peer in targets:
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -28,9 +28,16 @@
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._types import Assignment, Candidate, Job, Preemption, Shed, compute_work
 from ._verdict import Refusal, RequestStates, Verdict
-from ._waiting import WaitDecision, decide_wait, has_room
+from ._waiting import (
+    LONG_READING,
+    WaitDecision,
+    decide_wait,
+    has_room,
+    is_pressed,
+)
 
 __all__ = [
+    "LONG_READING",
     "Assignment",
     "BackendView",
     "Candidate",
@@ -71,6 +78,7 @@
     "decide_share",
     "decide_wait",
     "has_room",
+    "is_pressed",
     "make_fingerprint",
     "predict_first_token",
     "rank_by_hash",
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -1,10 +1,11 @@
 """Which backend server gets a request.
 
-Answers the load pattern of long prompts that share their beginnings, in bursts: the
-engine that already holds a prompt's beginning is worth waiting for, up to the time
-that reading it anew elsewhere takes; short urgent requests keep away from engines
-that still read long prompts; other failure domains are a last resort, since their
-bytes are paid for.
+Answers the load pattern of long prompts that share their beginnings, in bursts. Reading
+a prompt's beginning again delays every request of that engine and is priced, so that
+the engine that already holds it is worth waiting for; all nodes presume the same home
+for the same beginning without asking each other. Short urgent requests keep away from
+engines that still read long prompts. Crossing failure domains costs by the byte, mostly
+far less than reading again.
 """
 
 from __future__ import annotations
@@ -12,14 +13,17 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# A request crosses failure domains only when that saves this much time: its bytes
-# are priced there at about a tenth of a large request's worth.
-CROSSING_PENALTY = 0.4  # seconds
+# Bytes between failure domains are priced; at the dearer site a long prompt's bytes
+# cost about an eighth of reading its shared beginning (0.35 s) again.
+CROSSING_PER_BYTE = 2.5e-6  # seconds
 # What a failed attempt costs a caller, as time: a retry on a new connection.
 FAILURE_PENALTY = 3.0  # seconds
-# Share of the reading time that a prompt's home engine is presumed to save when
-# its memory is not known, so that all nodes send the same prompt to the same place.
-HOME_SAVING = 0.5
+# Reading delays the others on that engine and is priced when it was read elsewhere:
+# it weighs this much beyond the time that the request itself waits for it.
+READING_WEIGHT = 2.0
+# Share of the reading that the first and second choice for a prompt are presumed to
+# save, since other nodes send the same beginning there.
+HOME_SAVINGS = (0.8, 0.4)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +46,8 @@
         Measured times over predicted ones; 1 is normal.
     failure_share : float
         Share of its recent answers that failed, 0 to 1.
-    home : bool
-        First choice for this request's prompt.
+    home_rank : int or None
+        0 for the first choice for this request's prompt, 1 for the second.
     """
 
     name: str
@@ -54,7 +58,7 @@
     n_uncached: int = 0
     slowness: float = 1.0
     failure_share: float = 0.0
-    home: bool = False
+    home_rank: int | None = None
 
     @property
     def n_free(self) -> int:
@@ -128,7 +132,11 @@
 
 
 def decide_placement(
-    states: Sequence[ServerState], times: ServiceTimes, *, domain: str
+    states: Sequence[ServerState],
+    times: ServiceTimes,
+    *,
+    domain: str,
+    n_bytes: int = 0,
 ) -> Placement | None:
     """Choose the server with the least expected cost for the caller.
 
@@ -140,6 +148,8 @@
         Of their service.
     domain : str
         The node's own failure domain.
+    n_bytes : int, default=0
+        What the request and its answer bring over the network.
 
     Returns
     -------
@@ -150,11 +160,13 @@
     for state in states:
         predicted = predict_first_token(state, times)
         crossing = state.domain != domain
-        cost = predicted + FAILURE_PENALTY * state.failure_share
+        reading = state.n_uncached * times.per_token * state.slowness
+        cost = predicted + READING_WEIGHT * reading
+        cost += FAILURE_PENALTY * state.failure_share
         if crossing:
-            cost += CROSSING_PENALTY
-        if state.home:
-            cost -= HOME_SAVING * state.n_uncached * times.per_token
+            cost += CROSSING_PER_BYTE * n_bytes
+        if state.home_rank is not None and state.home_rank < len(HOME_SAVINGS):
+            cost -= HOME_SAVINGS[state.home_rank] * (1 + READING_WEIGHT) * reading
         if best is None or cost < best.cost:
             best = Placement(state.name, predicted, cost, len(states), crossing)
     return best
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -1,9 +1,11 @@
 """When a request waits at the node, goes on, or is refused.
 
-Answers the load pattern of a burst beyond what the engines can read: a request waits
-here, where it can still be ordered and refused truthfully, and goes to an engine only
-while little is to be read there before it. One whose answer would come too late to be
-of use is refused at once, with a time at which the queue will have drained.
+Answers the load pattern of bursts of long prompts among short urgent requests. An
+engine reads the prompts that it was given in turn, whatever their rank, so that a short
+request waits there behind each long one. Long prompts therefore wait here, where they
+can be ordered and refused truthfully, and go to an engine only while nothing else long
+is read there; short ones go on at once. One whose answer would come too late to be of
+use is refused at once, with a time at which the queue will have drained.
 """
 
 from __future__ import annotations
@@ -12,9 +14,14 @@
 
 from ._placement import ServerState
 
-# Reading ahead of a new request that an engine's own queue may hold: two long
-# prompts, so that the engine never idles between two decisions of this node.
+# A prompt that takes longer to read than this is long.
+LONG_READING = 0.1  # seconds
+# Reading ahead that a long prompt accepts at an engine: what is nearly done.
+LONG_BACKLOG = 0.1  # seconds
+# Reading ahead that a short prompt, or one that has no time left to wait, accepts.
 MAX_BACKLOG = 0.9  # seconds
+# Share of its target that a request waits for the engine that suits it best.
+PATIENCE = 0.4
 # Plain servers queue a few requests; beyond their slots waiting here is better.
 PLAIN_QUEUE_FRACTION = 0.5
 MIN_RETRY_AFTER = 0.25  # seconds
@@ -23,7 +30,9 @@
 HONOURED_FRACTION = 1 / 3
 
 
-def has_room(state: ServerState, *, engine: bool) -> bool:
+def has_room(
+    state: ServerState, *, engine: bool, reading: float = 0.0, pressed: bool = False
+) -> bool:
     """Tell whether a server should get another request now.
 
     Parameters
@@ -32,6 +41,10 @@
         The server.
     engine : bool
         It is a model engine.
+    reading : float, default=0.0
+        Seconds to read the request's prompt there.
+    pressed : bool, default=False
+        The request has no time left to wait for a better moment.
 
     Returns
     -------
@@ -41,9 +54,29 @@
     if not engine:
         limit = state.n_slots * (1 + PLAIN_QUEUE_FRACTION)
         return state.n_running < limit
-    return state.n_running < state.n_slots and (
-        state.backlog * state.slowness < MAX_BACKLOG or state.n_running == 0
-    )
+    if state.n_running == 0:
+        return True
+    patient = reading > LONG_READING and not pressed
+    max_backlog = LONG_BACKLOG if patient else MAX_BACKLOG
+    return state.n_running < state.n_slots and state.backlog < max_backlog
+
+
+def is_pressed(*, waited: float, target: float) -> bool:
+    """Tell whether a request has waited as long as it should for the best server.
+
+    Parameters
+    ----------
+    waited : float
+        Seconds since it arrived.
+    target : float
+        Seconds from its arrival within which its answer should begin.
+
+    Returns
+    -------
+    bool
+        True when any server with room will do.
+    """
+    return waited >= PATIENCE * target
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/medlargate/medlargate/relay/_account.py
+++ b/packages/medlargate/medlargate/relay/_account.py
@@ -63,7 +63,7 @@
             request=req.get("attempt-id") or "",
             status=refusal.status,
             outcome=refusal.code,
-            message=refusal.message,
+            detail=refusal.message,
         )
         self._metrics.observe_request(
             customer="",
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -13,6 +13,7 @@
 
 from ..fleet import (
     Beliefs,
+    LoadNote,
     PeerTable,
     PeerTalk,
     PeerWord,
@@ -86,7 +87,9 @@
         usage: UsageCounts,
     ) -> None:
         self.table = PeerTable(name, zone, clock)
-        self.talk = PeerTalk(self.table, self._make_word, self._take_word)
+        self.talk = PeerTalk(
+            self.table, self._make_word, self._take_word, self._take_note
+        )
         self.incarnation = incarnation
         self.is_holder: Callable[[], bool] = lambda: False
         self.make_demand: Callable[[], dict[str, float]] = dict
@@ -152,7 +155,7 @@
 
     # Word out
 
-    def _make_word(self, near: bool) -> PeerWord:
+    def _make_word(self) -> PeerWord:
         age = self._beliefs.age()
         now = self._clock()
         window = self._usage.window_at(self._true_time.now())
@@ -168,7 +171,7 @@
             config_age=round(min(1e6, now - age.config_confirmed_at), 3),
             servers_age=round(min(1e6, now - age.servers_confirmed_at), 3),
             store_up=self.store_up(),
-            loads=self._loads.snapshot_own() if near else {},
+            loads=self._loads.snapshot_own(),
             demand=self.make_demand(),
             usage=self._usage.snapshot(
                 self.incarnation, since=window - USAGE_WINDOWS_TOLD + 1
@@ -177,6 +180,18 @@
             holder=holder,
         )
 
+    def observe_long_prompt(self, server_id: str) -> None:
+        """Tell peers at once that an engine got a long prompt."""
+        n_running, reading = self._loads.snapshot_server(server_id)
+        self.talk.note(
+            LoadNote(
+                sender=self.table.name,
+                server=server_id,
+                n_running=n_running,
+                reading=reading,
+            )
+        )
+
     def _tell_news(self, server_id: str) -> None:
         del server_id
         self.talk.tell(near=True)
@@ -188,10 +203,12 @@
         if shift:
             log.warning("time of day corrected", extra={"seconds": round(shift, 3)})
         self._usage.merge(word.incarnation, word.usage)
-        if word.zone == self.table.zone:
-            self._loads.observe_peer(word.name, word.loads)
+        self._loads.observe_peer(word.name, word.loads)
         self._take_ages(word)
 
+    def _take_note(self, note: LoadNote) -> None:
+        self._loads.observe_note(note.sender, note.server, note.n_running, note.reading)
+
     def _take_ages(self, word: PeerWord) -> None:
         beliefs, now = self._beliefs, self._clock()
         age = beliefs.age()
--- a/packages/medlargate/medlargate/relay/_line.py
+++ b/packages/medlargate/medlargate/relay/_line.py
@@ -269,7 +269,7 @@
             server=server_id,
             fault=fault.kind,
             verdict=str(fault.verdict),
-            message=str(fault),
+            detail=str(fault),
         )
         if fault.kind == "connect":
             exch.tried.add(server_id)
--- a/packages/medlargate/medlargate/relay/_loads.py
+++ b/packages/medlargate/medlargate/relay/_loads.py
@@ -20,12 +20,14 @@
 SMOOTHING = 0.2  # weight of a new sample in moving averages
 FAILURE_SMOOTHING = 0.12
 FAILURE_HALF_LIFE = 6.0  # seconds, so that an avoided server is tried again
-MAX_SLOWNESS = 10.0
+MIN_SLOWNESS, MAX_SLOWNESS = 0.7, 10.0  # of what all servers take on average
 REPORT_LIFETIME = 0.5  # seconds that a server's word on its load counts
 PEER_LIFETIME = 1.5  # seconds that a peer's word on its own load counts
 FIRST_SUSPENSION = 0.5  # seconds without requests after a failed connection
 MAX_SUSPENSION = 4.0  # seconds
-PLAIN_SLOTS = 1
+N_HOMES = 2  # servers that are presumed to hold a shared part
+MAX_OVERDUE = 1.5  # seconds of reading that an overdue answer can show
+ERROR_SHARE = 0.5  # of a prediction's error that the requests behind it inherit
 
 
 @dataclass(slots=True)
@@ -62,6 +64,7 @@
 
     running: dict[int, Running] = field(default_factory=dict)
     peers: dict[str, tuple[int, float, float]] = field(default_factory=dict)
+    read_until: float = float("-inf")
     reported: ServerLoad | None = None
     reported_at: float = float("-inf")
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
@@ -82,13 +85,27 @@
         return known
 
     def sum_own_reading(self, now: float) -> float:
-        """Sum the reading that this node's requests still need, seconds."""
+        """Return the reading that this node's requests still need, seconds.
+
+        Never less than what one that is overdue shows: then more is read there than
+        this node knows of.
+        """
         ahead = [it for it in self.running.values() if not it.has_begun]
         if not ahead:
             return 0.0
-        total = sum(it.reading for it in ahead)
-        elapsed = now - min(it.sent_at for it in ahead)
-        return max(0.0, total - elapsed)
+        overdue = max(now - it.sent_at - it.predicted for it in ahead)
+        left = max(0.0, self.read_until - now)
+        return max(left, min(overdue, MAX_OVERDUE)) if overdue > 0 else left
+
+    def observe_reading(self, reading: float, now: float) -> None:
+        """Take in that a prompt is read there after what is read already."""
+        self.read_until = max(self.read_until, now) + reading
+
+    def observe_begun(self, error: float, now: float) -> None:
+        """Take in by how much a first token came later than predicted, seconds."""
+        if any(not it.has_begun for it in self.running.values()):
+            shift = min(max(error, -MAX_OVERDUE), MAX_OVERDUE) * ERROR_SHARE
+            self.read_until = max(now, self.read_until + shift)
 
     def sum_reading(self, now: float) -> float:
         """Sum the reading ahead of a new request, of all nodes, seconds."""
@@ -245,7 +262,7 @@
         usable = [
             it for it in rows if self.view(it.server_id).suspended_until <= now
         ] or rows
-        home = self._find_home(usable, parts)
+        homes = _rank_homes(usable, parts)
         states = []
         for server in usable:
             view = self.view(server.server_id)
@@ -260,21 +277,11 @@
                     n_uncached=max(0, n_tokens - cached),
                     slowness=view.slowness,
                     failure_share=view.failure_share(now),
-                    home=server.server_id == home,
+                    home_rank=homes.get(server.server_id),
                 )
             )
         return states
 
-    def _find_home(
-        self, servers: list[Registration], parts: tuple[PromptPart, ...]
-    ) -> str | None:
-        """Return the first choice for a prompt's last shared part."""
-        if len(parts) < 2:
-            return None
-        near = [it.server_id for it in servers if it.zone == self.domain]
-        names = sorted(near or [it.server_id for it in servers])
-        return rank_by_hash(parts[-2].part_id, names)[0] if names else None
-
     def observe_send(
         self,
         key: int,
@@ -299,10 +306,12 @@
             Seconds to its first token or answer.
         """
         view = self.view(state.name)
-        reading = state.n_uncached * self.times(spec).per_token
+        now = time.monotonic()
+        reading = state.n_uncached * self.times(spec).per_token * view.slowness
+        view.observe_reading(reading, now)
         view.running[key] = Running(
             reading=reading,
-            sent_at=time.monotonic(),
+            sent_at=now,
             predicted=predicted,
             n_uncached=state.n_uncached,
             alone=state.backlog < 0.005 and state.n_running < state.n_slots,
@@ -327,12 +336,14 @@
         if run is None or run.has_begun:
             return
         run.has_begun = True
-        elapsed = time.monotonic() - run.sent_at
-        ratio = elapsed / max(run.predicted, 0.005) * view.slowness
-        step = min(max(ratio, 0.3), MAX_SLOWNESS)
-        view.slowness += SMOOTHING * (step - view.slowness)
-        view.slowness = min(max(view.slowness, 0.7), MAX_SLOWNESS)
+        now = time.monotonic()
+        elapsed = now - run.sent_at
+        view.observe_begun(elapsed - run.predicted, now)
         view.suspension = FIRST_SUSPENSION
+        if run.alone:
+            ratio = elapsed / max(run.predicted, 0.005) * view.slowness
+            step = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+            view.slowness += SMOOTHING * (step - view.slowness)
         if run.alone and view.slowness < 2.0:
             self._fit(spec).observe(run.n_uncached, elapsed)
 
@@ -399,6 +410,28 @@
         for server_id, (n_running, reading) in loads.items():
             self.view(server_id).peers[peer] = (n_running, reading, now)
 
+    def observe_note(
+        self, peer: str, server_id: str, n_running: int, reading: float
+    ) -> None:
+        """Take in a peer's own load on one server.
+
+        Parameters
+        ----------
+        peer, server_id : str
+            Who, and where.
+        n_running : int
+            Its requests there.
+        reading : float
+            Seconds of reading that they still need.
+        """
+        self.view(server_id).peers[peer] = (n_running, reading, time.monotonic())
+
+    def snapshot_server(self, server_id: str) -> tuple[int, float]:
+        """Report this node's requests and seconds of reading on one server."""
+        view = self.view(server_id)
+        reading = view.sum_own_reading(time.monotonic())
+        return len(view.running), round(reading, 3)
+
     def snapshot_own(self) -> dict[str, tuple[int, float]]:
         """Report this node's load on each server.
 
@@ -407,9 +440,8 @@
         dict of str to (int, float)
             Requests and seconds of reading.
         """
-        now = time.monotonic()
         return {
-            server_id: (len(view.running), round(view.sum_own_reading(now), 3))
+            server_id: self.snapshot_server(server_id)
             for server_id, view in self.views.items()
             if view.running
         }
@@ -425,3 +457,13 @@
         view = self.views.get(server_id)
         if view is not None and not view.running:
             del self.views[server_id]
+
+
+def _rank_homes(
+    servers: list[Registration], parts: tuple[PromptPart, ...]
+) -> dict[str, int]:
+    """Rank the servers for a prompt's last shared part, alike on every node."""
+    if len(parts) < 2:
+        return {}
+    ranked = rank_by_hash(parts[-2].part_id, sorted(it.server_id for it in servers))
+    return {name: rank for rank, name in enumerate(ranked[:N_HOMES])}
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -31,7 +31,7 @@
     decode_declaration,
     decode_registration,
 )
-from ..policy import RepeatBudget
+from ..policy import LONG_READING, RepeatBudget
 from ..routing import IngressLimits
 from ..telemetry import LineWriter, Metrics
 from ..transport import ConnectionPool, IncomingRequest, IngressServer, Responder
@@ -145,8 +145,10 @@
     def _observe_usage(self, customer: str) -> None:
         self.usage.observe(self.incarnation, customer, self.true_time.now())
 
-    def _observe_work(self, service: str, seconds: float) -> None:
+    def _observe_work(self, service: str, server_id: str, seconds: float) -> None:
         self.demand.observe(service, seconds, self.clock())
+        if seconds > LONG_READING:
+            self.fleet.observe_long_prompt(server_id)
 
     def _snapshot_demand(self) -> dict[str, float]:
         return self.demand.snapshot(self.clock())
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -15,12 +15,14 @@
     decide_placement,
     decide_wait,
     has_room,
+    is_pressed,
 )
 from ..routing import Registration
 from ._exchange import Exchange
 from ._loads import LoadBook
 
 LOOK_INTERVAL = 0.05  # seconds; peers' loads change without a sign here
+ANSWER_BYTES = 3000  # of a usual answer with its headers
 NO_SERVER_WAIT = 1.0  # seconds; a restarting server is back within a few
 NO_SERVER_RETRY_AFTER = 0.7  # seconds
 
@@ -64,7 +66,7 @@
     clock : callable
         Returns seconds.
     observe_work : callable
-        Told the service and the seconds of reading of each request that goes on.
+        Told service, server and seconds of reading of each request that goes on.
     """
 
     def __init__(
@@ -72,7 +74,7 @@
         beliefs: Beliefs,
         loads: LoadBook,
         clock: Callable[[], float],
-        observe_work: Callable[[str, float], None],
+        observe_work: Callable[[str, str, float], None],
     ) -> None:
         self._observe_work = observe_work
         self._beliefs = beliefs
@@ -95,6 +97,9 @@
     async def acquire(self, exch: Exchange) -> Assigned:
         """Wait for a server.
 
+        A newcomer does not stand behind those that wait, since they wait for other
+        servers; when one gets room, the most urgent of them is asked first.
+
         Parameters
         ----------
         exch : Exchange
@@ -112,11 +117,10 @@
         """
         if exch.states.state in ("received",):
             exch.states.observe("enqueue")
+        assigned = self._try_place(exch)
+        if assigned is not None:
+            return self._take(exch, assigned)
         queue = self._queues.setdefault(exch.service.name, [])
-        if not self._has_precedence(queue, exch):
-            assigned = self._try_place(exch)
-            if assigned is not None:
-                return self._take(exch, assigned)
         waiter = _Waiter(
             (exch.priority, exch.arrived_at),
             exch,
@@ -131,24 +135,39 @@
             if waiter in queue:
                 queue.remove(waiter)
 
-    def _has_precedence(self, queue: list[_Waiter], exch: Exchange) -> bool:
-        """Tell whether another request goes first."""
-        return bool(queue) and queue[0].rank <= (exch.priority, exch.arrived_at)
-
     def _try_place(self, exch: Exchange) -> Assigned | None:
+        """Find the best server, if it has room or the request can't wait for it."""
         servers = {it.server_id: it for it in self.usable(exch.service.name)}
         untried = [it for name, it in servers.items() if name not in exch.tried]
         candidates = untried or list(servers.values())
         states = self._loads.make_states(
             exch.service, candidates, exch.facts.parts, exch.n_tokens
         )
-        engine = exch.service.engine is not None
-        with_room = [state for state in states if has_room(state, engine=engine)]
         times = self._loads.times(exch.service)
-        placement = decide_placement(with_room, times, domain=self._loads.domain)
+        waited = self._clock() - exch.arrived_at
+        pressed = is_pressed(waited=waited, target=exch.rule.target)
+
+        def is_open(state: ServerState) -> bool:
+            return has_room(
+                state,
+                engine=exch.service.engine is not None,
+                reading=state.n_uncached * times.per_token * state.slowness,
+                pressed=pressed,
+            )
+
+        if pressed or exch.service.engine is None:
+            states = [state for state in states if is_open(state)]
+        placement = decide_placement(
+            states,
+            times,
+            domain=self._loads.domain,
+            n_bytes=len(exch.req.body) + ANSWER_BYTES,
+        )
         if placement is None:
             return None
-        state = next(it for it in with_room if it.name == placement.name)
+        state = next(it for it in states if it.name == placement.name)
+        if not is_open(state):
+            return None
         return Assigned(servers[placement.name], state, placement)
 
     def _take(self, exch: Exchange, assigned: Assigned) -> Assigned:
@@ -167,10 +186,8 @@
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._beliefs.servers_revision,
         )
-        if exch.service.engine is not None:
-            times = self._loads.times(exch.service)
-            reading = assigned.state.n_uncached * times.per_token
-            self._observe_work(exch.service.name, reading)
+        times = self._loads.times(exch.service)
+        reading = assigned.state.n_uncached * times.per_token
         # Counted at once, so that the next decision sees it.
         self._loads.observe_send(
             exch.number,
@@ -179,6 +196,8 @@
             exch.facts.parts,
             placement.predicted,
         )
+        if exch.service.engine is not None:
+            self._observe_work(exch.service.name, placement.name, reading)
         return assigned
 
     def observe_change(self) -> None:
