--- a/packages/medlargate-standins/medlargate_standins/platform.py
+++ b/packages/medlargate-standins/medlargate_standins/platform.py
@@ -57,6 +57,12 @@
         Orders carried out, and those refused for an old fencing number.
     reports : dict of str to list of bytes
         Every body received for each usage window.
+    usage : dict of int to list of dict
+        Every set of counts received for each window of the duty call.
+    scale_orders : list of dict
+        Orders of engines, in the order of their arrival.
+    duty_calls : list of (str, int)
+        Holder and fencing number of each duty call.
     down_until, lose_answers_until : float
         Faults of the key-value service, seconds on the monotonic clock.
     """
@@ -69,6 +75,9 @@
         self.reports: dict[str, list[bytes]] = {}
         self.fences: dict[str, int] = {}
         self.check_fences = True
+        self.usage: dict[int, list[dict[str, int]]] = {}
+        self.scale_orders: list[dict[str, Any]] = []
+        self.duty_calls: list[tuple[str, int]] = []
         self.n_calls: dict[str, int] = {}
         self.down_until = 0.0
         self.lose_answers_until = 0.0
@@ -217,6 +226,21 @@
         body = await req.body()
         return JSONResponse({}, platform.take_report(req.path_params["window"], body))
 
+    def note_duty(req: Request) -> None:
+        holder, fence = req.headers["duty-holder"], int(req.headers["fencing-token"])
+        platform.duty_calls.append((holder, fence))
+
+    async def post_usage(req: Request) -> Response:
+        note_duty(req)
+        body = await req.json()
+        platform.usage.setdefault(body["WindowId"], []).append(body["Counts"])
+        return JSONResponse({})
+
+    async def post_scale(req: Request) -> Response:
+        note_duty(req)
+        platform.scale_orders.append(await req.json())
+        return JSONResponse({})
+
     async def fault(req: Request) -> Response:
         body = await req.json()
         now = time.monotonic()
@@ -253,6 +277,8 @@
             Route("/v1/orders", post_order, methods=["POST"]),
             Route("/v1/orders", get_orders, methods=["GET"]),
             Route("/v1/usage-reports/{window}", post_report, methods=["POST"]),
+            Route("/usage", post_usage, methods=["POST"]),
+            Route("/scale", post_scale, methods=["POST"]),
             Route("/standin/fault", fault, methods=["POST"]),
             Route("/standin/stats", stats, methods=["GET"]),
         ]
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -0,0 +1,65 @@
+"""Nodes together: relayed beliefs, duties, usage."""
+
+import asyncio
+import unittest
+
+from medlargate_standins.relay_world import RelayWorld, make_config
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Three nodes of one failure domain."""
+
+    async def asyncSetUp(self):
+        self.world = RelayWorld(n_nodes=3)
+        await self.world.start()
+
+    async def asyncTearDown(self):
+        await self.world.close()
+
+    async def wait_for(self, condition, seconds=6.0):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+
+class DutiesTest(FleetCase):
+    async def test_one_node_reports_each_window_once(self):
+        await self.wait_for(lambda: any(n.duties.is_holder() for n in self.world.nodes))
+        for number in range(30):
+            await self.world.call("/read/x", node=number % 3)
+        total = lambda: sum(  # noqa: E731 (a short closure)
+            reports[0].get("alpha", 0) for reports in self.world.platform.usage.values()
+        )
+        await self.wait_for(lambda: total() >= 30, seconds=15)
+        self.assertEqual(total(), 30)
+        for reports in self.world.platform.usage.values():
+            self.assertEqual([reports[0]] * len(reports), reports)
+        self.assertEqual(len({fence for _, fence in self.world.platform.duty_calls}), 1)
+
+    async def test_another_node_takes_over_with_a_higher_fence(self):
+        await self.wait_for(lambda: any(n.duties.is_holder() for n in self.world.nodes))
+        holder = next(n for n in self.world.nodes if n.duties.is_holder())
+        fence = holder.duties.lease.fence
+        await holder.close()
+        others = [n for n in self.world.nodes if n is not holder]
+        await self.wait_for(lambda: any(n.duties.is_holder() for n in others), 12)
+        successor = next(n for n in others if n.duties.is_holder())
+        self.assertGreater(successor.duties.lease.fence, fence)
+
+
+class RelayedBeliefsTest(FleetCase):
+    async def test_a_node_that_the_store_refuses_learns_from_its_peers(self):
+        refused = self.world.nodes[0]
+        await self.wait_for(lambda: len(refused.fleet.table.alive()) == 2)
+        store = refused.watcher.store
+        store._url = "http://127.0.0.1:9"
+        await asyncio.sleep(0.1)
+        self.world.put_config(make_config(7))
+        self.world.unregister(self.world.backends["p1"])
+        await self.wait_for(
+            lambda: (
+                refused.beliefs.age().config_version == 7
+                and "p1" not in refused.beliefs.servers
+            ),
+            seconds=4,
+        )
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -0,0 +1,402 @@
+"""Requests through a node, with backend servers that break their rules."""
+
+import asyncio
+import unittest
+
+from medlargate_standins.backend import SEAL, Backend
+from medlargate_standins.demo import HOST
+from medlargate_standins.relay_world import (
+    KEY,
+    RelayWorld,
+    make_config,
+    make_request,
+    read_reply,
+)
+
+
+class RelayCase(unittest.IsolatedAsyncioTestCase):
+    """One node, two plain servers and two engines."""
+
+    config = {}
+
+    async def asyncSetUp(self):
+        self.world = RelayWorld()
+        await self.world.start(**self.config)
+        self.node = self.world.nodes[0]
+
+    async def asyncTearDown(self):
+        await self.world.close()
+
+    def behave(self, service, behaviour):
+        for backend in self.world.backends.values():
+            if backend.service == service:
+                backend.behaviour = behaviour
+
+    def seen(self, service):
+        return [
+            req
+            for backend in self.world.backends.values()
+            if backend.service == service
+            for req in backend.seen
+        ]
+
+    def n_runs(self, request_id):
+        return sum(it.runs[request_id] for it in self.world.backends.values())
+
+
+class HeadersTest(RelayCase):
+    async def test_an_answer_is_the_servers_own(self):
+        reply = await self.world.call("/read/x", method="GET", request_id="r1")
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(reply.headers["response-seal"], SEAL)
+        self.assertTrue(reply.body.endswith(b"ran r1"))
+
+    async def test_the_router_sets_what_is_the_routers(self):
+        await self.world.call(
+            "/book/x?q=1",
+            body=b"hello",
+            Tenant="forged",
+            Expect_Instance="forged",
+            Request_Priority="0",
+            Kv_From="1.2.3.4:5/x",
+            X_Other="kept",
+            Connection="x-hop, attempt-id",
+            X_Hop="dropped",
+        )
+        (req,) = self.seen("plain")
+        self.assertEqual((req.method, req.target), ("POST", "/book/x?q=1"))
+        self.assertEqual(req.body, b"hello")
+        self.assertEqual(req.headers["tenant"], "alpha")
+        self.assertIn(req.headers["expect-instance"], self.world.backends)
+        self.assertLessEqual(int(req.headers["deadline-ms"]), 2000)
+        self.assertEqual(req.headers["x-other"], "kept")
+        self.assertTrue(req.request_id)
+        for name in ("key", "kv-from", "request-priority", "x-hop"):
+            self.assertNotIn(name, req.headers)
+
+    async def test_a_deadline_is_never_longer_than_the_routes_timeout(self):
+        await self.world.call("/book/x", Deadline_Ms="60000")
+        (req,) = self.seen("plain")
+        self.assertLessEqual(int(req.headers["deadline-ms"]), 3000)
+
+
+class ConfigTest(RelayCase):
+    async def test_an_unknown_route_gets_404(self):
+        self.assertEqual((await self.world.call("/none/x")).status, 404)
+
+    async def test_an_unknown_key_gets_401_and_is_not_run(self):
+        reply = await self.world.call("/read/x", Key="unknown")
+        self.assertEqual(reply.status, 401)
+        self.assertEqual(self.seen("plain"), [])
+
+    async def test_a_key_added_a_moment_ago_is_served(self):
+        tenants = [{"Name": "beta", "ApiKeys": ["key-beta"]}]
+        self.world.put_config(make_config(2, Tenants=tenants))
+        self.node.beliefs.config_confirmed_at = float("-inf")
+        reply = await self.world.call("/read/x", Key="key-beta")
+        self.assertEqual(reply.status, 200)
+
+    async def test_a_refusal_that_the_store_can_t_confirm_is_a_503(self):
+        self.world.platform.down_until = float("inf")
+        self.node.beliefs.config_confirmed_at = float("-inf")
+        reply = await self.world.call("/read/x", Key="unknown")
+        self.assertEqual(reply.status, 503)
+        self.assertIn("retry-after", reply.headers)
+
+    async def test_an_unreadable_configuration_leaves_the_last_good_one(self):
+        self.world.put_config({"Version": 9, "Routes": [{"Name": "broken"}]})
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.world.call("/read/x")).status, 200)
+
+    async def test_a_lower_version_never_comes_into_force(self):
+        self.world.put_config(make_config(5))
+        await asyncio.sleep(0.2)
+        self.world.put_config(make_config(4, Tenants=[]))
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.world.call("/read/x", Key=KEY)).status, 200)
+
+    async def test_a_new_version_is_in_force_within_the_bound(self):
+        self.world.put_config(make_config(2, Routes=[]))
+        async with asyncio.timeout(2.0):
+            while (await self.world.call("/read/x")).status != 404:
+                await asyncio.sleep(0.05)
+
+    async def test_a_foreign_registration_leaves_the_others(self):
+        from medlargate.platform import Put
+
+        puts = [Put("servers/bad1", b"\xff\x00"), Put("servers/bad2", b'{"Slots":"x"}')]
+        self.world.platform.store.write([], puts)
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.world.call("/read/x")).status, 200)
+
+
+class VerdictTest(RelayCase):
+    async def test_what_may_have_run_once_is_never_sent_again(self):
+        self.behave("plain", lambda _: "reset")
+        reply = await self.world.call("/book/x", request_id="r1")
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(self.n_runs("r1"), 1)
+
+    async def test_an_idempotent_request_goes_to_another_server(self):
+        self.world.backends["p1"].behaviour = lambda _: "reset"
+        for number in range(8):
+            reply = await self.world.call("/read/x", request_id=f"r{number}")
+            self.assertEqual(reply.status, 200)
+
+    async def test_what_a_server_refused_is_answered_as_not_run(self):
+        self.behave("plain", lambda _: "refuse")
+        reply = await self.world.call("/book/x", request_id="r1")
+        self.assertEqual(reply.status, 503)
+        self.assertIn("retry-after", reply.headers)
+        self.assertEqual(self.n_runs("r1"), 0)
+        self.assertLess(reply.elapsed, 0.5)
+
+    async def test_no_more_servers_than_the_route_allows(self):
+        self.behave("plain", lambda _: "refuse")
+        await self.world.call("/read/x", request_id="r1")
+        self.assertEqual(len(self.seen("plain")), 2)
+
+    async def test_a_failure_of_the_server_is_delivered_as_it_is(self):
+        self.behave("plain", lambda _: "error")
+        reply = await self.world.call("/book/x")
+        self.assertEqual((reply.status, reply.headers["response-seal"]), (500, SEAL))
+
+    async def test_a_failure_of_one_server_is_repeated_at_another(self):
+        self.world.backends["p1"].behaviour = lambda _: "error"
+        for _ in range(8):
+            self.assertEqual((await self.world.call("/read/x")).status, 200)
+
+    async def test_half_an_answer_is_a_failure(self):
+        self.behave("plain", lambda _: "half")
+        reply = await self.world.call("/book/x")
+        self.assertEqual(reply.status, 502)
+
+    async def test_an_answer_without_length_ends_with_its_connection(self):
+        self.behave("plain", lambda _: "unframed")
+        reply = await self.world.call("/book/x", request_id="r1")
+        self.assertEqual(reply.status, 200)
+        self.assertTrue(reply.body.endswith(b"ran r1"))
+
+    async def test_an_answer_of_another_request_is_skipped(self):
+        self.behave("plain", lambda _: "strange")
+        reply = await self.world.call("/book/x", request_id="r1")
+        self.assertEqual(reply.status, 200)
+        self.assertTrue(reply.body.endswith(b"ran r1"))
+
+    async def test_a_second_answer_reaches_nobody(self):
+        self.behave("plain", lambda _: "extra")
+        for number in range(6):
+            reply = await self.world.call("/book/x", request_id=f"r{number}")
+            self.assertTrue(reply.body.endswith(f"ran r{number}".encode()))
+
+    async def test_an_address_used_again_is_not_run(self):
+        old = self.world.backends["p1"]
+        self.world.unregister(self.world.backends["p2"])
+        old.server_id = "p9"
+        await asyncio.sleep(0.2)
+        reply = await self.world.call("/book/x", request_id="r1")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.n_runs("r1"), 0)
+
+    async def test_a_server_that_can_t_be_reached_costs_no_attempt(self):
+        await self.world.backends["p1"].close()
+        for number in range(6):
+            reply = await self.world.call("/book/x", request_id=f"r{number}")
+            self.assertEqual(reply.status, 200)
+
+    async def test_a_silent_server_costs_an_idempotent_request_a_second(self):
+        self.world.backends["p1"].behaviour = lambda _: "silent"
+        self.world.unregister(self.world.backends["p2"])
+        await asyncio.sleep(0.1)
+        task = asyncio.create_task(self.world.call("/read/x", Deadline_Ms="2900"))
+        await asyncio.sleep(0.2)
+        self.world.register(self.world.backends["p2"])
+        self.assertEqual((await task).status, 200)
+
+
+class TimeTest(RelayCase):
+    async def test_a_final_answer_comes_at_the_routes_timeout(self):
+        self.behave("plain", lambda _: "silent")
+        reply = await self.world.call("/book/x", Deadline_Ms="700")
+        self.assertEqual(reply.status, 504)
+        self.assertLess(reply.elapsed, 1.0)
+
+    async def test_a_callers_hang_up_ends_the_work(self):
+        self.behave("plain", lambda _: "silent")
+        _, writer = await self.world.open()
+        writer.write(make_request("GET", "/read/x", "r1"))
+        await asyncio.sleep(0.1)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            while not sum(it.n_left for it in self.world.backends.values()):
+                await asyncio.sleep(0.01)
+
+    async def test_without_servers_the_caller_hears_when_to_return(self):
+        for name in ("p1", "p2"):
+            self.world.unregister(self.world.backends[name])
+        await asyncio.sleep(0.2)
+        reply = await self.world.call("/book/x", Deadline_Ms="5000")
+        self.assertEqual(reply.status, 503)
+        self.assertLess(reply.elapsed, 1.5)
+
+
+class LeavingTest(RelayCase):
+    async def test_a_draining_server_gets_nothing_more(self):
+        backend = self.world.backends["p1"]
+        self.world.register(backend, state="draining")
+        await asyncio.sleep(0.2)
+        before = len(backend.seen)
+        for _ in range(6):
+            self.assertEqual((await self.world.call("/read/x")).status, 200)
+        self.assertEqual(len(backend.seen), before)
+
+    async def test_a_server_that_vanished_gets_nothing_more(self):
+        backend = self.world.backends["p1"]
+        self.world.unregister(backend)
+        await asyncio.sleep(0.2)
+        for _ in range(6):
+            self.assertEqual((await self.world.call("/read/x")).status, 200)
+        self.assertEqual(len(backend.seen), 0)
+
+    async def test_a_server_that_left_while_the_history_was_dropped_is_noticed(self):
+        backend = self.world.backends["p1"]
+        self.world.unregister(backend)
+        self.world.platform.store.compact()
+        await asyncio.sleep(0.3)
+        for _ in range(6):
+            self.assertEqual((await self.world.call("/read/x")).status, 200)
+        self.assertEqual(len(backend.seen), 0)
+
+
+class StreamTest(RelayCase):
+    EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
+
+    async def test_a_stream_comes_whole(self):
+        reply = await self.world.call("/once-stream/x")
+        self.assertTrue(reply.complete)
+        self.assertEqual(reply.body, self.EVENTS)
+
+    async def test_a_cut_stream_never_looks_complete(self):
+        self.behave("engine", lambda _: "cut:3")
+        reply = await self.world.call("/once-stream/x", request_id="r1")
+        self.assertFalse(reply.complete)
+        self.assertEqual(reply.body, b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+        self.assertEqual(self.n_runs("r1"), 1)
+
+    async def test_a_resumable_stream_goes_on_elsewhere(self):
+        failed = []
+
+        def cut_once(req):
+            if failed:
+                return "ok"
+            failed.append(req)
+            return "cut:3"
+
+        self.behave("engine", cut_once)
+        reply = await self.world.call("/resume-stream/x", request_id="r1")
+        self.assertTrue(reply.complete)
+        self.assertEqual(reply.body, self.EVENTS)
+        self.assertEqual(self.seen("engine")[-1].headers["last-event-id"], "2")
+
+    async def test_a_stream_cut_before_its_first_event_is_a_502(self):
+        self.behave("engine", lambda _: "reset")
+        reply = await self.world.call("/once-stream/x")
+        self.assertEqual(reply.status, 502)
+
+
+class BorderTest(RelayCase):
+    async def send(self, raw):
+        reader, writer = await self.world.open()
+        writer.write(raw)
+        async with asyncio.timeout(3):
+            reply = await read_reply(reader)
+        writer.close()
+        return reply
+
+    async def test_two_framings_are_refused(self):
+        raw = (
+            b"POST /book/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: r1\r\n"
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        self.assertEqual((await self.send(raw)).status, 400)
+        self.assertEqual(self.seen("plain"), [])
+
+    async def test_headers_over_the_bound_are_refused(self):
+        reply = await self.world.call("/book/x", X_Long="y" * 4000)
+        self.assertEqual(reply.status, 431)
+
+    async def test_a_body_over_the_bound_is_refused(self):
+        reply = await self.world.call("/book/x", body=b"y" * 30_000)
+        self.assertEqual(reply.status, 413)
+
+    async def test_slow_headers_are_refused(self):
+        reply = await self.send(b"POST /book/x HTTP/1.1\r\nHost:")
+        self.assertEqual(reply.status, 408)
+
+    async def test_bytes_that_are_no_request_are_refused(self):
+        self.assertEqual(
+            (await self.send(b"\x16\x03\x01 nonsense\r\n\r\n")).status, 400
+        )
+
+    async def test_a_chunked_body_arrives_whole(self):
+        raw = make_request("POST", "/book/x", "r1", Content_Length="")
+        raw = (
+            raw[:-2]
+            + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual((await self.send(raw)).status, 200)
+        self.assertEqual(self.seen("plain")[0].body, b"abcde")
+
+    async def test_a_kept_connection_carries_many_requests(self):
+        reader, writer = await self.world.open()
+        for number in range(5):
+            writer.write(make_request("GET", "/read/x", f"r{number}"))
+            reply = await read_reply(reader)
+            self.assertTrue(reply.body.endswith(f"ran r{number}".encode()))
+        writer.close()
+
+
+class StopTest(RelayCase):
+    async def test_a_stop_ends_requests_and_takes_none_late(self):
+        for backend in self.world.backends.values():
+            backend.delay = 0.5
+        running = asyncio.create_task(self.world.call("/book/x"))
+        kept_reader, kept = await self.world.open()
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(self.node.stop())
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.node.is_ready)
+        kept.write(make_request("GET", "/read/x", "r2"))
+        reply = await read_reply(kept_reader)
+        self.assertEqual(reply.headers["connection"], "close")
+        self.assertEqual((await running).status, 200)
+        idle_reader, idle = await self.world.open()
+        await stop
+        self.assertEqual(await idle_reader.read(1), b"")
+        idle.close()
+        kept.close()
+
+
+class ConnectionsTest(RelayCase):
+    async def test_connections_are_used_again(self):
+        for _ in range(10):
+            await self.world.call("/read/x", method="GET")
+        n_opened = sum(it.n_connections for it in self.world.backends.values())
+        self.assertLessEqual(n_opened, 2)
+
+    async def test_a_busy_service_waits_and_then_serves(self):
+        for backend in self.world.backends.values():
+            backend.delay = 0.05
+        calls = [self.world.call("/read/x") for _ in range(40)]
+        replies = await asyncio.gather(*calls)
+        self.assertEqual({reply.status for reply in replies}, {200})
+
+    async def test_a_new_server_takes_part(self):
+        backend = await self.world.add_backend(Backend("p3", "plain", slots=50))
+        self.assertEqual(backend.registration(HOST)[:1], b"{")
+        await asyncio.sleep(0.2)
+        for name in ("p1", "p2"):
+            self.world.unregister(self.world.backends[name])
+        await asyncio.sleep(0.2)
+        await self.world.call("/read/x")
+        self.assertEqual(len(backend.seen), 1)
