--- a/packages/medlargate/medlargate/fleet/_leases.py
+++ b/packages/medlargate/medlargate/fleet/_leases.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from ..charts import Subject, load_chart
-from ..platform import Compare, Put, Store
+from ..platform import Compare, Entry, Put, Store
 
 log = logging.getLogger(__name__)
 
@@ -139,9 +139,35 @@
         self._valid_until = float("-inf")
         self.states.observe("lost")
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether a lease that ran out here may still stand in the store."""
+        return self.states.state == "follower" and self._lease != 0
+
+    async def _resume(self, entry: Entry) -> None:
+        """Take a lease up again that nobody else held since, without a wait."""
+        sent_at = self.clock()
+        renewed = await self.store.renew(self._lease)
+        if isinstance(renewed, Failure) or renewed.unwrap() <= 0:
+            return
+        self._valid_until = sent_at + HOLD_FRACTION * self.lease_timeout
+        if self.clock() >= self._valid_until:
+            return
+        self.states.observe("resumed" if self._has_waited() else "granted")
+        log.info(
+            "duty resumed", extra={"duty": self.duty, "revision": entry.mod_revision}
+        )
+
+    def _has_waited(self) -> bool:
+        return self.clock() >= self._wait_until
+
     async def _acquire(self) -> None:
         held = await self.store.read(self.key)
-        if isinstance(held, Failure) or held.unwrap().entries:
+        if isinstance(held, Failure):
+            return
+        for entry in held.unwrap().entries:
+            if entry.mod_revision == self.fence and self._lease:
+                await self._resume(entry)
             return
         sent_at = self.clock()
         granted = await self.store.grant(self.lease_timeout)
@@ -183,4 +209,5 @@
             return
         self._valid_until = float("-inf")
         self.states.observe("released")
-        await self.store.revoke(self._lease)
+        lease, self._lease = self._lease, 0
+        await self.store.revoke(lease)
--- a/packages/medlargate/medlargate/fleet/_usage_duty.py
+++ b/packages/medlargate/medlargate/fleet/_usage_duty.py
@@ -18,9 +18,11 @@
 
 PART_PREFIX = "medlargate/usage/"
 SEALED_PREFIX = "medlargate/sealed/"
-# Peers' last word on a window is here this long after its end: five rounds across
-# failure domains, and nodes that the holder does not hear write to the store.
-SEAL_DELAY = 4.0  # seconds
+# A window is sealed once every node that was heard lately has spoken after its end,
+# and at the latest early enough for a report in time.
+MIN_SEAL_DELAY = 0.8  # seconds; parts of unheard nodes are written by then
+MAX_SEAL_DELAY = 6.0  # seconds, of the ten allowed
+MARGIN = 0.2  # seconds after a window's end, for requests that just began
 MAX_LATE = 40.0  # seconds after a window's end; later nobody waits for it
 PART_DELAY = 0.7  # seconds after a window's end until an unheard node writes its part
 MAX_DELETES = 30  # keys in one transaction
@@ -48,6 +50,8 @@
         Sends a sealed window.
     now : callable
         Returns the time of day, seconds since 1970.
+    has_all : callable
+        Tells whether every node has spoken since a time of day.
     """
 
     store: Store
@@ -55,6 +59,7 @@
     counts: UsageCounts
     send: SendUsage
     now: Callable[[], float]
+    has_all: Callable[[float], bool] = lambda _: True
     _sealed: dict[int, WindowCounts] = field(default_factory=dict)
     _done: set[int] = field(default_factory=set)
     _first: int | None = None
@@ -63,14 +68,17 @@
         """Seal and send the windows that are due."""
         now = self.now()
         length = self.counts.window_length
-        last = self.counts.window_at(now - SEAL_DELAY) - 1
+        last = self.counts.window_at(now - MIN_SEAL_DELAY) - 1
         oldest = self.counts.window_at(now - MAX_LATE)
         if self._first is None:
             self._first = max(oldest, last - 1)
         for window in range(max(oldest, self._first), last + 1):
             if window in self._done or not self.lease.may_order():
                 continue
-            await self._report(window, age=now - (window + 1) * length)
+            end = (window + 1) * length
+            if now < end + MAX_SEAL_DELAY and not self.has_all(end + MARGIN):
+                continue
+            await self._report(window, age=now - end)
         self._done = {window for window in self._done if window >= oldest}
         self._sealed = {w: c for w, c in self._sealed.items() if w >= oldest}
 
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -255,9 +255,12 @@
             return False
         rank = sum(peer.name < self._table.name for peer in alive)
         wait = NO_HOLDER_WAIT + RANK_WAIT * rank
+        if self.lease.may_resume:
+            wait = 0.0
         if not self._is_ready() or now - self._holder_seen_at < wait:
             return False
-        if now - self._tried_at < ACQUIRE_PAUSE:
+        pause = STEP_INTERVAL if self.lease.may_resume else ACQUIRE_PAUSE
+        if now - self._tried_at < pause:
             return False
         self._tried_at = now
         return True
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -43,6 +43,7 @@
 TRANSIT = 0.1  # seconds that word may have been on its way
 REGISTER_PAUSE = 1.0  # seconds between tries to write this node's entry
 N_WATCHERS = 2  # nodes of a failure domain that watch the store; others hear them
+USAGE_PATIENCE = 10.0  # seconds without word until a peer's counts are given up
 USAGE_WINDOWS_TOLD = 2  # the running window and those before it
 
 
@@ -149,6 +150,14 @@
                 name = entry.key.removeprefix(NODES_PREFIX)
                 self.table.observe_address(name, row["zone"], row["address"])
 
+    def has_all(self, since: float) -> bool:
+        """Tell whether every peer heard lately has spoken since a time of day."""
+        return all(
+            peer.word is None or peer.word.time >= since
+            for peer in self.table.peers.values()
+            if self._clock() - peer.heard_at < USAGE_PATIENCE
+        )
+
     def watches(self) -> bool:
         """Tell whether this node holds watches of the store for its domain."""
         return self.table.rank_near() < N_WATCHERS
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -265,7 +265,14 @@
         usage = scale = None
         if METERING in names:
             send = make_send_usage(orders, lease, name)
-            usage = UsageDuty(store, lease, self.usage, send, self.true_time.now)
+            usage = UsageDuty(
+                store,
+                lease,
+                self.usage,
+                send,
+                self.true_time.now,
+                self.fleet.has_all,
+            )
         if AUTOSCALE in names:
             scale = ScaleDuty(
                 self.beliefs,
