--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -26,6 +26,7 @@
 MAX_NEAR = 10
 MAX_FAR = 12
 ALIVE_TIME = 3.0  # seconds without word after which a peer counts as away
+ALIVE_ROUNDS = 3  # rounds without word after which a peer of a large fleet is away
 FORGET_TIME = 60.0  # seconds without word after which it is told nothing more
 LOST_TELL_SHARE = 0.1  # of the rounds, for peers that are away
 MAX_DATAGRAM = 60_000  # bytes
@@ -142,6 +143,7 @@
     clock: Callable[[], float]
     random_state: random.Random = field(default_factory=random.Random)
     peers: dict[str, KnownPeer] = field(default_factory=dict)
+    _turns: dict[bool, int] = field(default_factory=lambda: {True: 0, False: 0})
 
     def observe_address(self, name: str, zone: str, address: str) -> None:
         """Take in where a node is, as the store or a setting says.
@@ -175,7 +177,10 @@
 
     def is_alive(self, peer: KnownPeer) -> bool:
         """Tell whether a peer was heard a moment ago."""
-        return self.clock() - peer.heard_at < ALIVE_TIME
+        n_far = sum(it.zone != self.zone for it in self.peers.values())
+        round_time = FAR_INTERVAL * n_far / MAX_FAR
+        limit = max(ALIVE_TIME, ALIVE_ROUNDS * round_time)
+        return self.clock() - peer.heard_at < limit
 
     def alive(self, *, zone: str | None = None) -> list[KnownPeer]:
         """List the peers that are heard, of one failure domain or all."""
@@ -222,7 +227,11 @@
         limit = MAX_NEAR if near else MAX_FAR
         if len(found) <= limit:
             return found
-        return self.random_state.sample(found, limit)
+        # In turn, so that each peer is told after the same number of rounds.
+        found.sort(key=lambda peer: peer.name)
+        start = self._turns[near]
+        self._turns[near] = (start + limit) % len(found)
+        return (found + found)[start : start + limit]
 
 
 class _Endpoint(asyncio.DatagramProtocol):
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -64,6 +64,7 @@
     watches: Callable[[], bool] = lambda: True
     random_state: random.Random = field(default_factory=random.Random)
     store_up: bool = True
+    _config_read_at: int = 0
     _pending_config: asyncio.Task[bool] | None = None
 
     async def run_config(self) -> None:
@@ -93,9 +94,13 @@
             revision = found.revision
 
     async def _read_config(self) -> int:
+        """Read the configuration; return where a watch goes on, 0 when unanswered.
+
+        That is the store's revision, not the configuration's own: history before it
+        may be dropped.
+        """
         if await self.refresh_config():
-            entry = self.beliefs.config_entry
-            return entry.mod_revision if entry is not None else 0
+            return self._config_read_at
         await self._pause()
         return 0
 
@@ -120,9 +125,11 @@
             self._note(False, got.failure().message)
             return False
         self._note(True)
-        entries = got.unwrap().entries
-        entry = entries[0] if entries else None
+        answer = got.unwrap()
+        entry = answer.entries[0] if answer.entries else None
         self.beliefs.observe_config(entry, confirmed_at=sent_at)
+        if entry is not None:
+            self._config_read_at = max(answer.revision, entry.mod_revision)
         return entry is not None
 
     async def run_servers(self) -> None:
--- a/packages/medlargate/medlargate/fleet/tests/test_duty.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_duty.py
@@ -111,9 +111,9 @@
         self.assertEqual(self.sent, [(20, {"alpha": 1})])
 
     async def test_an_unheard_node_is_waited_for_but_not_too_long(self):
-        self.all_heard = False
-        await self.step_at(102.0)
+        await self.step_at(104.0)
         self.sent.clear()
+        self.all_heard = False
         await self.step_at(109.0)
         self.assertEqual(self.sent, [])
         await self.step_at(111.5)
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -1,7 +1,12 @@
 """Pure decisions: admission, fairness, limits, routing, retries, quarantine."""
 
 from ._backends import BackendView, decide_ejections
-from ._capacity import CapacityOrder, ZoneEngines, decide_capacity
+from ._capacity import (
+    CapacityOrder,
+    ZoneEngines,
+    decide_capacity,
+    decide_full_demand,
+)
 from ._choice import decide_backend
 from ._crashes import (
     CrashDecision,
@@ -71,6 +76,7 @@
     "decide_backend",
     "decide_capacity",
     "decide_ejections",
+    "decide_full_demand",
     "decide_placement",
     "decide_quotas",
     "decide_retry",
--- a/packages/medlargate/medlargate/policy/_capacity.py
+++ b/packages/medlargate/medlargate/policy/_capacity.py
@@ -96,6 +96,25 @@
     return orders
 
 
+def decide_full_demand(zones: Sequence[ZoneEngines], spec: ScalingSpec) -> float:
+    """Return the demand that calls for every engine that may be ordered.
+
+    Parameters
+    ----------
+    zones : sequence of ZoneEngines
+        Every failure domain in which the service may run.
+    spec : ScalingSpec
+        Bounds.
+
+    Returns
+    -------
+    float
+        Engine-seconds of reading prompts a second.
+    """
+    survivors = max(1, len(zones) - 1)
+    return spec.max_per_zone * survivors * TARGET_UTILIZATION
+
+
 def _spread_spot(
     zones: Sequence[ZoneEngines], spec: ScalingSpec, demand: float
 ) -> dict[str, int]:
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -4,14 +4,20 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result
 
 from ..fleet import Beliefs, DutyLease, PeerTable, UsageDuty, UsageParts
 from ..platform import DutyCall, OrdersClient, StoreError
-from ..policy import CapacityOrder, DecayingRate, ZoneEngines, decide_capacity
+from ..policy import (
+    CapacityOrder,
+    DecayingRate,
+    ZoneEngines,
+    decide_capacity,
+    decide_full_demand,
+)
 from ..routing import ScalingSpec, ServiceSpec
 
 log = logging.getLogger(__name__)
@@ -22,10 +28,9 @@
 NO_HOLDER_WAIT = 0.8  # seconds
 RANK_WAIT = 0.6  # seconds a rank
 ACQUIRE_PAUSE = 1.5  # seconds between tries
-# The load that capacity follows: up at once, down by half in about 14 s, since waves
+# The load that capacity follows: up at once, down by half in about 35 s, since waves
 # come back and an engine that was given back takes its boot time to return.
-PEAK_DECAY = 0.05  # of the peak, a second
-START_UTILIZATION = 0.22  # presumed of the engines found at the start
+PEAK_DECAY = 0.02  # of the peak, a second
 REFUSED_PAUSE = 3.0  # seconds until an order that found none is tried again
 UNFILLED_PAUSE = 2.5  # seconds beyond the boot time until an order is repeated
 ORDER_TIMEOUT = 1.5  # seconds
@@ -99,7 +104,7 @@
             if service.scaling is None:
                 continue
             zones = self._make_zones(service, service.scaling)
-            demand = self._observe_demand(service.name, zones)
+            demand = self._observe_demand(service.name, zones, service.scaling)
             for order in decide_capacity(zones, service.scaling, demand=demand):
                 if not may_order():
                     return
@@ -126,7 +131,9 @@
         ordered = self._ordered.get((service, zone, True))
         return ordered is not None and ordered.refused
 
-    def _observe_demand(self, service: str, zones: Iterable[ZoneEngines]) -> float:
+    def _observe_demand(
+        self, service: str, zones: Sequence[ZoneEngines], spec: ScalingSpec
+    ) -> float:
         now = self._clock()
         rates = [self._own_demand().get(service, 0.0)]
         for peer in self._table.alive():
@@ -134,8 +141,8 @@
                 rates.append(peer.word.demand.get(service, 0.0))
         current = sum(rates)
         if service not in self._peaks:
-            n_engines = sum(zone.n_steady + zone.n_spot for zone in zones)
-            self._peaks[service] = (START_UTILIZATION * n_engines, now)
+            # Nothing is known yet: a wave may come first, so all may be needed.
+            self._peaks[service] = (decide_full_demand(zones, spec), now)
         peak, at = self._peaks[service]
         peak = max(current, peak * (1 - PEAK_DECAY) ** (now - at))
         self._peaks[service] = (peak, now)
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -39,6 +39,7 @@
 NODES_PREFIX = "medlargate/nodes/"
 # The node's own watch mostly brings the same news within this time.
 PULL_DELAY = 0.15  # seconds
+FAR_PULL_DELAY = 0.7  # seconds; a peer of the failure domain mostly brings it first
 PULL_TIMEOUT = 1.0  # seconds
 TRANSIT = 0.1  # seconds that word may have been on its way
 REGISTER_PAUSE = 1.0  # seconds between tries to write this node's entry
@@ -236,7 +237,8 @@
 
     async def _pull(self, word: PeerWord) -> None:
         """Take a peer's beliefs unless the store brings them first."""
-        await asyncio.sleep(PULL_DELAY)
+        far = word.zone != self.table.zone and self.table.alive(zone=self.table.zone)
+        await asyncio.sleep(FAR_PULL_DELAY if far else PULL_DELAY)
         age = self._beliefs.age()
         if (
             word.config_revision <= age.config_revision
