--- a/packages/medlargate/medlargate/fleet/_leases.py
+++ b/packages/medlargate/medlargate/fleet/_leases.py
@@ -10,13 +10,14 @@
 from returns.result import Failure, Success
 
 from ..charts import Subject, load_chart
-from ..platform import Compare, Entry, Put, Store
+from ..platform import Compare, Entry, Put, Store, StoreResult
 
 log = logging.getLogger(__name__)
 
 PREFIX = "medlargate/duty/"
 HOLD_FRACTION = 0.6
 MAX_SKEW = 0.5  # seconds
+FIRST_MARKER = "/held"  # its key lasts, and tells that the duty was held before
 
 
 def make_duty_key(duty: str) -> str:
@@ -73,6 +74,7 @@
     checks_fence: bool = True
     states: Subject = field(default_factory=lambda: Subject(load_chart("lease")))
     fence: int = 0
+    _knows_predecessor: bool = False
     _lease: int = 0
     _valid_until: float = float("-inf")
     _wait_until: float = float("inf")
@@ -176,7 +178,11 @@
         lease = granted.unwrap()
         value = orjson.dumps({"owner": self.owner, "lease": lease})
         put = Put(self.key, value, lease)
-        answer = await self.store.write([Compare(self.key, 0)], [put])
+        first_ever = await self._take_first(put)
+        if first_ever is None:
+            answer = await self.store.write([Compare(self.key, 0)], [put])
+        else:
+            answer = first_ever
         fence = await self._find_fence(answer, value)
         if fence is None:
             await self.store.revoke(lease)
@@ -185,10 +191,31 @@
         self.fence = fence
         self._lease = lease
         self._valid_until = sent_at + HOLD_FRACTION * self.lease_timeout
-        self._wait_until = now + self.successor_wait()
+        wait = 0.0 if first_ever is not None else self.successor_wait()
+        self._wait_until = now + wait
         self.states.observe("granted")
         log.info("duty taken", extra={"duty": self.duty, "fence": fence})
 
+    async def _take_first(self, put: Put) -> StoreResult | None:
+        """Take a duty that nobody ever held, so that there is no order to wait out.
+
+        Returns
+        -------
+        StoreResult or None
+            None when somebody held it, or that is not known.
+        """
+        if self._knows_predecessor:
+            return None
+        marker = self.key + FIRST_MARKER
+        puts = [put, Put(marker, self.owner.encode())]
+        answer = await self.store.write(
+            [Compare(self.key, 0), Compare(marker, 0)], puts
+        )
+        self._knows_predecessor = True
+        if isinstance(answer, Success) and answer.unwrap().succeeded:
+            return answer
+        return None
+
     async def _find_fence(self, answer, value: bytes) -> int | None:
         """Return the revision of the key that this node wrote, if it did."""
         if isinstance(answer, Success) and answer.unwrap().succeeded:
