--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -25,6 +25,7 @@
 # at most a few tenths.
 CONFIG_POLL_AGE = 0.9  # seconds
 SERVERS_POLL_AGE = 1.0  # seconds
+BATCH_PAUSE = 0.1  # seconds
 POLL_CHECK_INTERVAL = 0.1  # seconds
 POLL_JITTER = 0.3  # seconds, so that one node of the fleet asks for all
 MIN_PAUSE = 0.15  # seconds after a failed call
@@ -47,6 +48,8 @@
         Returns seconds.
     watches : callable
         Tells whether this node is to hold watches at present.
+    on_confirmed : callable
+        Called after a poll, so that peers need not ask the same.
     random_state : random.Random
         For jitter.
 
@@ -62,6 +65,7 @@
     servers_prefix: str
     clock: Callable[[], float]
     watches: Callable[[], bool] = lambda: True
+    on_confirmed: Callable[[], None] = lambda: None
     random_state: random.Random = field(default_factory=random.Random)
     store_up: bool = True
     _config_read_at: int = 0
@@ -160,6 +164,9 @@
             self.beliefs.observe_changes(
                 found.changes, found.revision, confirmed_at=float("-inf")
             )
+            if found.changes:
+                # Changes come in bursts; each answered watch is a priced call.
+                await asyncio.sleep(BATCH_PAUSE)
 
     async def _read_servers(self) -> bool:
         sent_at = self.clock()
@@ -182,13 +189,16 @@
             now = self.clock()
             config_age = now - self.beliefs.config_confirmed_at
             servers_age = now - self.beliefs.servers_confirmed_at
-            answered = True
+            polls = []
             if config_age > CONFIG_POLL_AGE + jitter:
-                answered = await self.refresh_config()
-            if answered and servers_age > SERVERS_POLL_AGE + jitter:
-                answered = await self._read_servers()
-            if not answered:
+                polls.append(self.refresh_config)
+            if servers_age > SERVERS_POLL_AGE + jitter:
+                polls.append(self._read_servers)
+            answers = [await poll() for poll in polls]
+            if not all(answers):
                 await self._pause()
+            elif answers:
+                self.on_confirmed()
 
     async def _pause(self) -> None:
         spread = MAX_PAUSE - MIN_PAUSE
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -37,8 +37,10 @@
     LONG_READING,
     WaitDecision,
     decide_wait,
+    find_short_lane,
     has_room,
     is_pressed,
+    rank_waiting,
 )
 
 __all__ = [
@@ -83,9 +85,11 @@
     "decide_separation",
     "decide_share",
     "decide_wait",
+    "find_short_lane",
     "has_room",
     "is_pressed",
     "make_fingerprint",
     "predict_first_token",
     "rank_by_hash",
+    "rank_waiting",
 ]
--- a/packages/medlargate/medlargate/policy/_capacity.py
+++ b/packages/medlargate/medlargate/policy/_capacity.py
@@ -123,7 +123,11 @@
     survivors = max(1, len(zones) - 1)
     share = math.ceil(needed / survivors)
     share = min(max(share, spec.min_per_zone, 1), spec.max_per_zone)
-    return {zone.zone: share for zone in zones}
+    # The bound holds for both kinds together; more come as steady ones leave.
+    return {
+        zone.zone: max(1, min(share, spec.max_per_zone - zone.n_steady))
+        for zone in zones
+    }
 
 
 def _fill_steady(
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -10,16 +10,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ._placement import ServerState
+from ._shares import rank_by_hash
 
 # A prompt that takes longer to read than this is long.
 LONG_READING = 0.1  # seconds
 # Reading ahead that a long prompt accepts at an engine: what is nearly done.
 LONG_BACKLOG = 0.1  # seconds
-# Reading ahead that a short prompt, or one that has no time left to wait, accepts.
+# Reading ahead that a long prompt accepts once it has waited for the best engine.
+PRESSED_BACKLOG = 0.3  # seconds
+# Reading ahead that a short prompt accepts.
 MAX_BACKLOG = 0.9  # seconds
+# Share of a service's engines that read no long prompts, about the short ones' part
+# of the work, and the number of engines from which on one is set apart.
+SHORT_LANE_SHARE = 0.12
+MIN_LANE_ENGINES = 5
 # Share of its target that a request waits for the engine that suits it best.
 PATIENCE = 0.4
 # Plain servers queue a few requests; beyond their slots waiting here is better.
@@ -56,11 +64,56 @@
         return state.n_running < limit
     if state.n_running == 0:
         return True
-    patient = reading > LONG_READING and not pressed
-    max_backlog = LONG_BACKLOG if patient else MAX_BACKLOG
+    max_backlog = MAX_BACKLOG
+    if reading > LONG_READING:
+        max_backlog = PRESSED_BACKLOG if pressed else LONG_BACKLOG
     return state.n_running < state.n_slots and state.backlog < max_backlog
 
 
+def find_short_lane(names: Sequence[str]) -> frozenset[str]:
+    """Choose the engines of a service that read no long prompts.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Its engines.
+
+    Returns
+    -------
+    frozenset of str
+        The same on every node that knows the same engines; empty for few engines.
+    """
+    if len(names) < MIN_LANE_ENGINES:
+        return frozenset()
+    n_lane = max(1, round(SHORT_LANE_SHARE * len(names)))
+    return frozenset(rank_by_hash("short prompts", sorted(names))[:n_lane])
+
+
+def rank_waiting(
+    *, priority: int, arrived_at: float, time_to_target: float, reading: float
+) -> tuple[int, bool, float]:
+    """Rank a waiting request among those of its service.
+
+    Parameters
+    ----------
+    priority : int
+        0 is the most urgent.
+    arrived_at : float
+        Seconds.
+    time_to_target : float
+        Seconds until its answer is late.
+    reading : float
+        Seconds to read its prompt.
+
+    Returns
+    -------
+    tuple of (int, bool, float)
+        Smaller goes first. Within a rank, a request that is late in any case makes
+        way for those that can still be in time.
+    """
+    return priority, time_to_target < reading, arrived_at
+
+
 def is_pressed(*, waited: float, target: float) -> bool:
     """Tell whether a request has waited as long as it should for the best server.
 
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -43,7 +43,7 @@
 PULL_TIMEOUT = 1.0  # seconds
 TRANSIT = 0.1  # seconds that word may have been on its way
 REGISTER_PAUSE = 1.0  # seconds between tries to write this node's entry
-N_WATCHERS = 2  # nodes of a failure domain that watch the store; others hear them
+N_WATCHERS = 1  # nodes of a failure domain that watch the store; others hear them
 USAGE_PATIENCE = 10.0  # seconds without word until a peer's counts are given up
 USAGE_WINDOWS_TOLD = 2  # the running window and those before it
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -209,6 +209,7 @@
             SERVERS_PREFIX,
             self.clock,
             watches=self.fleet.watches,
+            on_confirmed=self.fleet.talk.tell_all,
         )
         self.fleet.store_up = lambda: self.watcher.store_up
         self.duties = self._make_duties(store)
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..fleet import Beliefs
 from ..policy import (
+    LONG_READING,
     Placement,
     Refusal,
     ServerState,
     decide_placement,
     decide_wait,
+    find_short_lane,
     has_room,
     is_pressed,
+    rank_waiting,
 )
 from ..routing import Registration
 from ._exchange import Exchange
@@ -46,12 +48,11 @@
     placement: Placement
 
 
-@dataclass(order=True)
+@dataclass(eq=False)
 class _Waiter:
-    rank: tuple[int, float]
-    exch: Exchange = field(compare=False)
-    fut: asyncio.Future[Assigned] = field(compare=False)
-    since: float = field(compare=False, default=0.0)
+    exch: Exchange
+    fut: asyncio.Future[Assigned]
+    since: float
 
 
 class WaitingRoom:
@@ -121,14 +122,10 @@
         if assigned is not None:
             return self._take(exch, assigned)
         queue = self._queues.setdefault(exch.service.name, [])
-        waiter = _Waiter(
-            (exch.priority, exch.arrived_at),
-            exch,
-            asyncio.get_running_loop().create_future(),
-            self._clock(),
-        )
-        bisect.insort(queue, waiter)
-        exch.record("wait", n_ahead=queue.index(waiter), priority=exch.priority)
+        fut = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(exch, fut, self._clock())
+        exch.record("wait", n_waiting=len(queue), priority=exch.priority)
+        queue.append(waiter)
         try:
             return await waiter.fut
         finally:
@@ -147,14 +144,23 @@
         waited = self._clock() - exch.arrived_at
         pressed = is_pressed(waited=waited, target=exch.rule.target)
 
+        def read_time(state: ServerState) -> float:
+            return state.n_uncached * times.per_token * state.slowness
+
         def is_open(state: ServerState) -> bool:
             return has_room(
                 state,
                 engine=exch.service.engine is not None,
-                reading=state.n_uncached * times.per_token * state.slowness,
+                reading=read_time(state),
                 pressed=pressed,
             )
 
+        lane = self._find_lane(exch, servers)
+        states = [
+            state
+            for state in states
+            if state.name not in lane or read_time(state) <= LONG_READING
+        ] or states
         if pressed or exch.service.engine is None:
             states = [state for state in states if is_open(state)]
         placement = decide_placement(
@@ -170,6 +176,14 @@
             return None
         return Assigned(servers[placement.name], state, placement)
 
+    def _find_lane(
+        self, exch: Exchange, servers: dict[str, Registration]
+    ) -> frozenset[str]:
+        """Return the engines that are kept free of long prompts."""
+        if exch.service.engine is None:
+            return frozenset()
+        return find_short_lane(list(servers))
+
     def _take(self, exch: Exchange, assigned: Assigned) -> Assigned:
         now = self._clock()
         exch.placed_at = now
@@ -205,8 +219,18 @@
         for queue in self._queues.values():
             self._look(queue)
 
+    def _rank(self, waiter: _Waiter) -> tuple[int, bool, float]:
+        exch = waiter.exch
+        per_token = self._loads.times(exch.service).per_token
+        return rank_waiting(
+            priority=exch.priority,
+            arrived_at=exch.arrived_at,
+            time_to_target=exch.target_at - self._clock(),
+            reading=exch.n_tokens * per_token,
+        )
+
     def _look(self, queue: list[_Waiter]) -> None:
-        for waiter in list(queue):
+        for waiter in sorted(queue, key=self._rank):
             if waiter.fut.done():
                 continue
             assigned = self._try_place(waiter.exch)
