--- a/packages/medlargate/medlargate/policy/_capacity.py
+++ b/packages/medlargate/medlargate/policy/_capacity.py
@@ -18,8 +18,9 @@
 # Reading prompts may take this share of the engines' time on average: a wave brings
 # two to three times the usual, and a prompt being read delays all answers beside it.
 TARGET_UTILIZATION = 0.22
-# Steady engines cost several times as much; they are ordered for what a wave needs.
-STEADY_UTILIZATION = 0.45
+# Steady engines cost several times as much; they are ordered only while those that
+# serve read for more than this share of the time.
+STEADY_UTILIZATION = 0.6
 # Reclaimable engines that cost more than this fraction are no bargain.
 MAX_SPOT_PRICE = 0.6
 
@@ -64,7 +65,11 @@
 
 
 def decide_capacity(
-    zones: Sequence[ZoneEngines], spec: ScalingSpec, *, demand: float
+    zones: Sequence[ZoneEngines],
+    spec: ScalingSpec,
+    *,
+    demand: float,
+    current: float | None = None,
 ) -> list[CapacityOrder]:
     """Decide how many engines to order everywhere.
 
@@ -75,7 +80,9 @@
     spec : ScalingSpec
         Bounds and prices.
     demand : float
-        Engine-seconds of reading prompts that arrive a second, of all nodes.
+        Engine-seconds of reading prompts a second that capacity should stand for.
+    current : float or None
+        Those that arrive at the moment, of all nodes; None: as ``demand``.
 
     Returns
     -------
@@ -87,7 +94,7 @@
         return []
     has_spot = 0 < spec.spot_price <= MAX_SPOT_PRICE
     spot = _spread_spot(zones, spec, demand) if has_spot else {}
-    steady = _fill_steady(zones, spec, demand, spot)
+    steady = _fill_steady(zones, spec, demand if current is None else current, spot)
     orders = []
     for zone in zones:
         if has_spot:
@@ -133,11 +140,11 @@
 def _fill_steady(
     zones: Sequence[ZoneEngines],
     spec: ScalingSpec,
-    demand: float,
+    current: float,
     spot: Mapping[str, int],
 ) -> dict[str, int]:
     """Order steady engines for what reclaimable ones do not carry now."""
-    needed = max(1, math.ceil(demand / STEADY_UTILIZATION))
+    needed = max(1, math.ceil(current / STEADY_UTILIZATION))
     missing = needed - sum(min(z.n_spot, spot.get(z.zone, 0)) for z in zones)
     steady = {}
     for zone in zones:
--- /dev/null
+++ b/packages/medlargate/medlargate/policy/tests/test_placement.py
@@ -0,0 +1,124 @@
+"""Placing and waiting under waves of long prompts, without the bench."""
+
+import unittest
+
+from medlargate.policy import (
+    LONG_READING,
+    RepeatBudget,
+    ServerState,
+    ServiceTimes,
+    decide_placement,
+    decide_wait,
+    find_short_lane,
+    has_room,
+    is_pressed,
+    rank_waiting,
+)
+
+TIMES = ServiceTimes(base=0.05, per_token=1 / 40_000, per_running=0.002)
+
+
+def engine(name, domain="a", **more):
+    return ServerState(name, domain, more.pop("n_running", 1), 64, **more)
+
+
+def place(*states, n_bytes=20_000):
+    return decide_placement(states, TIMES, domain="a", n_bytes=n_bytes).name
+
+
+class HomeTest(unittest.TestCase):
+    def test_a_cached_prompt_is_worth_a_wait(self):
+        cached = engine("home", n_uncached=2_000, backlog=0.4)
+        idle = engine("idle", n_uncached=17_000)
+        self.assertEqual(place(cached, idle), "home")
+
+    def test_but_not_any_wait(self):
+        cached = engine("home", n_uncached=2_000, backlog=3.0)
+        idle = engine("idle", n_uncached=17_000)
+        self.assertEqual(place(cached, idle), "idle")
+
+    def test_an_unknown_prompt_goes_to_its_home_on_every_node(self):
+        rows = [engine("one", n_uncached=17_000), engine("two", n_uncached=17_000)]
+        home = engine("home", domain="b", n_uncached=17_000, home_rank=0)
+        self.assertEqual(place(*rows, home), "home")
+
+    def test_a_short_prompt_stays_in_its_failure_domain(self):
+        near = engine("near", n_uncached=1_000, backlog=0.01)
+        far = engine("far", domain="b", n_uncached=1_000)
+        self.assertEqual(place(near, far), "near")
+
+    def test_a_failing_server_is_avoided(self):
+        failing = engine("failing", failure_share=0.4)
+        busy = engine("busy", backlog=0.5)
+        self.assertEqual(place(failing, busy), "busy")
+
+
+class WaveOfLongPromptsTest(unittest.TestCase):
+    """The load: every engine reads a long prompt, and more wait than can be read."""
+
+    def test_a_short_prompt_never_stands_behind_a_long_one_while_another_is_free(self):
+        reading = [engine(f"e{n}", backlog=0.8, n_uncached=1_000) for n in range(5)]
+        lane = engine("lane", n_running=20, n_uncached=1_000)
+        self.assertEqual(place(*reading, lane), "lane")
+
+    def test_a_second_long_prompt_waits_at_the_node(self):
+        state = engine("e1", backlog=0.5)
+        self.assertFalse(has_room(state, engine=True, reading=0.4))
+        self.assertFalse(has_room(state, engine=True, reading=0.4, pressed=True))
+        self.assertTrue(has_room(state, engine=True, reading=LONG_READING / 2))
+
+    def test_a_long_prompt_goes_on_as_the_one_before_is_nearly_read(self):
+        state = engine("e1", backlog=0.05)
+        self.assertTrue(has_room(state, engine=True, reading=0.4))
+
+    def test_the_lane_is_the_same_on_every_node_and_small(self):
+        names = [f"e{n}" for n in range(12)]
+        self.assertEqual(find_short_lane(names), find_short_lane(names[::-1]))
+        self.assertEqual(len(find_short_lane(names)), 1)
+        self.assertEqual(len(find_short_lane(names[:4])), 0)
+
+    def test_losing_an_engine_that_is_not_in_the_lane_leaves_the_lane(self):
+        names = [f"e{n}" for n in range(12)]
+        lane = find_short_lane(names)
+        others = [name for name in names if name not in lane]
+        self.assertEqual(find_short_lane([*lane, *others[1:]]), lane)
+
+    def test_those_that_can_be_in_time_go_before_those_that_can_t(self):
+        late = rank_waiting(priority=2, arrived_at=1, time_to_target=0.1, reading=0.4)
+        fresh = rank_waiting(priority=2, arrived_at=3, time_to_target=2.0, reading=0.4)
+        urgent = rank_waiting(priority=0, arrived_at=9, time_to_target=0.1, reading=0.4)
+        self.assertEqual(sorted([late, fresh, urgent]), [urgent, fresh, late])
+
+    def test_patience_ends(self):
+        self.assertFalse(is_pressed(waited=0.5, target=2.5))
+        self.assertTrue(is_pressed(waited=1.1, target=2.5))
+
+
+class RefusalTest(unittest.TestCase):
+    def test_what_can_t_be_of_use_is_refused_with_a_time_to_return(self):
+        got = decide_wait(ahead=9.0, time_left=6.0, target_left=0.5)
+        self.assertFalse(got.wait)
+        self.assertLessEqual(got.retry_after, 2.0)
+        self.assertGreater(got.retry_after, 0.0)
+
+    def test_what_can_be_in_time_waits(self):
+        self.assertTrue(decide_wait(ahead=1.0, time_left=6.0, target_left=2.0).wait)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_the_fleet_stays_within_its_budget(self):
+        nodes = [RepeatBudget(ratio=0.2, slack=54, window=10) for _ in range(7)]
+        n_repeats = 0
+        for tick in range(1000):
+            now = tick * 0.01
+            node = nodes[tick % 7]
+            node.observe_request(now)
+            n_repeats += node.spend(now, n_nodes=7) + node.spend(now, n_nodes=7)
+        self.assertLessEqual(n_repeats, 0.2 * 1000 + 54)
+        self.assertGreater(n_repeats, 100)
+
+    def test_the_window_slides(self):
+        budget = RepeatBudget(ratio=0.0, slack=2.0, window=10)
+        self.assertTrue(budget.spend(0.0, n_nodes=1))
+        self.assertFalse(budget.spend(5.0, n_nodes=1))
+        self.assertTrue(budget.spend(10.5, n_nodes=1))
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -31,6 +31,8 @@
 # The load that capacity follows: up at once, down by half in about 35 s, since waves
 # come back and an engine that was given back takes its boot time to return.
 PEAK_DECAY = 0.02  # of the peak, a second
+# Until then what arrives says little, and engines found are kept as needed.
+START_TIME = 4.0  # seconds
 REFUSED_PAUSE = 3.0  # seconds until an order that found none is tried again
 UNFILLED_PAUSE = 2.5  # seconds beyond the boot time until an order is repeated
 ORDER_TIMEOUT = 1.5  # seconds
@@ -93,6 +95,7 @@
         self._send = send
         self._clock = clock
         self._peaks: dict[str, tuple[float, float]] = {}
+        self._started_at: dict[str, float] = {}
         self._ordered: dict[tuple[str, str, bool], _Ordered] = {}
 
     async def step(self, may_order: Callable[[], bool]) -> None:
@@ -104,8 +107,13 @@
             if service.scaling is None:
                 continue
             zones = self._make_zones(service, service.scaling)
-            demand = self._observe_demand(service.name, zones, service.scaling)
-            for order in decide_capacity(zones, service.scaling, demand=demand):
+            current = self._sum_demand(service.name)
+            demand = self._hold_peak(service.name, current, zones, service.scaling)
+            if self._is_start(service.name):
+                current = demand
+            for order in decide_capacity(
+                zones, service.scaling, demand=demand, current=current
+            ):
                 if not may_order():
                     return
                 await self._place(service, service.scaling, order, zones, demand)
@@ -131,23 +139,35 @@
         ordered = self._ordered.get((service, zone, True))
         return ordered is not None and ordered.refused
 
-    def _observe_demand(
-        self, service: str, zones: Sequence[ZoneEngines], spec: ScalingSpec
-    ) -> float:
-        now = self._clock()
+    def _sum_demand(self, service: str) -> float:
         rates = [self._own_demand().get(service, 0.0)]
         for peer in self._table.alive():
             if peer.word is not None:
                 rates.append(peer.word.demand.get(service, 0.0))
-        current = sum(rates)
+        return sum(rates)
+
+    def _hold_peak(
+        self,
+        service: str,
+        current: float,
+        zones: Sequence[ZoneEngines],
+        spec: ScalingSpec,
+    ) -> float:
+        """Return the largest demand of late, fading."""
+        now = self._clock()
         if service not in self._peaks:
             # Nothing is known yet: a wave may come first, so all may be needed.
             self._peaks[service] = (decide_full_demand(zones, spec), now)
+            self._started_at.setdefault(service, now)
         peak, at = self._peaks[service]
         peak = max(current, peak * (1 - PEAK_DECAY) ** (now - at))
         self._peaks[service] = (peak, now)
         return peak
 
+    def _is_start(self, service: str) -> bool:
+        """Tell whether this node has not yet seen enough of the load."""
+        return self._clock() - self._started_at[service] < START_TIME
+
     async def _place(
         self,
         service: ServiceSpec,
