Take shared beginnings of prompts over from the engine that holds them

Cause: from the traces, most of what was read again came after engines were reclaimed or busy; moving a token's memory is priced at about a quarter of reading it and takes a fifteenth of the time. Peers are told which parts an engine holds, and a request that goes elsewhere names the holder.

--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -92,12 +92,15 @@
         Its own requests there.
     reading : float
         Seconds of reading that they still need.
+    parts : list of (str, int)
+        Prompt parts that the server holds from now on, with their tokens.
     """
 
     sender: str
     server: str
     n_running: int
     reading: float
+    parts: list[tuple[str, int]] = Field(default_factory=list)
 
 
 @dataclass
--- a/packages/medlargate/medlargate/platform/_catalog.py
+++ b/packages/medlargate/medlargate/platform/_catalog.py
@@ -63,6 +63,8 @@
     Slots: int = Field(ge=1)
     KvCapacity: int = Field(ge=1)
     Stride: int = Field(1, ge=1)
+    KvTokenBytes: float = Field(0.0, ge=0)
+    LinkMbps: float = Field(0.0, ge=0)
 
 
 class _Scaling(_Wire):
@@ -190,6 +192,7 @@
             n_slots=svc.Backend.Slots,
             n_cache_tokens=svc.Backend.KvCapacity,
             n_tokens_per_event=svc.Backend.Stride,
+            transfer_per_token=_transfer_per_token(svc.Backend),
         )
     if svc.Scaling is not None:
         scaling = ScalingSpec(
@@ -202,6 +205,12 @@
     return ServiceSpec(svc.Name, svc.MaxConns, engine, scaling)
 
 
+def _transfer_per_token(engine: _Engine) -> float:
+    if not engine.LinkMbps:
+        return 0.0
+    return engine.KvTokenBytes * 8 / (engine.LinkMbps * 1e6)
+
+
 def decode_registration(
     key: str, data: bytes, revision: int
 ) -> Result[Registration, str]:
--- a/packages/medlargate/medlargate/platform/_names.py
+++ b/packages/medlargate/medlargate/platform/_names.py
@@ -14,6 +14,7 @@
 CUSTOMER_KEY = "Key"
 EXPECT_INSTANCE = "Expect-Instance"
 PRIORITY = "Request-Priority"
+FETCH_FROM = "Kv-Fetch"  # IP:PORT of an engine that holds a prompt's beginning
 LOAD = "Server-Load"
 NOT_RUN = "Not-Executed"
 RETRY_AFTER = "Retry-After"
@@ -37,7 +38,7 @@
         "Pin-Ms",
         "Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        FETCH_FROM,
     )
 )
 # A caller can't have these removed by naming them in its Connection header.
--- a/packages/medlargate/medlargate/platform/_requests.py
+++ b/packages/medlargate/medlargate/platform/_requests.py
@@ -10,6 +10,7 @@
     CUSTOMER_KEY,
     DEADLINE,
     EXPECT_INSTANCE,
+    FETCH_FROM,
     KEPT_HEADERS,
     LAST_EVENT,
     LENGTH_HINT,
@@ -196,6 +197,7 @@
     time_left: float,
     priority: int | None = None,
     last_event_id: int | None = None,
+    fetch_from: str | None = None,
 ) -> list[tuple[bytes, bytes]]:
     """Make the headers that a backend server gets.
 
@@ -213,6 +215,8 @@
         Rank for engines; 0 is first.
     last_event_id : int or None
         Go on after this event, instead of where the caller asked.
+    fetch_from : str or None
+        Address of an engine that holds the prompt's beginning.
 
     Returns
     -------
@@ -234,6 +238,8 @@
         kept.append((CUSTOMER.encode(), customer.encode()))
     if priority is not None:
         kept.append((PRIORITY.encode(), b"%d" % min(9, max(0, priority))))
+    if fetch_from is not None:
+        kept.append((FETCH_FROM.encode(), fetch_from.encode()))
     if last_event_id is not None:
         kept.append((LAST_EVENT.encode(), b"%d" % last_event_id))
     return kept
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -21,6 +21,9 @@
 # Reading delays the others on that engine and is priced when it was read elsewhere:
 # it weighs this much beyond the time that the request itself waits for it.
 READING_WEIGHT = 2.0
+# The same for memory that is moved from another engine instead: priced at about a
+# quarter of reading.
+TRANSFER_WEIGHT = 0.55
 # Share of the reading that the first and second choice for a prompt are presumed to
 # save, since other nodes send the same beginning there.
 HOME_SAVINGS = (0.8, 0.4)
@@ -41,7 +44,9 @@
     backlog : float
         Reading of prompts ahead of a new request, seconds.
     n_uncached : int
-        Prompt tokens of this request that it has to read.
+        Prompt tokens of this request that it does not hold.
+    n_fetchable : int
+        Those of them that it can take over from another engine.
     slowness : float
         Measured times over predicted ones; 1 is normal.
     failure_share : float
@@ -56,10 +61,16 @@
     n_slots: int
     backlog: float = 0.0
     n_uncached: int = 0
+    n_fetchable: int = 0
     slowness: float = 1.0
     failure_share: float = 0.0
     home_rank: int | None = None
 
+    @property
+    def n_to_read(self) -> int:
+        """Prompt tokens that it has to read."""
+        return max(0, self.n_uncached - self.n_fetchable)
+
     @property
     def n_free(self) -> int:
         """Free slots, never below 0."""
@@ -78,11 +89,14 @@
         Seconds to read one prompt token.
     per_running : float
         Seconds added by each request that runs beside.
+    per_fetched : float
+        Seconds to take over one prompt token from another engine.
     """
 
     base: float
     per_token: float = 0.0
     per_running: float = 0.0
+    per_fetched: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +139,8 @@
     float
         Seconds.
     """
-    reading = state.backlog + state.n_uncached * times.per_token
+    reading = state.backlog + state.n_to_read * times.per_token
+    reading += state.n_fetchable * times.per_fetched
     beside = state.n_running * times.per_running
     queued = max(0, state.n_running + 1 - state.n_slots) / max(1, state.n_slots)
     return (reading + times.base * (1 + queued) + beside) * state.slowness
@@ -160,8 +175,9 @@
     for state in states:
         predicted = predict_first_token(state, times)
         crossing = state.domain != domain
-        reading = state.n_uncached * times.per_token * state.slowness
+        reading = state.n_to_read * times.per_token * state.slowness
         cost = predicted + READING_WEIGHT * reading
+        cost += TRANSFER_WEIGHT * state.n_fetchable * times.per_token
         cost += FAILURE_PENALTY * state.failure_share
         if crossing:
             cost += CROSSING_PER_BYTE * n_bytes
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -22,7 +22,7 @@
     decode_node,
     encode_node,
 )
-from ..platform import Change, Entry, Put, Store
+from ..platform import Change, Entry, PromptPart, Put, Store
 from ..routing import IngressLimits
 from ..transport import (
     ConnectFaultError,
@@ -190,7 +190,9 @@
             holder=holder,
         )
 
-    def observe_long_prompt(self, server_id: str) -> None:
+    def observe_long_prompt(
+        self, server_id: str, parts: tuple[PromptPart, ...]
+    ) -> None:
         """Tell peers at once that an engine got a long prompt."""
         n_running, reading = self._loads.snapshot_server(server_id)
         self.talk.note(
@@ -199,6 +201,7 @@
                 server=server_id,
                 n_running=n_running,
                 reading=reading,
+                parts=[(part.part_id, part.n_tokens) for part in parts],
             )
         )
 
@@ -217,7 +220,10 @@
         self._take_ages(word)
 
     def _take_note(self, note: LoadNote) -> None:
-        self._loads.observe_note(note.sender, note.server, note.n_running, note.reading)
+        parts = [PromptPart(*row) for row in note.parts]
+        self._loads.observe_note(
+            note.sender, note.server, note.n_running, note.reading, parts
+        )
 
     def _take_ages(self, word: PeerWord) -> None:
         beliefs, now = self._beliefs, self._clock()
--- a/packages/medlargate/medlargate/relay/_loads.py
+++ b/packages/medlargate/medlargate/relay/_loads.py
@@ -5,7 +5,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..platform import PromptPart, ServerLoad
 from ..policy import ServerState, ServiceTimes, rank_by_hash
@@ -14,6 +14,7 @@
 # Starting points of what is then learned from the answers' times.
 FIRST_BASE = 0.06  # seconds
 FIRST_PER_TOKEN = 1 / 40_000  # seconds
+FIRST_CAPACITY = 200_000  # tokens that an engine holds, until one is sent to
 FIRST_PLAIN = 0.05  # seconds of a plain call
 PER_RUNNING = 0.002  # seconds, about ten steps longer by a fifth of a millisecond
 FORGETTING = 0.97  # weight of the past in the fit of reading times
@@ -26,6 +27,7 @@
 FIRST_SUSPENSION = 0.5  # seconds without requests after a failed connection
 MAX_SUSPENSION = 4.0  # seconds
 N_HOMES = 2  # servers that are presumed to hold a shared part
+MIN_FETCH = 1_500  # tokens that are worth moving between engines
 MAX_OVERDUE = 1.5  # seconds of reading that an overdue answer can show
 ERROR_SHARE = 0.5  # of a prediction's error that the requests behind it inherit
 
@@ -69,6 +71,7 @@
     reported_at: float = float("-inf")
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
     n_part_tokens: int = 0
+    capacity: int = FIRST_CAPACITY
     slowness: float = 1.0
     failures: float = 0.0
     failures_at: float = 0.0
@@ -134,7 +137,7 @@
             n_tokens += part.n_tokens
         return n_tokens
 
-    def observe_parts(self, parts: Iterable[PromptPart], capacity: int) -> None:
+    def observe_parts(self, parts: Iterable[PromptPart]) -> None:
         """Take in that a prompt is read there."""
         for part in parts:
             if part.part_id in self.parts:
@@ -142,7 +145,7 @@
             else:
                 self.parts[part.part_id] = part.n_tokens
                 self.n_part_tokens += part.n_tokens
-        while self.n_part_tokens > capacity and self.parts:
+        while self.n_part_tokens > self.capacity and self.parts:
             _, n_tokens = self.parts.popitem(last=False)
             self.n_part_tokens -= n_tokens
 
@@ -224,7 +227,10 @@
 
     def times(self, spec: ServiceSpec) -> ServiceTimes:
         """Return how long a service takes."""
-        return self._fit(spec).snapshot()
+        times = self._fit(spec).snapshot()
+        if spec.engine is not None:
+            return replace(times, per_fetched=spec.engine.transfer_per_token)
+        return times
 
     def _fit(self, spec: ServiceSpec) -> TimesFit:
         fit = self.fits.get(spec.name)
@@ -263,6 +269,7 @@
             it for it in rows if self.view(it.server_id).suspended_until <= now
         ] or rows
         homes = _rank_homes(usable, parts)
+        held = self._find_held(spec, parts)
         states = []
         for server in usable:
             view = self.view(server.server_id)
@@ -275,6 +282,7 @@
                     n_slots=spec.engine.n_slots if spec.engine else server.n_slots,
                     backlog=view.sum_reading(now),
                     n_uncached=max(0, n_tokens - cached),
+                    n_fetchable=max(0, held[1] - cached) if held else 0,
                     slowness=view.slowness,
                     failure_share=view.failure_share(now),
                     home_rank=homes.get(server.server_id),
@@ -282,6 +290,46 @@
             )
         return states
 
+    def _find_held(
+        self, spec: ServiceSpec, parts: tuple[PromptPart, ...]
+    ) -> tuple[str, int] | None:
+        """Return the server that holds most of a prompt's beginning, and how much."""
+        if spec.engine is None or not spec.engine.transfer_per_token:
+            return None
+        now = time.monotonic()
+        best: tuple[str, int] | None = None
+        for server_id, view in self.views.items():
+            if view.suspended_until > now or not view.parts:
+                continue
+            n_tokens = view.count_cached(parts)
+            if n_tokens >= MIN_FETCH and (best is None or n_tokens > best[1]):
+                best = (server_id, n_tokens)
+        return best
+
+    def find_source(
+        self, spec: ServiceSpec, state: ServerState, parts: tuple[PromptPart, ...]
+    ) -> str | None:
+        """Find the server from which another takes over a prompt's beginning.
+
+        Parameters
+        ----------
+        spec : ServiceSpec
+            The service.
+        state : ServerState
+            The server that gets the request.
+        parts : tuple of PromptPart
+            The request's prompt.
+
+        Returns
+        -------
+        str or None
+            None when too little would be moved.
+        """
+        if state.n_fetchable < MIN_FETCH:
+            return None
+        held = self._find_held(spec, parts)
+        return held[0] if held is not None and held[0] != state.name else None
+
     def observe_send(
         self,
         key: int,
@@ -307,17 +355,18 @@
         """
         view = self.view(state.name)
         now = time.monotonic()
-        reading = state.n_uncached * self.times(spec).per_token * view.slowness
+        reading = state.n_to_read * self.times(spec).per_token * view.slowness
         view.observe_reading(reading, now)
         view.running[key] = Running(
             reading=reading,
             sent_at=now,
             predicted=predicted,
-            n_uncached=state.n_uncached,
+            n_uncached=state.n_to_read,
             alone=state.backlog < 0.005 and state.n_running < state.n_slots,
         )
         if spec.engine is not None:
-            view.observe_parts(parts, spec.engine.n_cache_tokens)
+            view.capacity = spec.engine.n_cache_tokens
+            view.observe_parts(parts)
 
     def observe_begin(self, key: int, spec: ServiceSpec, server_id: str) -> None:
         """Take in a request's first token or answer.
@@ -411,7 +460,12 @@
             self.view(server_id).peers[peer] = (n_running, reading, now)
 
     def observe_note(
-        self, peer: str, server_id: str, n_running: int, reading: float
+        self,
+        peer: str,
+        server_id: str,
+        n_running: int,
+        reading: float,
+        parts: Iterable[PromptPart],
     ) -> None:
         """Take in a peer's own load on one server.
 
@@ -423,8 +477,12 @@
             Its requests there.
         reading : float
             Seconds of reading that they still need.
+        parts : iterable of PromptPart
+            What the server holds from now on.
         """
-        self.view(server_id).peers[peer] = (n_running, reading, time.monotonic())
+        view = self.view(server_id)
+        view.peers[peer] = (n_running, reading, time.monotonic())
+        view.observe_parts(parts)
 
     def snapshot_server(self, server_id: str) -> tuple[int, float]:
         """Report this node's requests and seconds of reading on one server."""
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -45,6 +45,7 @@
     make_send_scale,
     make_send_usage,
 )
+from ._exchange import Exchange
 from ._fleet_side import FleetSide
 from ._line import RequestLine
 from ._loads import LoadBook
@@ -58,6 +59,7 @@
 BALANCER_NOTICE = 3.0  # seconds
 STOP_RESERVE = 0.7  # seconds of the grace left for closing
 METERING, AUTOSCALE = "metering", "autoscale"  # duties as the settings name them
+LONG_PROMPT = 4_000  # tokens; peers are told who holds it
 STOP_CHECK_INTERVAL = 0.05  # seconds
 RESTART_PAUSE = 0.5  # seconds
 LISTEN_LIMITS = IngressLimits()
@@ -145,10 +147,10 @@
     def _observe_usage(self, customer: str) -> None:
         self.usage.observe(self.incarnation, customer, self.true_time.now())
 
-    def _observe_work(self, service: str, server_id: str, seconds: float) -> None:
-        self.demand.observe(service, seconds, self.clock())
-        if seconds > LONG_READING:
-            self.fleet.observe_long_prompt(server_id)
+    def _observe_work(self, exch: Exchange, server_id: str, seconds: float) -> None:
+        self.demand.observe(exch.service.name, seconds, self.clock())
+        if seconds > LONG_READING or exch.n_tokens > LONG_PROMPT:
+            self.fleet.observe_long_prompt(server_id, exch.facts.parts)
 
     def _snapshot_demand(self) -> dict[str, float]:
         return self.demand.snapshot(self.clock())
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -172,7 +172,7 @@
         conn = await self._connect(exch, assigned)
         kept = False
         try:
-            self._write(exch, conn, server.server_id, time_left)
+            self._write(exch, conn, assigned, time_left)
             answer = await self._read_head(exch, conn)
             if answer.facts.load is not None:
                 self._loads.observe_report(server.server_id, answer.facts.load)
@@ -209,8 +209,13 @@
             raise AttemptFault("connect", str(exc), Verdict.NOT_RUN) from exc
 
     def _write(
-        self, exch: Exchange, conn: BackendConnection, server_id: str, time_left: float
+        self,
+        exch: Exchange,
+        conn: BackendConnection,
+        assigned: Assigned,
+        time_left: float,
     ) -> None:
+        server_id = assigned.server.server_id
         headers = make_forward_headers(
             exch.req.headers,
             customer=exch.customer.name if exch.customer else None,
@@ -218,6 +223,7 @@
             time_left=time_left,
             priority=make_priority(exch),
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
+            fetch_from=assigned.fetch_from,
         )
         try:
             conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -41,11 +41,14 @@
         As it was seen.
     placement : Placement
         Why.
+    fetch_from : str or None
+        Address of an engine from which it takes over the prompt's beginning.
     """
 
     server: Registration
     state: ServerState
     placement: Placement
+    fetch_from: str | None = None
 
 
 @dataclass(eq=False)
@@ -67,7 +70,7 @@
     clock : callable
         Returns seconds.
     observe_work : callable
-        Told service, server and seconds of reading of each request that goes on.
+        Told server and seconds of reading of each request that goes on.
     """
 
     def __init__(
@@ -75,7 +78,7 @@
         beliefs: Beliefs,
         loads: LoadBook,
         clock: Callable[[], float],
-        observe_work: Callable[[str, str, float], None],
+        observe_work: Callable[[Exchange, str, float], None],
     ) -> None:
         self._observe_work = observe_work
         self._beliefs = beliefs
@@ -145,7 +148,7 @@
         pressed = is_pressed(waited=waited, target=exch.rule.target)
 
         def read_time(state: ServerState) -> float:
-            return state.n_uncached * times.per_token * state.slowness
+            return state.n_to_read * times.per_token * state.slowness
 
         def is_open(state: ServerState) -> bool:
             return has_room(
@@ -174,7 +177,10 @@
         state = next(it for it in states if it.name == placement.name)
         if not is_open(state):
             return None
-        return Assigned(servers[placement.name], state, placement)
+        source = self._loads.find_source(exch.service, state, exch.facts.parts)
+        holder = self._beliefs.servers.get(source) if source else None
+        fetch_from = holder.address if holder is not None else None
+        return Assigned(servers[placement.name], state, placement, fetch_from)
 
     def _find_lane(
         self, exch: Exchange, servers: dict[str, Registration]
@@ -197,11 +203,14 @@
             backlog=round(assigned.state.backlog, 3),
             n_running=assigned.state.n_running,
             n_uncached=assigned.state.n_uncached,
+            n_fetchable=assigned.state.n_fetchable,
+            fetch_from=assigned.fetch_from,
+            home_rank=assigned.state.home_rank,
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._beliefs.servers_revision,
         )
         times = self._loads.times(exch.service)
-        reading = assigned.state.n_uncached * times.per_token
+        reading = assigned.state.n_to_read * times.per_token
         # Counted at once, so that the next decision sees it.
         self._loads.observe_send(
             exch.number,
@@ -211,7 +220,7 @@
             placement.predicted,
         )
         if exch.service.engine is not None:
-            self._observe_work(exch.service.name, placement.name, reading)
+            self._observe_work(exch, placement.name, reading)
         return assigned
 
     def observe_change(self) -> None:
@@ -261,7 +270,7 @@
         )
         times = self._loads.times(exch.service)
         soonest = min(
-            state.backlog * state.slowness + state.n_uncached * times.per_token
+            state.backlog * state.slowness + state.n_to_read * times.per_token
             for state in states
         )
         decision = decide_wait(
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -63,3 +63,27 @@
             ),
             seconds=4,
         )
+
+
+class LoadNotesTest(FleetCase):
+    async def test_peers_know_where_a_long_prompt_is_read(self):
+        for node in self.world.nodes:
+            await self.wait_for(lambda node=node: len(node.fleet.table.alive()) == 2)
+        for name in ("e1", "e2"):
+            self.world.backends[name].delay = 1.0
+        call = asyncio.create_task(
+            self.world.call(
+                "/once-stream/x",
+                Token_Usage="20000,10",
+                Prompt_Prefix="aa:15000,bb:5000",
+            )
+        )
+        await asyncio.sleep(0.1)
+        for node in self.world.nodes[1:]:
+            views = node.loads.views
+            busy = [
+                name for name, view in views.items() if view.sum_reading(_now()) > 0
+            ]
+            self.assertEqual(len(busy), 1)
+            self.assertIn("aa", views[busy[0]].parts)
+        self.assertEqual((await call).status, 200)
--- a/packages/medlargate/medlargate/routing/_model.py
+++ b/packages/medlargate/medlargate/routing/_model.py
@@ -97,11 +97,14 @@
         Tokens that its memory holds, running requests included.
     n_tokens_per_event : int
         Output tokens of one event of a stream.
+    transfer_per_token : float
+        Seconds to move one token's memory between engines; 0: not to be had.
     """
 
     n_slots: int
     n_cache_tokens: int
     n_tokens_per_event: int = 1
+    transfer_per_token: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
