--- a/packages/medlargate/medlargate/fleet/_beliefs.py
+++ b/packages/medlargate/medlargate/fleet/_beliefs.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+import xxhash
 from returns.result import Failure, Result
 
 from ..platform import Change, Entry
@@ -85,6 +86,7 @@
     on_config: list[Callable[[], None]] = field(default_factory=list)
     on_server: list[Callable[[str], None]] = field(default_factory=list)
     _entries: dict[str, Entry] = field(default_factory=dict)
+    _digest: str | None = None
     _tombstones: dict[str, int] = field(default_factory=dict)
 
     # Configuration
@@ -204,6 +206,32 @@
             return None
         return tuple(it for it in self.recent if it.revision > revision)
 
+    def digest(self) -> str:
+        """Return a digest of the registrations, equal where they are the same.
+
+        Returns
+        -------
+        str
+            Sixteen hexadecimal digits.
+        """
+        if self._digest is None:
+            rows = sorted(f"{it.key}:{it.mod_revision}" for it in self.entries())
+            self._digest = xxhash.xxh64_hexdigest("\n".join(rows).encode())
+        return self._digest
+
+    def observe_confirmation(self, revision: int, confirmed_at: float) -> None:
+        """Take in that the registrations were the same as here at a revision.
+
+        Parameters
+        ----------
+        revision : int
+            The store's revision.
+        confirmed_at : float
+            When the store said so.
+        """
+        self.servers_revision = max(self.servers_revision, revision)
+        self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
+
     def entries(self) -> tuple[Entry, ...]:
         """Return all registrations as the store holds them.
 
@@ -237,6 +265,7 @@
         if entry.mod_revision <= max(known.mod_revision if known else 0, gone_at):
             return
         self._entries[entry.key] = entry
+        self._digest = None
         self._tombstones.pop(entry.key, None)
         self._remember(Change(entry.key, entry.mod_revision, entry))
         decoded = self.decode_registration(entry.key, entry.value, entry.mod_revision)
@@ -273,6 +302,7 @@
         if known is None:
             return
         del self._entries[key]
+        self._digest = None
         self._remember(Change(key, revision, None))
         server_id = key.rpartition("/")[2]
         registration = self.servers.get(server_id)
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -20,11 +20,12 @@
 log = logging.getLogger(__name__)
 
 NEAR_INTERVAL = 0.2  # seconds, within the failure domain
-FAR_INTERVAL = 0.5  # seconds, across failure domains
+FAR_INTERVAL = 1.0  # seconds, across failure domains
+SMALL_FAR_INTERVAL = 0.5  # seconds, in a fleet whose far peers are told in one round
 # Peers told in one round; a larger domain is told in turns, so that a node's part
 # in it does not grow with the fleet.
 MAX_NEAR = 10
-MAX_FAR = 12
+MAX_FAR = 8
 ALIVE_TIME = 3.0  # seconds without word after which a peer counts as away
 ALIVE_ROUNDS = 3  # rounds without word after which a peer of a large fleet is away
 FORGET_TIME = 60.0  # seconds without word after which it is told nothing more
@@ -43,6 +44,8 @@
         Its time of day, seconds since 1970.
     config_revision, servers_revision : int
         How far its beliefs reach.
+    servers_digest : str
+        Equal where the registrations are the same.
     config_age, servers_age : float
         Seconds since the store confirmed them.
     store_up : bool
@@ -68,6 +71,7 @@
     time: float
     config_revision: int = 0
     servers_revision: int = 0
+    servers_digest: str = ""
     config_age: float = 1e9
     servers_age: float = 1e9
     store_up: bool = True
@@ -126,6 +130,11 @@
     heard_at: float = float("-inf")
     word: PeerWord | None = None
 
+    @property
+    def is_holder(self) -> bool:
+        """Whether it said last that it holds the duties."""
+        return self.word is not None and self.word.holder
+
 
 @dataclass
 class PeerTable:
@@ -178,6 +187,11 @@
         known.zone, known.address = word.zone, word.address
         known.heard_at, known.word = self.clock(), word
 
+    @property
+    def is_small(self) -> bool:
+        """Whether all peers of other failure domains are told in one round."""
+        return sum(it.zone != self.zone for it in self.peers.values()) <= MAX_FAR
+
     def is_alive(self, peer: KnownPeer) -> bool:
         """Tell whether a peer was heard a moment ago."""
         n_far = sum(it.zone != self.zone for it in self.peers.values())
@@ -203,13 +217,15 @@
         """Return how many live peers of the failure domain come before this node."""
         return sum(peer.name < self.name for peer in self.alive(zone=self.zone))
 
-    def decide_targets(self, *, near: bool) -> list[KnownPeer]:
+    def decide_targets(self, *, near: bool, all_peers: bool = False) -> list[KnownPeer]:
         """Choose whom to tell in this round.
 
         Parameters
         ----------
         near : bool
             Those of the failure domain, or the others.
+        all_peers : bool, default=False
+            All of them, as the holder of the duties does.
 
         Returns
         -------
@@ -228,13 +244,15 @@
             if fresh or self.random_state.random() < LOST_TELL_SHARE:
                 found.append(peer)
         limit = MAX_NEAR if near else MAX_FAR
-        if len(found) <= limit:
+        if len(found) <= limit or all_peers:
             return found
-        # In turn, so that each peer is told after the same number of rounds.
+        # In turn, so that each peer is told after the same number of rounds; the
+        # holder of the duties every time, since it adds up what all count.
         found.sort(key=lambda peer: peer.name)
         start = self._turns[near]
         self._turns[near] = (start + limit) % len(found)
-        return (found + found)[start : start + limit]
+        chosen = (found + found)[start : start + limit]
+        return chosen + [it for it in found if it.is_holder and it not in chosen]
 
 
 class _Endpoint(asyncio.DatagramProtocol):
@@ -274,7 +292,8 @@
     table : PeerTable
         Whom to tell.
     make_word : callable
-        Returns this node's word.
+        Returns this node's word; its argument tells whether it stays in the
+        failure domain.
     on_word : callable
         Told each word that comes in.
     on_note : callable
@@ -284,7 +303,7 @@
     def __init__(
         self,
         table: PeerTable,
-        make_word: Callable[[], PeerWord],
+        make_word: Callable[[bool], PeerWord],
         on_word: Callable[[PeerWord], None],
         on_note: Callable[[LoadNote], None],
     ) -> None:
@@ -308,10 +327,10 @@
 
     def tell(self, *, near: bool) -> None:
         """Send this node's word now."""
-        targets = self._table.decide_targets(near=near)
+        word = self._make_word(near)
+        targets = self._table.decide_targets(near=near, all_peers=word.holder)
         if not targets or self._transport is None:
             return
-        word = self._make_word()
         self._send(word, targets)
 
     def note(self, note: LoadNote) -> None:
@@ -347,6 +366,8 @@
         random_state = self._table.random_state
         while True:
             self.tell(near=near)
+            if not near and self._table.is_small:
+                interval = SMALL_FAR_INTERVAL
             await asyncio.sleep(interval * random_state.uniform(0.8, 1.2))
 
     def close(self) -> None:
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 
 # Bytes between failure domains are priced; at the dearer site a long prompt's bytes
-# cost about an eighth of reading its shared beginning (0.35 s) again.
-CROSSING_PER_BYTE = 2.5e-6  # seconds
+# cost about an eighth of reading its shared beginning (0.35 s, weighed below) again.
+CROSSING_PER_BYTE = 4.5e-6  # seconds
 # What a failed attempt costs a caller, as time: a retry on a new connection.
 FAILURE_PENALTY = 3.0  # seconds
 # Reading delays the others on that engine and is priced when it was read elsewhere:
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -277,7 +277,7 @@
     def _may_try(self) -> bool:
         now = self._clock()
         alive = self._table.alive()
-        if any(peer.word is not None and peer.word.holder for peer in alive):
+        if any(peer.is_holder for peer in alive):
             self._holder_seen_at = now
             return False
         rank = sum(peer.name < self._table.name for peer in alive)
@@ -305,7 +305,7 @@
             return True
         return any(
             peer.word is not None
-            and peer.word.holder
+            and peer.is_holder
             and self._table.name in peer.word.hears
             for peer in self._table.alive()
         )
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -165,7 +165,7 @@
 
     # Word out
 
-    def _make_word(self) -> PeerWord:
+    def _make_word(self, near: bool) -> PeerWord:
         age = self._beliefs.age()
         now = self._clock()
         window = self._usage.window_at(self._true_time.now())
@@ -178,10 +178,13 @@
             time=round(self._true_time.now(), 3),
             config_revision=age.config_revision,
             servers_revision=age.servers_revision,
+            servers_digest=self._beliefs.digest(),
             config_age=round(min(1e6, now - age.config_confirmed_at), 3),
             servers_age=round(min(1e6, now - age.servers_confirmed_at), 3),
             store_up=self.store_up(),
-            loads=self._loads.snapshot_own(),
+            # In a large fleet the rest of the loads is not worth its bytes far away;
+            # long prompts are told in notes.
+            loads=self._loads.snapshot_own() if near or self.table.is_small else {},
             demand=self.make_demand(),
             usage=self._usage.snapshot(
                 self.incarnation, since=window - USAGE_WINDOWS_TOLD + 1
@@ -216,7 +219,8 @@
         if shift:
             log.warning("time of day corrected", extra={"seconds": round(shift, 3)})
         self._usage.merge(word.incarnation, word.usage)
-        self._loads.observe_peer(word.name, word.loads)
+        if word.zone == self.table.zone or self.table.is_small:
+            self._loads.observe_peer(word.name, word.loads)
         self._take_ages(word)
 
     def _take_note(self, note: LoadNote) -> None:
@@ -232,11 +236,11 @@
         servers_at = now - word.servers_age - TRANSIT
         if word.config_revision == age.config_revision:
             beliefs.config_confirmed_at = max(beliefs.config_confirmed_at, config_at)
-        if word.servers_revision == age.servers_revision:
-            beliefs.servers_confirmed_at = max(beliefs.servers_confirmed_at, servers_at)
-        behind = (
-            word.config_revision > age.config_revision
-            or word.servers_revision > age.servers_revision
+        same_servers = word.servers_digest == beliefs.digest()
+        if same_servers:
+            beliefs.observe_confirmation(word.servers_revision, servers_at)
+        behind = word.config_revision > age.config_revision or (
+            word.servers_revision > age.servers_revision and not same_servers
         )
         if behind and (self._pulling is None or self._pulling.done()):
             self._pulling = asyncio.create_task(self._pull(word))
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -61,6 +61,7 @@
 METERING, AUTOSCALE = "metering", "autoscale"  # duties as the settings name them
 LONG_PROMPT = 4_000  # tokens; peers are told who holds it
 STOP_CHECK_INTERVAL = 0.05  # seconds
+SUMMARY_INTERVAL = 10.0  # seconds
 RESTART_PAUSE = 0.5  # seconds
 LISTEN_LIMITS = IngressLimits()
 
@@ -229,10 +230,34 @@
             self.duties.run_lease,
             self.duties.run_usage,
             self.duties.run_scale,
+            self._run_summaries,
         ):
             self._spawn(job)
         log.info("node started", extra={"incarnation": self.incarnation})
 
+    async def _run_summaries(self) -> None:
+        """Write a line on the node's state from time to time, until cancelled."""
+        while True:
+            await asyncio.sleep(SUMMARY_INTERVAL)
+            age = self.beliefs.age()
+            now = self.clock()
+            log.info(
+                "node summary",
+                extra={
+                    "n_active": self.line.n_active,
+                    "n_waiting": self.waiting.snapshot(),
+                    "config_version": age.config_version,
+                    "config_age": round(now - age.config_confirmed_at, 2),
+                    "servers_revision": age.servers_revision,
+                    "servers_age": round(now - age.servers_confirmed_at, 2),
+                    "n_peers": len(self.fleet.table.alive()),
+                    "holds_duties": self.duties.is_holder(),
+                    "n_store_calls": dict(self.watcher.store.n_calls),
+                    "n_connections_opened": self.pool.n_opened,
+                    "n_lines_dropped": self.writer.n_dropped,
+                },
+            )
+
     def _make_fleet_side(self, store: HttpStore) -> FleetSide:
         node = self.settings.node
         side = FleetSide(
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -81,9 +81,8 @@
         await asyncio.sleep(0.1)
         for node in self.world.nodes[1:]:
             views = node.loads.views
-            busy = [
-                name for name, view in views.items() if view.sum_reading(_now()) > 0
-            ]
+            now = asyncio.get_running_loop().time()
+            busy = [name for name, view in views.items() if view.sum_reading(now) > 0]
             self.assertEqual(len(busy), 1)
             self.assertIn("aa", views[busy[0]].parts)
         self.assertEqual((await call).status, 200)
