--- a/packages/medlargate/medlargate/fleet/_beliefs.py
+++ b/packages/medlargate/medlargate/fleet/_beliefs.py
@@ -160,7 +160,7 @@
         # What was written and deleted between two reads is not known here.
         self.complete_since = revision
         self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
-        self._drop_lapsed()
+        self.drop_lapsed()
 
     def observe_changes(
         self, changes: Iterable[Change], revision: int, *, confirmed_at: float
@@ -183,7 +183,7 @@
                 self._remove(change.key, change.revision)
         self.servers_revision = max(self.servers_revision, revision)
         self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
-        self._drop_lapsed()
+        self.drop_lapsed()
 
     def observe_store_trouble(self) -> None:
         """Take in that a call of the store failed."""
@@ -231,6 +231,7 @@
         """
         self.servers_revision = max(self.servers_revision, revision)
         self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
+        self.drop_lapsed()
 
     def entries(self) -> tuple[Entry, ...]:
         """Return all registrations as the store holds them.
@@ -325,7 +326,8 @@
         )
         self._tell(server_id)
 
-    def _drop_lapsed(self) -> None:
+    def drop_lapsed(self) -> None:
+        """Drop the servers whose registrations did not come back in time."""
         now = self.clock()
         for server_id, until in list(self.lapsed.items()):
             if now >= until:
--- a/packages/medlargate/medlargate/fleet/_usage_duty.py
+++ b/packages/medlargate/medlargate/fleet/_usage_duty.py
@@ -25,6 +25,7 @@
 MARGIN = 0.2  # seconds after a window's end, for requests that just began
 MAX_LATE = 40.0  # seconds after a window's end; later nobody waits for it
 PART_DELAY = 0.7  # seconds after a window's end until an unheard node writes its part
+RETRY_PAUSE = 1.2  # seconds until a part that was not written is tried again
 MAX_DELETES = 30  # keys in one transaction
 CLEAN_EVERY = 6  # windows; each clean-up costs three calls
 WINDOWS_SEALED_KEPT = 12  # far beyond what may still be sent again
@@ -179,6 +180,7 @@
     node: str
     now: Callable[[], float]
     _written: dict[int, int] = field(default_factory=dict)
+    _next_try: float = 0.0
 
     async def step(self, *, heard: bool) -> None:
         """Write the parts of ended windows, unless the holder hears this node.
@@ -188,7 +190,7 @@
         heard : bool
             The holder of the duty says that it hears this node.
         """
-        if heard:
+        if heard or self.now() < self._next_try:
             return
         last = self.counts.window_at(self.now() - PART_DELAY) - 1
         await self._write(last)
@@ -210,6 +212,7 @@
                     "usage part not written",
                     extra={"window": window, "fault": written.failure().message},
                 )
+                self._next_try = self.now() + RETRY_PAUSE
                 return
             self._written[window] = total
             log.info("usage part written", extra={"window": window, "n": total})
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -187,6 +187,7 @@
             jitter = self.random_state.random() * POLL_JITTER
             await asyncio.sleep(POLL_CHECK_INTERVAL)
             now = self.clock()
+            self.beliefs.drop_lapsed()
             config_age = now - self.beliefs.config_confirmed_at
             servers_age = now - self.beliefs.servers_confirmed_at
             polls = []
