--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -5,7 +5,9 @@
 import asyncio
 import sys
 import time
+from itertools import chain
 from pathlib import Path
+from typing import TextIO
 
 import aiohttp
 import click
@@ -20,7 +22,7 @@
 from .charts import load_chart, make_mermaid
 from .fleet import Config, ConfigError, ConfigReplica, SeedFile, check_operations
 from .platform import HttpStore
-from .telemetry import configure_logging, write_logs_to
+from .telemetry import configure_logging, explain_request, write_logs_to
 
 FAULT_STATUS = 2
 CHARTS = ("request", "node", "lease", "order", "backend", "window", "claim")
@@ -165,6 +167,20 @@
         click.echo(f"## {name}\n\n```mermaid\n{make_mermaid(load_chart(name))}\n```\n")
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
+def explain(request_id: str, logs: tuple[TextIO, ...]) -> None:
+    """Tell the path of REQUEST_ID from LOGS of any nodes, or standard input."""
+    streams = logs or (click.get_text_stream("stdin"),)
+    told = explain_request(chain.from_iterable(streams), request_id)
+    for line in told:
+        click.echo(line)
+    if not told:
+        click.echo(f"no line names request {request_id}", err=True)
+        sys.exit(1)
+
+
 @main.command()
 @click.option("--port", default=8080, show_default=True, help="0 for any free port")
 @click.option("--log-level", default="WARNING", show_default=True)
--- a/packages/medlargate/medlargate/relay/_account.py
+++ b/packages/medlargate/medlargate/relay/_account.py
@@ -8,7 +8,6 @@
 
 from ..policy import Refusal
 from ..telemetry import Metrics
-from ..transport import IncomingRequest
 from ._exchange import Exchange, Record
 
 if TYPE_CHECKING:
@@ -56,11 +55,11 @@
             n_tokens=exch.n_tokens,
         )
 
-    def observe_rejected(self, req: IncomingRequest, refusal: Refusal) -> None:
+    def observe_rejected(self, request_id: str, refusal: Refusal) -> None:
         """Take in a request that was refused before it was accepted."""
         self._record_line(
             "end",
-            request=req.get("attempt-id") or "",
+            request=request_id,
             status=refusal.status,
             outcome=refusal.code,
             detail=refusal.message,
--- a/packages/medlargate/medlargate/relay/_line.py
+++ b/packages/medlargate/medlargate/relay/_line.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from ..platform import make_answer_headers, make_refusal_headers
+from ..platform import decode_request, make_answer_headers, make_refusal_headers
 from ..policy import Refusal, RepeatBudget, Verdict
 from ..transport import ExchangeFaultError, IncomingRequest, Responder
 from ._accept import Acceptor
@@ -112,8 +112,9 @@
         try:
             exch = await self._acceptor.accept(req, responder)
         except Refusal as exc:
-            self._account.observe_rejected(req, exc)
-            await _send_refusal(responder, req.get("attempt-id") or "", exc)
+            request_id = decode_request(req.headers).request_id
+            self._account.observe_rejected(request_id, exc)
+            await _send_refusal(responder, request_id, exc)
             return
         self._account.observe_arrival(exch)
         if exch.rule.streams or exch.rule.repeatable:
--- a/packages/medlargate/medlargate/telemetry/__init__.py
+++ b/packages/medlargate/medlargate/telemetry/__init__.py
@@ -1,6 +1,7 @@
 """Logs, metrics and the record of decisions."""
 
 from ._decisions import DecisionLog, Event, RequestTrace, Step
+from ._explain_logs import decode_line, explain_request, find_cause
 from ._logs import configure_logging
 from ._metrics import LabelBound, Metrics
 from ._writer import LineWriter, write_logs_to
@@ -14,5 +15,8 @@
     "RequestTrace",
     "Step",
     "configure_logging",
+    "decode_line",
+    "explain_request",
+    "find_cause",
     "write_logs_to",
 ]
--- /dev/null
+++ b/packages/medlargate/medlargate/telemetry/tests/test_logs.py
@@ -0,0 +1,113 @@
+"""Log lines that never block, and a request's path read back from them."""
+
+import asyncio
+import logging
+import os
+import unittest
+
+import orjson
+from click.testing import CliRunner
+from medlargate_standins.relay_world import RelayWorld
+
+from medlargate.__main__ import main
+from medlargate.telemetry import LineWriter, explain_request, write_logs_to
+
+
+class WriterTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer_fd = os.pipe()
+        self.writer = LineWriter(self.writer_fd, {"node": "n1"})
+
+    def tearDown(self):
+        os.close(self.reader)
+        os.close(self.writer_fd)
+
+    def test_a_stalled_reader_costs_only_lines(self):
+        for number in range(20_000):
+            self.writer.write(f"kind{number}", {"message": "x", "pad": "y" * 100})
+        self.assertGreater(self.writer.n_dropped, 0)
+
+    def test_one_kind_is_bounded_and_the_rest_counted(self):
+        for _ in range(1000):
+            self.writer.write("same", {"message": "x"})
+        self.assertEqual(self.writer.n_dropped, 800)
+
+    def test_a_reader_that_left_stops_nothing(self):
+        os.close(self.reader)
+        self.reader, spare = os.pipe()
+        self.writer.write("kind", {"message": "x"})
+        self.writer.flush()
+        os.close(spare)
+
+    def test_records_of_logging_become_lines(self):
+        root = logging.getLogger()
+        handlers, level, disabled = root.handlers[:], root.level, logging.root.manager
+        before = disabled.disable
+        logging.disable(logging.NOTSET)
+        try:
+            write_logs_to(self.writer_fd, node="n2")
+            logging.getLogger("a").warning("seen", extra={"server": "s1"})
+        finally:
+            root.handlers[:] = handlers
+            root.setLevel(level)
+            logging.disable(before)
+        row = orjson.loads(os.read(self.reader, 65_536))
+        self.assertEqual((row["message"], row["server"]), ("seen", "s1"))
+        self.assertEqual(row["node"], "n2")
+
+
+class ExplainTest(unittest.IsolatedAsyncioTestCase):
+    """The commands of docs/OPERATIONS.md on lines of a real run."""
+
+    async def asyncSetUp(self):
+        self.world = RelayWorld()
+        await self.world.start()
+        self.lines = []
+        node = self.world.nodes[0]
+
+        def write(kind, fields):
+            row = {"time": len(self.lines), "node": "n1", **fields}
+            self.lines.append("  1.0 n1 " + orjson.dumps(row).decode())
+
+        node.writer.write = write
+
+    async def asyncTearDown(self):
+        await self.world.close()
+
+    def behave(self, behaviour):
+        for backend in self.world.backends.values():
+            backend.behaviour = behaviour
+
+    async def explain(self, path, **more):
+        await self.world.call(path, request_id="r1", **more)
+        await asyncio.sleep(0.05)
+        return explain_request(self.lines, "r1")
+
+    async def test_a_reject_under_load(self):
+        for name in ("p1", "p2"):
+            self.world.unregister(self.world.backends[name])
+        await asyncio.sleep(0.2)
+        told = await self.explain("/book/x")
+        self.assertIn("no backend server of the service was known", told[-1])
+
+    async def test_a_502_after_an_answer_was_lost(self):
+        self.behave(lambda _: "reset")
+        told = await self.explain("/book/x")
+        self.assertIn("may have run it", told[-1])
+        self.assertTrue(any(" fault " in line for line in told))
+
+    async def test_a_stream_broken_off(self):
+        self.behave(lambda _: "cut:3")
+        told = await self.explain("/once-stream/x")
+        self.assertIn("broke off", told[-1])
+        self.assertIn("n_events=2", told[-2])
+
+    async def test_the_command(self):
+        await self.explain("/read/x")
+        result = CliRunner().invoke(
+            main, ["explain", "r1"], input="\n".join(self.lines)
+        )
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertIn("cause: answered by a backend server", result.output)
+        result = CliRunner().invoke(main, ["explain", "r9"], input="")
+        self.assertEqual(result.exit_code, 1)
