--- a/packages/medlargate/medlargate/relay/_line.py
+++ b/packages/medlargate/medlargate/relay/_line.py
@@ -274,7 +274,7 @@
         )
         if fault.kind == "connect":
             exch.tried.add(server_id)
-            self._loads.observe_unreachable(server_id)
+            self._loads.observe_unreachable(server_id, assigned.server.zone)
         elif fault.kind == "misdirected":
             self._loads.observe_unreachable(server_id)
             exch.states.observe("backend_refusal")
--- a/packages/medlargate/medlargate/relay/_loads.py
+++ b/packages/medlargate/medlargate/relay/_loads.py
@@ -26,6 +26,11 @@
 PEER_LIFETIME = 1.5  # seconds that a peer's word on its own load counts
 FIRST_SUSPENSION = 0.5  # seconds without requests after a failed connection
 MAX_SUSPENSION = 4.0  # seconds
+# Answers the pattern of a failure domain cut off: each of its servers costs a request
+# a connection's timeout, so that after two of them the rest are not tried for a while.
+MIN_CUT_SERVERS = 2
+CUT_MEMORY = 3.0  # seconds between two servers that count together
+CUT_PAUSE = 1.0  # seconds
 N_HOMES = 2  # servers that are presumed to hold a shared part
 MIN_FETCH = 1_500  # tokens that are worth moving between engines
 MAX_OVERDUE = 1.5  # seconds of reading that an overdue answer can show
@@ -150,6 +155,34 @@
             self.n_part_tokens -= n_tokens
 
 
+@dataclass
+class DomainCut:
+    """What speaks for a failure domain being cut off.
+
+    Attributes
+    ----------
+    servers : set of str
+        Its servers that could not be reached of late.
+    last_at : float
+        When the last one was tried, seconds.
+    until : float
+        Its servers are left out so long.
+    """
+
+    servers: set[str] = field(default_factory=set)
+    last_at: float = float("-inf")
+    until: float = float("-inf")
+
+    def observe_unreachable(self, server_id: str, now: float) -> None:
+        """Take in a server that could not be reached."""
+        if now - self.last_at > CUT_MEMORY:
+            self.servers.clear()
+        self.servers.add(server_id)
+        self.last_at = now
+        if len(self.servers) >= MIN_CUT_SERVERS:
+            self.until = now + CUT_PAUSE
+
+
 @dataclass
 class TimesFit:
     """Learns how long a service takes to its first token.
@@ -215,6 +248,7 @@
 
     def __init__(self, domain: str) -> None:
         self.domain = domain
+        self._cuts: dict[str, DomainCut] = {}
         self.views: dict[str, ServerView] = {}
         self.fits: dict[str, TimesFit] = {}
 
@@ -266,7 +300,10 @@
         now = time.monotonic()
         rows = list(servers)
         usable = [
-            it for it in rows if self.view(it.server_id).suspended_until <= now
+            it
+            for it in rows
+            if self.view(it.server_id).suspended_until <= now
+            and not self._is_cut(it.zone, now)
         ] or rows
         homes = _rank_homes(usable, parts)
         held = self._find_held(spec, parts)
@@ -389,6 +426,10 @@
         elapsed = now - run.sent_at
         view.observe_begun(elapsed - run.predicted, now)
         view.suspension = FIRST_SUSPENSION
+        for cut in self._cuts.values():
+            if server_id in cut.servers:
+                cut.servers.clear()
+                cut.until = float("-inf")
         if run.alone:
             ratio = elapsed / max(run.predicted, 0.005) * view.slowness
             step = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
@@ -408,13 +449,19 @@
         """
         self.view(server_id).running.pop(key, None)
 
-    def observe_unreachable(self, server_id: str) -> float:
+    def _is_cut(self, domain: str, now: float) -> bool:
+        cut = self._cuts.get(domain)
+        return cut is not None and now < cut.until
+
+    def observe_unreachable(self, server_id: str, domain: str = "") -> float:
         """Take in that a server could not be reached or died.
 
         Parameters
         ----------
         server_id : str
             The server.
+        domain : str, default=""
+            Its failure domain; the node's own one is never taken for cut off.
 
         Returns
         -------
@@ -422,8 +469,12 @@
             Seconds for which it gets no requests.
         """
         view = self.view(server_id)
+        now = time.monotonic()
+        if domain not in ("", self.domain):
+            cut = self._cuts.setdefault(domain, DomainCut())
+            cut.observe_unreachable(server_id, now)
         duration = view.suspension
-        view.suspended_until = time.monotonic() + duration
+        view.suspended_until = now + duration
         view.suspension = min(MAX_SUSPENSION, 2 * duration)
         view.parts.clear()
         view.n_part_tokens = 0
--- a/packages/medlargate/medlargate/transport/_pool.py
+++ b/packages/medlargate/medlargate/transport/_pool.py
@@ -8,6 +8,9 @@
 
 MAX_IDLE_FRACTION = 0.7  # of what the server allows; the rest covers delays
 FRESH_IDLE_FRACTION = 0.25  # for requests that may not be sent twice
+# Two domains are a few milliseconds apart; a lost packet is sent again after a second,
+# which is longer than another server takes to answer.
+CONNECT_TIMEOUT = 0.25  # seconds
 MAX_IDLE_PER_SERVER = 32
 
 
@@ -16,11 +19,11 @@
 
     Parameters
     ----------
-    connect_timeout : float, default=0.5
+    connect_timeout : float, default=0.25
         Seconds for a new connection.
     """
 
-    def __init__(self, *, connect_timeout: float = 0.5) -> None:
+    def __init__(self, *, connect_timeout: float = CONNECT_TIMEOUT) -> None:
         self._idle: dict[str, list[BackendConnection]] = {}
         self._connect_timeout = connect_timeout
         self.n_opened = 0
