--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -7,9 +7,8 @@
 import time
 from itertools import chain
 from pathlib import Path
-from typing import TextIO
+from typing import TYPE_CHECKING, TextIO
 
-import aiohttp
 import click
 
 from ._settings import (
@@ -19,11 +18,13 @@
     check_model,
     read_settings,
 )
-from .charts import load_chart, make_mermaid
-from .fleet import Config, ConfigError, ConfigReplica, SeedFile, check_operations
-from .platform import HttpStore
 from .telemetry import configure_logging, explain_request, write_logs_to
 
+if TYPE_CHECKING:
+    from .fleet import SeedFile
+
+# The other commands import what they need themselves: a node starts sooner.
+
 FAULT_STATUS = 2
 CHARTS = ("request", "node", "lease", "order", "backend", "window", "claim")
 
@@ -91,6 +92,8 @@
 
 def _check_config(path: Path) -> list[SettingsFault]:
     """Check a seed file, its entities and what they refer to."""
+    from .fleet import Config, ConfigError, SeedFile, check_operations
+
     try:
         seed = check_model(path.read_text(), str(path), SeedFile)
     except SettingsError as exc:
@@ -110,6 +113,8 @@
 @click.option("--port", default=2379, show_default=True)
 def seed(seed: Path, address: str, port: int) -> None:
     """Write a SEED file as the first configuration into the platform's store."""
+    from .fleet import SeedFile
+
     faults = _check_config(seed)
     if faults:
         _exit_with_faults(SettingsError(faults))
@@ -118,6 +123,11 @@
 
 
 async def _seed(checked: SeedFile, address: str, port: int) -> int:
+    import aiohttp
+
+    from .fleet import ConfigReplica
+    from .platform import HttpStore
+
     async with aiohttp.ClientSession() as session:
         store = HttpStore(session, f"http://{address}:{port}")
         replica = ConfigReplica(time.monotonic)
@@ -131,6 +141,8 @@
 @main.command()
 def reference() -> None:
     """Write the reference of settings and configuration from the models."""
+    from .fleet import SeedFile
+
     for title, model in (("Node settings", Settings), ("Configuration", SeedFile)):
         click.echo(f"## {title}\n")
         definitions = model.model_json_schema()["$defs"]
@@ -163,6 +175,8 @@
 @main.command()
 def charts() -> None:
     """Draw the state charts as Mermaid diagrams."""
+    from .charts import load_chart, make_mermaid
+
     for name in CHARTS:
         click.echo(f"## {name}\n\n```mermaid\n{make_mermaid(load_chart(name))}\n```\n")
 
--- a/packages/medlargate/medlargate/telemetry/_logs.py
+++ b/packages/medlargate/medlargate/telemetry/_logs.py
@@ -5,8 +5,6 @@
 import logging
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
-
 
 def configure_logging(*, level: str = "INFO", node: str = "") -> None:
     """Send the process's logs to standard error as JSON lines.
@@ -18,6 +16,8 @@
     node : str, default=""
         The node's name, put into each line.
     """
+    from pythonjsonlogger.json import JsonFormatter
+
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
