--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -109,6 +109,12 @@
     orders: str = Field("", description="IP:PORT of the orders and usage API")
     seeds: str = Field("", description="IP:PORT of other nodes, joined by commas")
     grace: float = Field(8.0, ge=1, le=3600, description="seconds from SIGTERM on")
+    config_bound_ms: int = Field(
+        2000, ge=500, le=60_000, description="until a new version is in force"
+    )
+    drain_bound_ms: int = Field(
+        2000, ge=500, le=60_000, description="until a leaving server gets nothing more"
+    )
     retry_ratio: float = Field(0.2, ge=0, le=10, description="repeats per request")
     retry_slack: float = Field(50.0, ge=0, description="repeats beside the ratio")
     retry_window: float = Field(10.0, gt=0, le=600, description="seconds")
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -21,10 +21,9 @@
 log = logging.getLogger(__name__)
 
 WATCH_WAIT = 10.0  # seconds; a call each is the price of a shorter one
-# A change has to be in force within two seconds at the tightest site; a read takes
-# at most a few tenths.
-CONFIG_POLL_AGE = 0.9  # seconds
-SERVERS_POLL_AGE = 1.0  # seconds
+# Part of the time within which a change has to be in force, after which the store is
+# asked; the rest is for the jitter, a read, its repetition and the relay to peers.
+POLL_AGE_FRACTION = 0.45
 BATCH_PAUSE = 0.1  # seconds
 POLL_CHECK_INTERVAL = 0.1  # seconds
 POLL_JITTER = 0.3  # seconds, so that one node of the fleet asks for all
@@ -50,6 +49,8 @@
         Tells whether this node is to hold watches at present.
     on_confirmed : callable
         Called after a poll, so that peers need not ask the same.
+    config_bound, servers_bound : float, default=2.0
+        Seconds within which a change has to be in force.
     random_state : random.Random
         For jitter.
 
@@ -66,6 +67,8 @@
     clock: Callable[[], float]
     watches: Callable[[], bool] = lambda: True
     on_confirmed: Callable[[], None] = lambda: None
+    config_bound: float = 2.0
+    servers_bound: float = 2.0
     random_state: random.Random = field(default_factory=random.Random)
     store_up: bool = True
     _config_read_at: int = 0
@@ -191,9 +194,9 @@
             config_age = now - self.beliefs.config_confirmed_at
             servers_age = now - self.beliefs.servers_confirmed_at
             polls = []
-            if config_age > CONFIG_POLL_AGE + jitter:
+            if config_age > POLL_AGE_FRACTION * self.config_bound + jitter:
                 polls.append(self.refresh_config)
-            if servers_age > SERVERS_POLL_AGE + jitter:
+            if servers_age > POLL_AGE_FRACTION * self.servers_bound + jitter:
                 polls.append(self._read_servers)
             answers = [await poll() for poll in polls]
             if not all(answers):
--- a/packages/medlargate/medlargate/relay/_accept.py
+++ b/packages/medlargate/medlargate/relay/_accept.py
@@ -11,9 +11,9 @@
 from ..transport import IncomingRequest, Responder
 from ._exchange import Exchange, Record
 
-# A refusal of a route or key that another node may know already needs fresher word
-# than a version takes to come into force everywhere.
-FRESH_AGE = 1.0  # seconds
+# A refusal of a route or key that the store may know already needs word fresher than
+# this part of the time that a version has to come into force; polls keep it so.
+FRESH_FRACTION = 0.65
 UNSURE_RETRY_AFTER = 0.5  # seconds; about two reads of the store
 STARTING_RETRY_AFTER = 1.0  # seconds
 DEFAULT_TIME_LEFT = 30.0  # seconds, for callers that name no deadline
@@ -32,6 +32,8 @@
         Returns seconds.
     record_line : callable
         Writes a line on a decision.
+    config_bound : float
+        Seconds within which a version has to be in force.
     """
 
     def __init__(
@@ -40,7 +42,9 @@
         refresh: Callable[[], Awaitable[bool]],
         clock: Callable[[], float],
         record_line: Record,
+        config_bound: float,
     ) -> None:
+        self._max_age = FRESH_FRACTION * config_bound
         self._beliefs = beliefs
         self._refresh = refresh
         self._clock = clock
@@ -123,10 +127,10 @@
 
     async def _make_sure(self, table: RouteTable) -> RouteTable:
         """Return a table fresh enough to refuse by."""
-        if self._clock() - self._beliefs.config_confirmed_at > FRESH_AGE:
+        if self._clock() - self._beliefs.config_confirmed_at > self._max_age:
             await self._refresh()
         age = self._clock() - self._beliefs.config_confirmed_at
-        if age > FRESH_AGE:
+        if age > self._max_age:
             raise Refusal(
                 503,
                 "unsure",
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -28,9 +28,9 @@
 NO_HOLDER_WAIT = 0.8  # seconds
 RANK_WAIT = 0.6  # seconds a rank
 ACQUIRE_PAUSE = 1.5  # seconds between tries
-# The load that capacity follows: up at once, down by half in about 35 s, since waves
+# The load that capacity follows: up at once, down by half in about 23 s, since waves
 # come back and an engine that was given back takes its boot time to return.
-PEAK_DECAY = 0.02  # of the peak, a second
+PEAK_DECAY = 0.03  # of the peak, a second
 # Until then what arrives says little, and engines found are kept as needed.
 START_TIME = 4.0  # seconds
 REFUSED_PAUSE = 3.0  # seconds until an order that found none is tried again
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -110,7 +110,13 @@
             self.metrics, self._observe_usage, self.clock, self.record_line
         )
         self.line = RequestLine(
-            Acceptor(self.beliefs, self._refresh_config, self.clock, self.record_line),
+            Acceptor(
+                self.beliefs,
+                self._refresh_config,
+                self.clock,
+                self.record_line,
+                self.ingress.config_bound_ms / 1000,
+            ),
             self.waiting,
             Sender(self.pool, self.loads),
             self.loads,
@@ -213,6 +219,8 @@
             self.clock,
             watches=self.fleet.watches,
             on_confirmed=self.fleet.talk.tell_all,
+            config_bound=self.ingress.config_bound_ms / 1000,
+            servers_bound=self.ingress.drain_bound_ms / 1000,
         )
         self.fleet.store_up = lambda: self.watcher.store_up
         self.duties = self._make_duties(store)
