Stop running requests that crash the servers that begin to run them

Marks go round with the peers' word; a crash is told from a lost answer by whether the server takes a connection a moment later. Test: six servers that crash on a request lose three.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -56,8 +56,9 @@
         What it registers.
     behaviour : callable
         Names what happens to a request: ``ok``, ``refuse``, ``error``, ``reset``,
-        ``half``, ``strange``, ``extra``, ``silent``, ``unframed`` or, for streams,
-        ``cut:N`` (ends inside event N) and ``end:N`` (ends after event N).
+        ``crash`` (it takes no connections afterwards), ``half``, ``strange``,
+        ``extra``, ``silent``, ``unframed`` or, for streams, ``cut:N`` (ends inside
+        event N) and ``end:N`` (ends after event N).
     n_events : int
         Events of a stream.
     delay, pause : float
@@ -162,7 +163,10 @@
             if done:
                 self.n_left += 1
                 return False
-        if kind == "reset":
+        if kind == "crash":
+            assert self._server is not None
+            self._server.close()
+        if kind in ("reset", "crash"):
             writer.transport.abort()
             return False
         if "stream" in req.target:
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -60,8 +60,8 @@
         Nodes whose usage it has heard, told by the holder of that duty.
     holder : bool
         It holds the duties.
-    crashes : dict of str to int
-        Fingerprints of requests that crashed engines, and how many.
+    crashes : dict of str to list of str
+        Servers that crashed on a request, by the request's mark.
     """
 
     name: str
@@ -80,7 +80,7 @@
     usage: dict[int, dict[str, int]] = Field(default_factory=dict)
     hears: list[str] = Field(default_factory=list)
     holder: bool = False
-    crashes: dict[str, int] = Field(default_factory=dict)
+    crashes: dict[str, list[str]] = Field(default_factory=dict)
 
 
 class LoadNote(BaseModel):
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -8,6 +8,7 @@
     decide_full_demand,
 )
 from ._choice import decide_backend
+from ._crash_marks import CrashMarks, make_request_mark
 from ._crashes import (
     CrashDecision,
     CrashTracker,
@@ -51,6 +52,7 @@
     "CapacityOrder",
     "ConcurrencyLimit",
     "CrashDecision",
+    "CrashMarks",
     "CrashTracker",
     "DecayingRate",
     "FairQueue",
@@ -89,6 +91,7 @@
     "has_room",
     "is_pressed",
     "make_fingerprint",
+    "make_request_mark",
     "predict_first_token",
     "rank_by_hash",
     "rank_waiting",
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -5,10 +5,11 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 from ..platform import RequestFacts
-from ..policy import RequestStates, Verdict
+from ..policy import RequestStates, Verdict, make_request_mark
 from ..routing import CustomerSpec, RouteRule, ServiceSpec
 from ..transport import IncomingRequest, Responder
 
@@ -78,6 +79,14 @@
         """What may be said of its execution."""
         return self.states.verdict
 
+    @cached_property
+    def mark(self) -> str:
+        """What stays the same when the request comes again."""
+        customer = self.customer.name if self.customer is not None else ""
+        return make_request_mark(
+            self.rule.name, customer, self.req.target, self.req.body
+        )
+
     @property
     def n_tokens(self) -> int:
         """Length of its prompt."""
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -23,6 +23,7 @@
     encode_node,
 )
 from ..platform import Change, Entry, PromptPart, Put, Store
+from ..policy import CrashMarks
 from ..routing import IngressLimits
 from ..transport import (
     ConnectFaultError,
@@ -71,6 +72,8 @@
         The time of day.
     usage : UsageCounts
         Counts told and merged.
+    crashes : CrashMarks
+        Requests that crash servers, told and merged.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         clock: Callable[[], float],
         true_time: TrueTime,
         usage: UsageCounts,
+        crashes: CrashMarks,
     ) -> None:
         self.table = PeerTable(name, zone, clock)
         self.talk = PeerTalk(
@@ -104,6 +108,7 @@
         self._clock = clock
         self._true_time = true_time
         self._usage = usage
+        self._crashes = crashes
         self._pulls = IngressServer(self._answer_pull, IngressLimits)
         self._pulling: asyncio.Task[None] | None = None
 
@@ -191,6 +196,7 @@
             ),
             hears=[peer.name for peer in self.table.alive()] if holder else [],
             holder=holder,
+            crashes=self._crashes.snapshot(),
         )
 
     def observe_long_prompt(
@@ -219,6 +225,7 @@
         if shift:
             log.warning("time of day corrected", extra={"seconds": round(shift, 3)})
         self._usage.merge(word.incarnation, word.usage)
+        self._crashes.merge(word.crashes)
         if word.zone == self.table.zone or self.table.is_small:
             self._loads.observe_peer(word.name, word.loads)
         self._take_ages(word)
--- a/packages/medlargate/medlargate/relay/_line.py
+++ b/packages/medlargate/medlargate/relay/_line.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import orjson
 
 from ..platform import decode_request, make_answer_headers, make_refusal_headers
-from ..policy import Refusal, RepeatBudget, Verdict
+from ..policy import CrashMarks, Refusal, RepeatBudget, Verdict
+from ..routing import Registration
 from ..transport import ExchangeFaultError, IncomingRequest, Responder
 from ._accept import Acceptor
 from ._account import Account
@@ -33,6 +34,10 @@
 # An attempt with less time than this can't bring an answer back.
 MIN_TIME_LEFT = 0.01  # seconds
 RETRY_SOON = 0.3  # seconds until a caller whose request did not run should return
+CRASHING_RETRY_AFTER = 30.0  # seconds; nothing is won by coming back sooner
+# A crash is told from a lost answer by a connection a moment later.
+CRASH_CHECK_DELAY = 0.1  # seconds
+BREAKS = ("reset", "closed")
 SUCCESS = range(200, 300)
 # These statuses promise that a request did not run; a server's own word for that is
 # the header that says so.
@@ -62,6 +67,10 @@
         Told what was measured.
     account : Account
         Told what ran and how requests ended.
+    crashes : CrashMarks
+        Requests that crash servers.
+    can_reach : callable
+        Tells whether a server still takes connections.
     budget : callable
         Returns the budget of repeats of a service.
     n_nodes : callable
@@ -78,6 +87,8 @@
         loads: LoadBook,
         account: Account,
         *,
+        crashes: CrashMarks,
+        can_reach: Callable[[Registration], Awaitable[bool]],
         budget: Callable[[str], RepeatBudget],
         n_nodes: Callable[[], int],
         clock: Callable[[], float],
@@ -87,6 +98,9 @@
         self._sender = sender
         self._loads = loads
         self._account = account
+        self._crashes = crashes
+        self._can_reach = can_reach
+        self._checks: set[asyncio.Task[None]] = set()
         self._budget = budget
         self._n_nodes = n_nodes
         self._clock = clock
@@ -158,6 +172,13 @@
         )
 
     async def _serve(self, exch: Exchange) -> Outcome:
+        if self._crashes.decide(exch.mark):
+            raise Refusal(
+                503,
+                "crashes_servers",
+                "not run: this request has crashed several servers",
+                retry_after=CRASHING_RETRY_AFTER,
+            )
         n_unreachable = 0
         while True:
             assigned = await self._waiting.acquire(exch)
@@ -281,10 +302,25 @@
         elif fault.kind == "refused":
             view.observe_result(True, _now())
             exch.states.observe("backend_refusal")
-        elif exch.service.engine is None and fault.verdict is Verdict.MAY_HAVE_RUN:
+        elif fault.kind in BREAKS and not exch.n_events:
+            self._spawn_check(exch, assigned.server)
+        if exch.service.engine is None and fault.verdict is Verdict.MAY_HAVE_RUN:
             # A plain server mostly began at once, whatever became of the answer.
             self._account.observe_run(exch)
 
+    def _spawn_check(self, exch: Exchange, server: Registration) -> None:
+        task = asyncio.create_task(self._check_crash(exch, server))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _check_crash(self, exch: Exchange, server: Registration) -> None:
+        """Find out whether a server that broke off has crashed on the request."""
+        await asyncio.sleep(CRASH_CHECK_DELAY)
+        if await self._can_reach(server):
+            return
+        self._crashes.observe_crash(exch.mark, server.server_id)
+        exch.record("crash", server=server.server_id, mark=exch.mark)
+
     def _decide_stop(
         self, exch: Exchange, fault: AttemptFault, n_unreachable: int
     ) -> str | None:
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -31,10 +31,18 @@
     decode_declaration,
     decode_registration,
 )
-from ..policy import LONG_READING, RepeatBudget
-from ..routing import IngressLimits
+from ..policy import LONG_READING, CrashMarks, RepeatBudget
+from ..routing import IngressLimits, Registration
 from ..telemetry import LineWriter, Metrics
-from ..transport import ConnectionPool, IncomingRequest, IngressServer, Responder
+from ..transport import (
+    CONNECT_TIMEOUT,
+    ConnectFaultError,
+    ConnectionPool,
+    IncomingRequest,
+    IngressServer,
+    Responder,
+    open_connection,
+)
 from ._accept import Acceptor
 from ._account import Account
 from ._duties import (
@@ -105,6 +113,7 @@
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.true_time = TrueTime(self.clock, time.time)
+        self.crashes = CrashMarks()
         self.usage = UsageCounts(self.ingress.usage_window)
         self.account = Account(
             self.metrics, self._observe_usage, self.clock, self.record_line
@@ -121,6 +130,8 @@
             Sender(self.pool, self.loads),
             self.loads,
             self.account,
+            crashes=self.crashes,
+            can_reach=_can_reach,
             budget=self._budget,
             n_nodes=self._count_nodes,
             clock=self.clock,
@@ -280,6 +291,7 @@
             clock=self.clock,
             true_time=self.true_time,
             usage=self.usage,
+            crashes=self.crashes,
         )
         side.observe_seeds(self.ingress.seeds)
         return side
@@ -394,6 +406,16 @@
         await responder.send(200, [(b"Content-Type", b"text/plain")], page)
 
 
+async def _can_reach(server: Registration) -> bool:
+    """Tell whether a server takes connections."""
+    try:
+        conn = await open_connection(server.host, server.port, timeout=CONNECT_TIMEOUT)
+    except ConnectFaultError:
+        return False
+    conn.abort()
+    return True
+
+
 async def _log_failure(job: Callable[[], Awaitable[None]]) -> None:
     """Run a task that is not meant to end; start it again when it fails."""
     while True:
--- a/packages/medlargate/medlargate/relay/tests/test_relay.py
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -214,6 +214,35 @@
         self.assertEqual((await task).status, 200)
 
 
+class CrashTest(RelayCase):
+    async def test_a_request_that_crashes_servers_is_not_run_for_ever(self):
+        for number in range(6):
+            backend = Backend(f"c{number}", "plain", behaviour=lambda _: "crash")
+            await self.world.add_backend(backend)
+        for name in ("p1", "p2"):
+            self.world.unregister(self.world.backends[name])
+        await asyncio.sleep(0.2)
+        statuses = []
+        for number in range(6):
+            reply = await self.world.call(
+                "/book/x", body=b"deadly", request_id=f"r{number}"
+            )
+            statuses.append(reply.status)
+            await asyncio.sleep(0.3)
+        n_runs = sum(self.n_runs(f"r{number}") for number in range(6))
+        self.assertEqual(n_runs, 3)
+        self.assertEqual(statuses, [502, 502, 502, 503, 503, 503])
+        reply = await self.world.call("/book/x", body=b"harmless", request_id="r9")
+        self.assertEqual(reply.status, 502)  # it is run, by a server that crashes too
+
+    async def test_lost_answers_are_no_crashes(self):
+        self.behave("plain", lambda _: "reset")
+        for number in range(6):
+            await self.world.call("/book/x", body=b"same", request_id=f"r{number}")
+            await asyncio.sleep(0.15)
+        self.assertEqual(sum(self.n_runs(f"r{number}") for number in range(6)), 6)
+
+
 class TimeTest(RelayCase):
     async def test_a_final_answer_comes_at_the_routes_timeout(self):
         self.behave("plain", lambda _: "silent")
--- a/packages/medlargate/medlargate/telemetry/_explain_logs.py
+++ b/packages/medlargate/medlargate/telemetry/_explain_logs.py
@@ -17,6 +17,7 @@
     "no_configuration": "the node knew no configuration yet",
     "unsure": "route or key unknown, and the store did not confirm the configuration",
     "no_service": "the route names a service that is not configured",
+    "crashes_servers": "the same request crashed several servers; it is not run again",
     "no_server": "no backend server of the service was known",
     "too_late": "no engine could begin before the answer would be of no use",
     "timeout_not_run": "the time ran out while the request waited at the node",
--- a/packages/medlargate/medlargate/transport/__init__.py
+++ b/packages/medlargate/medlargate/transport/__init__.py
@@ -12,10 +12,11 @@
     ExchangeFaultError,
     open_connection,
 )
-from ._pool import ConnectionPool
+from ._pool import CONNECT_TIMEOUT, ConnectionPool
 from ._server import CallerConnection, IncomingRequest, IngressServer, Responder
 
 __all__ = [
+    "CONNECT_TIMEOUT",
     "AnswerHead",
     "BackendConnection",
     "CallerConnection",
