--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -10,15 +10,8 @@
 
 from ._beliefs import BeliefAge, Beliefs
 from ._leases import DutyLease
-from ._peers import (
-    KnownPeer,
-    LoadNote,
-    PeerTable,
-    PeerTalk,
-    PeerWord,
-    decode_node,
-    encode_node,
-)
+from ._peer_words import LoadNote, PeerWord, decode_node, encode_node
+from ._peers import KnownPeer, PeerTable, PeerTalk
 from ._true_time import TrueTime
 from ._usage_counts import UsageCounts
 from ._usage_duty import UsageDuty, UsageParts
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/_peer_words.py
@@ -0,0 +1,98 @@
+"""What nodes tell each other, and their entries in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import orjson
+from pydantic import BaseModel, Field
+
+
+class PeerWord(BaseModel):
+    """One node's word on itself.
+
+    Attributes
+    ----------
+    name, incarnation, zone, address : str
+        Who speaks, and ``IP:PORT`` for datagrams and for pulling beliefs.
+    time : float
+        Its time of day, seconds since 1970.
+    config_revision, servers_revision : int
+        How far its beliefs reach.
+    servers_digest : str
+        Equal where the registrations are the same.
+    config_age, servers_age : float
+        Seconds since the store confirmed them.
+    store_up : bool
+        The store answers it.
+    loads : dict of str to (int, float)
+        Its own requests and seconds of reading by server.
+    demand : dict of str to float
+        Work that arrives at it by service, engine-seconds a second.
+    usage : dict of int to dict
+        Its counts by window and customer.
+    hears : list of str
+        Nodes whose usage it has heard, told by the holder of that duty.
+    holder : bool
+        It holds the duties.
+    crashes : dict of str to list of str
+        Servers that crashed on a request, by the request's mark.
+    """
+
+    name: str
+    incarnation: str
+    zone: str
+    address: str
+    time: float
+    config_revision: int = 0
+    servers_revision: int = 0
+    servers_digest: str = ""
+    config_age: float = 1e9
+    servers_age: float = 1e9
+    store_up: bool = True
+    loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
+    demand: dict[str, float] = Field(default_factory=dict)
+    usage: dict[int, dict[str, int]] = Field(default_factory=dict)
+    hears: list[str] = Field(default_factory=list)
+    holder: bool = False
+    crashes: dict[str, list[str]] = Field(default_factory=dict)
+
+
+class LoadNote(BaseModel):
+    """A node's load on one server, told when it has just grown by much.
+
+    Attributes
+    ----------
+    sender : str
+        The node.
+    server : str
+        The server.
+    n_running : int
+        Its own requests there.
+    reading : float
+        Seconds of reading that they still need.
+    parts : list of (str, int)
+        Prompt parts that the server holds from now on, with their tokens.
+    """
+
+    sender: str
+    server: str
+    n_running: int
+    reading: float
+    parts: list[tuple[str, int]] = Field(default_factory=list)
+
+
+def encode_node(zone: str, address: str, incarnation: str) -> bytes:
+    """Encode a node's entry in the store."""
+    return orjson.dumps({"zone": zone, "address": address, "incarnation": incarnation})
+
+
+def decode_node(data: bytes) -> Mapping[str, str] | None:
+    """Decode a node's entry in the store; None when it is not one."""
+    try:
+        row = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(row, dict) or not {"zone", "address"} <= set(row):
+        return None
+    return row
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from .._clock import read_boot_clock
 from .._settings import Settings
 from ..charts import Subject, load_chart
 from ..fleet import ClaimDesk, ConfigReplica, Counts, Record, UsageLedger
@@ -40,17 +41,6 @@
 CRASH_MEMORY = 1.0  # seconds
 
 
-def read_boot_clock() -> float:
-    """Read a clock that counts the time while the machine was suspended.
-
-    Returns
-    -------
-    float
-        Seconds.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Node:
     """Everything that one process of the fleet owns.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from .._clock import read_boot_clock
 from .._settings import Settings
 from ..fleet import (
     Beliefs,
@@ -74,17 +75,6 @@
 LISTEN_LIMITS = IngressLimits()
 
 
-def read_boot_clock() -> float:
-    """Read a clock that counts the time while the machine was suspended.
-
-    Returns
-    -------
-    float
-        Seconds.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class RelayNode:
     """Everything that one process on the users' platform owns.
 
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import h11
 
+from ._headers import Headers, find_header
 from ._sockets import set_liveness_options
 
-Headers = Sequence[tuple[bytes, bytes]]
-
 MAX_HEAD_BYTES = 65_536
 MAX_BUFFERED_BYTES = 262_144  # received and not read; more pauses the socket
 DEFAULT_KEEP_ALIVE = 10.0  # seconds, for servers that do not say
@@ -53,23 +52,8 @@
     headers: tuple[tuple[bytes, bytes], ...]
 
     def get(self, name: str) -> str | None:
-        """Return the first value of a header.
-
-        Parameters
-        ----------
-        name : str
-            In any case.
-
-        Returns
-        -------
-        str or None
-            None when it is absent.
-        """
-        wanted = name.lower().encode()
-        for key, value in self.headers:
-            if key == wanted:
-                return value.decode("latin-1")
-        return None
+        """Return the first value of a header; None when it is absent."""
+        return find_header(self.headers, name)
 
 
 class BackendConnection(asyncio.Protocol):
--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -5,18 +5,17 @@
 import asyncio
 import http
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import h11
 
 from ..routing import IngressLimits
+from ._headers import Headers, find_header
 from ._sockets import set_liveness_options
 
 log = logging.getLogger(__name__)
 
-Headers = Sequence[tuple[bytes, bytes]]
-
 BODY_STALL_TIMEOUT = 10.0  # seconds without a byte of an unfinished body
 BACKLOG = 1024
 
@@ -49,23 +48,8 @@
         return self.target.partition("?")[0]
 
     def get(self, name: str) -> str | None:
-        """Return the first value of a header.
-
-        Parameters
-        ----------
-        name : str
-            In any case.
-
-        Returns
-        -------
-        str or None
-            None when it is absent.
-        """
-        wanted = name.lower().encode()
-        for key, value in self.headers:
-            if key == wanted:
-                return value.decode("latin-1")
-        return None
+        """Return the first value of a header; None when it is absent."""
+        return find_header(self.headers, name)
 
 
 Handler = Callable[[IncomingRequest, "Responder"], Awaitable[None]]
