Give a server back when a request is cancelled as it is placed

Cause, found by reading: a request whose caller left between the assignment and its task's next turn stayed in the server's load for good, so that the server looked busy. The test fails without the change (checked).

--- a/packages/medlargate/medlargate/platform/_names.py
+++ b/packages/medlargate/medlargate/platform/_names.py
@@ -17,7 +17,6 @@
 FETCH_FROM = "Kv-Fetch"  # IP:PORT of an engine that holds a prompt's beginning
 LOAD = "Server-Load"
 NOT_RUN = "Not-Executed"
-RETRY_AFTER = "Retry-After"
 DUTY_HOLDER = "Duty-Holder"
 FENCE = "Fencing-Token"
 
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -12,6 +12,7 @@
     Placement,
     Refusal,
     ServerState,
+    ServiceTimes,
     decide_placement,
     decide_wait,
     find_short_lane,
@@ -119,7 +120,7 @@
         Refusal
             No server, or none in time.
         """
-        if exch.states.state in ("received",):
+        if exch.states.state == "received":
             exch.states.observe("enqueue")
         assigned = self._try_place(exch)
         if assigned is not None:
@@ -130,7 +131,12 @@
         exch.record("wait", n_waiting=len(queue), priority=exch.priority)
         queue.append(waiter)
         try:
-            return await waiter.fut
+            return await fut
+        except asyncio.CancelledError:
+            if fut.done() and not fut.cancelled() and fut.exception() is None:
+                # It was given a server and will not use it.
+                self._loads.observe_end(exch.number, fut.result().server.server_id)
+            raise
         finally:
             if waiter in queue:
                 queue.remove(waiter)
@@ -138,34 +144,12 @@
     def _try_place(self, exch: Exchange) -> Assigned | None:
         """Find the best server, if it has room or the request can't wait for it."""
         servers = {it.server_id: it for it in self.usable(exch.service.name)}
-        untried = [it for name, it in servers.items() if name not in exch.tried]
-        candidates = untried or list(servers.values())
-        states = self._loads.make_states(
-            exch.service, candidates, exch.facts.parts, exch.n_tokens
-        )
         times = self._loads.times(exch.service)
         waited = self._clock() - exch.arrived_at
         pressed = is_pressed(waited=waited, target=exch.rule.target)
-
-        def read_time(state: ServerState) -> float:
-            return state.n_to_read * times.per_token * state.slowness
-
-        def is_open(state: ServerState) -> bool:
-            return has_room(
-                state,
-                engine=exch.service.engine is not None,
-                reading=read_time(state),
-                pressed=pressed,
-            )
-
-        lane = self._find_lane(exch, servers)
-        states = [
-            state
-            for state in states
-            if state.name not in lane or read_time(state) <= LONG_READING
-        ] or states
+        states = self._make_states(exch, servers, times)
         if pressed or exch.service.engine is None:
-            states = [state for state in states if is_open(state)]
+            states = [it for it in states if _is_open(exch, it, times, pressed)]
         placement = decide_placement(
             states,
             times,
@@ -175,20 +159,33 @@
         if placement is None:
             return None
         state = next(it for it in states if it.name == placement.name)
-        if not is_open(state):
+        if not _is_open(exch, state, times, pressed):
             return None
         source = self._loads.find_source(exch.service, state, exch.facts.parts)
         holder = self._beliefs.servers.get(source) if source else None
         fetch_from = holder.address if holder is not None else None
         return Assigned(servers[placement.name], state, placement, fetch_from)
 
-    def _find_lane(
-        self, exch: Exchange, servers: dict[str, Registration]
-    ) -> frozenset[str]:
-        """Return the engines that are kept free of long prompts."""
+    def _make_states(
+        self, exch: Exchange, servers: dict[str, Registration], times: ServiceTimes
+    ) -> list[ServerState]:
+        """Describe the servers that a request may go to, untried ones if any."""
+        untried = [it for name, it in servers.items() if name not in exch.tried]
+        states = self._loads.make_states(
+            exch.service,
+            untried or list(servers.values()),
+            exch.facts.parts,
+            exch.n_tokens,
+        )
         if exch.service.engine is None:
-            return frozenset()
-        return find_short_lane(list(servers))
+            return states
+        lane = find_short_lane(list(servers))
+        allowed = [
+            state
+            for state in states
+            if state.name not in lane or _read_time(state, times) <= LONG_READING
+        ]
+        return allowed or states
 
     def _take(self, exch: Exchange, assigned: Assigned) -> Assigned:
         now = self._clock()
@@ -289,3 +286,20 @@
         while True:
             await asyncio.sleep(LOOK_INTERVAL)
             self.observe_change()
+
+
+def _read_time(state: ServerState, times: ServiceTimes) -> float:
+    """Return the seconds that a server reads a request's prompt."""
+    return state.n_to_read * times.per_token * state.slowness
+
+
+def _is_open(
+    exch: Exchange, state: ServerState, times: ServiceTimes, pressed: bool
+) -> bool:
+    """Tell whether a server has room for a request now."""
+    return has_room(
+        state,
+        engine=exch.service.engine is not None,
+        reading=_read_time(state, times),
+        pressed=pressed,
+    )
--- a/packages/medlargate/medlargate/relay/tests/test_relay.py
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -13,6 +13,8 @@
     read_reply,
 )
 
+from medlargate.transport import IncomingRequest
+
 
 class RelayCase(unittest.IsolatedAsyncioTestCase):
     """One node, two plain servers and two engines."""
@@ -260,6 +262,34 @@
             while not sum(it.n_left for it in self.world.backends.values()):
                 await asyncio.sleep(0.01)
 
+    async def test_a_hang_up_as_a_server_is_found_leaves_no_load_behind(self):
+        for backend in self.world.backends.values():
+            backend.delay = 0.02
+        writers = []
+        for number in range(60):
+            _, writer = await self.world.open()
+            writer.write(make_request("GET", "/read/x", f"r{number}"))
+            writers.append(writer)
+        await asyncio.sleep(0.05)
+        for writer in writers:
+            writer.close()
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.node.loads.snapshot_own(), {})
+
+    async def test_a_request_that_is_cancelled_once_placed_gives_its_server_back(self):
+        waiting, node = self.node.waiting, self.node
+        server = next(iter(waiting.usable("plain")))
+        exch = await node.line._acceptor.accept(_make_incoming(), None)
+        node.waiting.usable = lambda _: []
+        task = asyncio.create_task(waiting.acquire(exch))
+        await asyncio.sleep(0)
+        node.waiting.usable = lambda _: [server]
+        waiting.observe_change()
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertEqual(node.loads.snapshot_own(), {})
+
     async def test_without_servers_the_caller_hears_when_to_return(self):
         for name in ("p1", "p2"):
             self.world.unregister(self.world.backends[name])
@@ -333,6 +363,11 @@
         self.assertEqual(reply.status, 502)
 
 
+def _make_incoming():
+    rows = {b"host": b"site.example", b"attempt-id": b"r1", b"key": KEY.encode()}
+    return IncomingRequest("GET", "/read/x", tuple(rows.items()), b"", 0.0)
+
+
 class BorderTest(RelayCase):
     async def send(self, raw):
         reader, writer = await self.world.open()
