--- a/packages/medlargate/medlargate/fleet/tests/test_duty.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_duty.py
@@ -24,12 +24,11 @@
         return StoreClient(self.store, self.gate)
 
     def lease(self, owner):
-        clock = lambda: self.now  # noqa: E731 (a short closure)
         return DutyLease(
             self.client(),
             "platform",
             owner,
-            clock,
+            lambda: self.now,
             lease_timeout=3.0,
             order_timeout=1.5,
         )
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -34,6 +34,7 @@
 # Until then what arrives says little, and engines found are kept as needed.
 START_TIME = 4.0  # seconds
 REFUSED_PAUSE = 3.0  # seconds until an order that found none is tried again
+FAILED_PAUSE = 1.0  # seconds without orders after one that was not taken
 UNFILLED_PAUSE = 2.5  # seconds beyond the boot time until an order is repeated
 ORDER_TIMEOUT = 1.5  # seconds
 
@@ -96,12 +97,13 @@
         self._clock = clock
         self._peaks: dict[str, tuple[float, float]] = {}
         self._started_at: dict[str, float] = {}
+        self._next_at = float("-inf")
         self._ordered: dict[tuple[str, str, bool], _Ordered] = {}
 
     async def step(self, may_order: Callable[[], bool]) -> None:
         """Order what the load calls for."""
         table = self._beliefs.table
-        if table is None:
+        if table is None or self._clock() < self._next_at:
             return
         for service in list(table.declaration.services.values()):
             if service.scaling is None:
@@ -114,7 +116,7 @@
             for order in decide_capacity(
                 zones, service.scaling, demand=demand, current=current
             ):
-                if not may_order():
+                if not may_order() or self._clock() < self._next_at:
                     return
                 await self._place(service, service.scaling, order, zones, demand)
 
@@ -194,7 +196,9 @@
         failed = isinstance(result, Failure)
         status = 0 if failed else result.unwrap()
         refused = status == 409
-        if not failed:
+        if failed:
+            self._next_at = now + FAILED_PAUSE
+        else:
             self._ordered[key] = _Ordered(order.desired, now, refused)
         log.info(
             "engines ordered",
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -27,9 +27,11 @@
         await self.wait_for(lambda: any(n.duties.is_holder() for n in self.world.nodes))
         for number in range(30):
             await self.world.call("/read/x", node=number % 3)
-        total = lambda: sum(  # noqa: E731 (a short closure)
-            reports[0].get("alpha", 0) for reports in self.world.platform.usage.values()
-        )
+
+        def total():
+            usage = self.world.platform.usage.values()
+            return sum(reports[0].get("alpha", 0) for reports in usage)
+
         await self.wait_for(lambda: total() >= 30, seconds=15)
         self.assertEqual(total(), 30)
         for reports in self.world.platform.usage.values():
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
@@ -0,0 +1,75 @@
+"""Orders of engines by the holder of the duty, against what the platform answers."""
+
+import unittest
+
+from returns.result import Failure, Success
+
+from medlargate.fleet import Beliefs, PeerTable
+from medlargate.platform import StoreError, decode_declaration, decode_registration
+from medlargate.policy import Verdict
+from medlargate.relay._duties import ScaleDuty
+from medlargate.routing import (
+    Declaration,
+    EngineSpec,
+    ScalingSpec,
+    ServiceSpec,
+    make_route_table,
+)
+
+SCALING = ScalingSpec(1, 3, 4.0, 0.2, {"a": 1.0, "b": 0.8, "c": 1.2})
+SERVICE = ServiceSpec("s", 100, EngineSpec(8, 100_000), SCALING)
+
+
+class ScaleDutyTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.answer = Success(200)
+        self.sent = []
+        self.beliefs = Beliefs(
+            decode_declaration, decode_registration, lambda: self.now
+        )
+        declaration = Declaration(1, (), {"s": SERVICE})
+        self.beliefs.table = make_route_table(declaration)
+        table = PeerTable("n1", "a", lambda: self.now)
+        self.demand = {"s": 0.2}
+        self.duty = ScaleDuty(
+            self.beliefs, table, lambda: self.demand, self.send, lambda: self.now
+        )
+
+    async def send(self, service, zone, desired, spot):
+        self.sent.append((zone, desired, spot))
+        return self.answer
+
+    async def step(self, seconds=0.0):
+        self.now += seconds
+        self.sent.clear()
+        await self.duty.step(lambda: True)
+        return list(self.sent)
+
+    async def test_everything_is_ordered_at_first_and_not_again_at_once(self):
+        first = await self.step()
+        self.assertEqual(
+            {row for row in first if row[2]}, {(z, 3, True) for z in "abc"}
+        )
+        self.assertEqual(await self.step(0.4), [])
+
+    async def test_an_order_that_was_not_filled_is_repeated(self):
+        await self.step()
+        again = await self.step(8.0)
+        self.assertTrue(any(spot for _, _, spot in again))
+
+    async def test_an_order_that_found_none_is_tried_again_later(self):
+        self.answer = Success(409)
+        await self.step()
+        self.assertEqual(await self.step(1.0), [])
+        self.assertTrue(await self.step(3.0))
+
+    async def test_a_platform_that_takes_no_orders_is_not_pressed(self):
+        self.answer = Failure(StoreError(Verdict.NOT_RUN, "503"))
+        self.assertEqual(len(await self.step()), 1)
+        self.assertEqual(await self.step(0.4), [])
+        self.assertEqual(len(await self.step(1.0)), 1)
+
+    async def test_a_lost_duty_orders_nothing(self):
+        await self.duty.step(lambda: False)
+        self.assertEqual(self.sent, [])
