Count far peers once a question, not once a peer

Cause, found by reading: whether a peer is alive depends on the number of far peers, which was counted anew for each one; several such lists are made a second. What counts as alive is unchanged.

--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -118,21 +118,27 @@
     @property
     def is_small(self) -> bool:
         """Whether all peers of other failure domains are told in one round."""
-        return sum(it.zone != self.zone for it in self.peers.values()) <= MAX_FAR
+        return self._count_far() <= MAX_FAR
+
+    def _count_far(self) -> int:
+        return sum(it.zone != self.zone for it in self.peers.values())
+
+    def _alive_since(self) -> float:
+        """Return the time since which a peer has to be heard to count as alive."""
+        round_time = FAR_INTERVAL * self._count_far() / MAX_FAR
+        return self.clock() - max(ALIVE_TIME, ALIVE_ROUNDS * round_time)
 
     def is_alive(self, peer: KnownPeer) -> bool:
         """Tell whether a peer was heard a moment ago."""
-        n_far = sum(it.zone != self.zone for it in self.peers.values())
-        round_time = FAR_INTERVAL * n_far / MAX_FAR
-        limit = max(ALIVE_TIME, ALIVE_ROUNDS * round_time)
-        return self.clock() - peer.heard_at < limit
+        return peer.heard_at > self._alive_since()
 
     def alive(self, *, zone: str | None = None) -> list[KnownPeer]:
         """List the peers that are heard, of one failure domain or all."""
+        since = self._alive_since()
         return [
             peer
             for peer in self.peers.values()
-            if self.is_alive(peer) and (zone is None or peer.zone == zone)
+            if peer.heard_at > since and (zone is None or peer.zone == zone)
         ]
 
     def count_nodes(self) -> int:
@@ -161,6 +167,7 @@
             Peers, with those that are away only now and then.
         """
         now = self.clock()
+        since = self._alive_since()
         found = []
         for key, peer in list(self.peers.items()):
             if now - max(peer.heard_at, peer.known_at) > FORGET_TIME:
@@ -168,7 +175,7 @@
                 continue
             if (peer.zone == self.zone) != near:
                 continue
-            fresh = self.is_alive(peer) or now - peer.known_at < ALIVE_TIME
+            fresh = peer.heard_at > since or now - peer.known_at < ALIVE_TIME
             if fresh or self.random_state.random() < LOST_TELL_SHARE:
                 found.append(peer)
         limit = MAX_NEAR if near else MAX_FAR
