Map a failed platform call to its verdict once, read headers once

The same mapping stood in the store's client, the orders' client and the demo platform's client, and the same reading of headers in decode_request and decode_answer: now make_store_error and _read_rows.

--- a/packages/medlargate/medlargate/platform/_orders.py
+++ b/packages/medlargate/medlargate/platform/_orders.py
@@ -14,7 +14,7 @@
 from ..policy import Verdict
 from ._names import DUTY_HOLDER, FENCE
 from ._services import GuardedPayload, GuardError
-from ._store import StoreError
+from ._store import StoreError, make_store_error
 
 NOT_DONE = frozenset({400, 403, 409, 429, 503})
 
@@ -141,8 +141,5 @@
                 return Failure(StoreError(verdict, f"{path} answered {resp.status}"))
         except GuardError as exc:
             return Failure(StoreError(Verdict.NOT_RUN, str(exc)))
-        except aiohttp.ClientConnectorError as exc:
-            return Failure(StoreError(Verdict.NOT_RUN, str(exc)))
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            message = f"{type(exc).__name__}: {exc}"
-            return Failure(StoreError(Verdict.MAY_HAVE_RUN, message))
+            return Failure(make_store_error(exc))
--- a/packages/medlargate/medlargate/platform/_requests.py
+++ b/packages/medlargate/medlargate/platform/_requests.py
@@ -145,6 +145,14 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def _read_rows(headers: Headers) -> dict[str, str]:
+    """Return the first value of each header, without spaces around it."""
+    rows: dict[str, str] = {}
+    for name, value in headers:
+        rows.setdefault(name.decode("latin-1"), value.decode("latin-1").strip())
+    return rows
+
+
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(","):
@@ -168,9 +176,7 @@
     RequestFacts
         What they say; unreadable optional ones count as missing.
     """
-    rows = {}
-    for name, value in headers:
-        rows.setdefault(name.decode("latin-1"), value.decode("latin-1").strip())
+    rows = _read_rows(headers)
 
     def get(name: str) -> str:
         return rows.get(name.lower(), "")
@@ -260,9 +266,7 @@
     AnswerFacts
         What they say.
     """
-    rows = {}
-    for name, value in headers:
-        rows.setdefault(name.decode("latin-1"), value.decode("latin-1").strip())
+    rows = _read_rows(headers)
     load = None
     numbers = [_read_int(item) for item in rows.get(LOAD.lower(), "").split(",")]
     if len(numbers) == 3 and None not in numbers:
--- a/packages/medlargate/medlargate/platform/_services.py
+++ b/packages/medlargate/medlargate/platform/_services.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from ..policy import Verdict
-from ._store import StoreError
+from ._store import StoreError, make_store_error
 
 
 class Vm(BaseModel):
@@ -170,11 +170,10 @@
             ) as resp:
                 answer = PlatformAnswer(resp.status, orjson.loads(await resp.read()))
                 return Success(answer)
-        except (aiohttp.ClientConnectorError, GuardError) as exc:
+        except GuardError as exc:
             return Failure(StoreError(Verdict.NOT_RUN, str(exc)))
         except (aiohttp.ClientError, TimeoutError, orjson.JSONDecodeError) as exc:
-            message = f"{type(exc).__name__}: {exc}"
-            return Failure(StoreError(Verdict.MAY_HAVE_RUN, message))
+            return Failure(make_store_error(exc))
 
     async def read_vms(self) -> Result[list[Vm], StoreError]:
         """Read the list of VMs.
--- a/packages/medlargate/medlargate/platform/_store.py
+++ b/packages/medlargate/medlargate/platform/_store.py
@@ -120,6 +120,24 @@
     message: str
 
 
+def make_store_error(exc: Exception) -> StoreError:
+    """Say what may be said of a call of the platform that failed.
+
+    Parameters
+    ----------
+    exc : Exception
+        What was raised.
+
+    Returns
+    -------
+    StoreError
+        ``NOT_RUN`` when no connection came about, else ``MAY_HAVE_RUN``.
+    """
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return StoreError(Verdict.NOT_RUN, str(exc))
+    return StoreError(Verdict.MAY_HAVE_RUN, f"{type(exc).__name__}: {exc}")
+
+
 StoreResult = Result[StoreAnswer, StoreError]
 
 
@@ -276,11 +294,8 @@
                     message = f"store answered {resp.status} to {kind}"
                     return Failure(StoreError(verdict, message))
                 return Success(_Reply(resp.status, orjson.loads(raw) if raw else {}))
-        except aiohttp.ClientConnectorError as exc:
-            return Failure(StoreError(Verdict.NOT_RUN, str(exc)))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
-            message = f"{type(exc).__name__}: {exc}"
-            return Failure(StoreError(Verdict.MAY_HAVE_RUN, message))
+            return Failure(make_store_error(exc))
 
     async def read(
         self, key: str, *, prefix: bool = False, start: str = "", limit: int = 0
