Find a prompt's holder once; one way to keep a task running; drop what nothing calls

Behaviour unchanged. In test_loads two assertions read ServerState.source in place of the removed call, with the same expectations. Tests of loads, placement, border, relay, fleet side and gateway: 115 passed.

--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -247,7 +247,6 @@
         self._make_word = make_word
         self._on_word = on_word
         self._transport: asyncio.DatagramTransport | None = None
-        self.n_sent = 0
 
     async def start(self, host: str, port: int) -> None:
         """Listen for datagrams."""
@@ -284,7 +283,6 @@
         for peer in targets:
             host, _, port = peer.address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
-            self.n_sent += 1
 
     def tell_all(self) -> None:
         """Send this node's word to both near and far peers."""
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -14,6 +14,7 @@
 
 from .._clock import read_boot_clock
 from .._settings import Settings
+from .._tasks import run_to_end
 from ..charts import Subject, load_chart
 from ..fleet import ClaimDesk, ConfigReplica, Counts, Record, UsageLedger
 from ..platform import HttpStore, PlatformClient
@@ -119,7 +120,7 @@
             self._spawn(job)
 
     def _spawn(self, job: Callable[[], Awaitable[None]]) -> None:
-        self._tasks.append(asyncio.create_task(_log_failure(job)))
+        self._tasks.append(asyncio.create_task(run_to_end(job)))
 
     async def close(self) -> None:
         """Flush what is owed, give duties up and end the node's tasks."""
@@ -436,16 +437,3 @@
         Always; nothing was sent.
     """
     raise BackendFault("connect", f"backend server {name} is gone", Verdict.NOT_RUN)
-
-
-async def _log_failure(job: Callable[[], Awaitable[None]]) -> None:
-    """Run a task of the node; a failure is logged and the task started again."""
-    while True:
-        try:
-            await job()
-            return
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            log.exception("a task failed and starts again")
-            await asyncio.sleep(1.0)
--- a/packages/medlargate/medlargate/platform/_requests.py
+++ b/packages/medlargate/medlargate/platform/_requests.py
@@ -13,7 +13,6 @@
     FETCH_FROM,
     KEPT_HEADERS,
     LAST_EVENT,
-    LENGTH_HINT,
     LOAD,
     NOT_RUN,
     PRIORITY,
@@ -74,10 +73,8 @@
         The caller's key; empty when missing.
     time_left : float or None
         Seconds that the caller still waits.
-    n_prompt_tokens, max_output_tokens : int
-        Declared sizes; 0 when not given.
-    expected_output_tokens : int
-        The caller's guess of the answer's length; 0 when not given.
+    n_prompt_tokens : int
+        Declared length of the prompt; 0 when not given.
     parts : tuple of PromptPart
         The prompt's parts in order; the last is the request's own.
     last_event_id : int or None
@@ -88,8 +85,6 @@
     key: str
     time_left: float | None
     n_prompt_tokens: int = 0
-    max_output_tokens: int = 0
-    expected_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
 
@@ -182,14 +177,12 @@
         return rows.get(name.lower(), "")
 
     deadline = _read_int(get(DEADLINE).partition(".")[0])
-    prompt, _, output = get(TOKEN_COUNTS).partition(",")
+    prompt = get(TOKEN_COUNTS).partition(",")[0]
     return RequestFacts(
         request_id=get(REQUEST_ID),
         key=get(CUSTOMER_KEY),
         time_left=deadline / 1000 if deadline is not None else None,
         n_prompt_tokens=_read_int(prompt) or 0,
-        max_output_tokens=_read_int(output) or 0,
-        expected_output_tokens=_read_int(get(LENGTH_HINT)) or 0,
         parts=_read_parts(get(PROMPT_PARTS)),
         last_event_id=_read_int(get(LAST_EVENT)),
     )
--- a/packages/medlargate/medlargate/policy/_fleet_budget.py
+++ b/packages/medlargate/medlargate/policy/_fleet_budget.py
@@ -70,22 +70,6 @@
         self._repeats.append(now)
         return True
 
-    def snapshot(self, now: float) -> tuple[int, int]:
-        """Report the window.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        tuple of (int, int)
-            Requests and repeats in the window.
-        """
-        self._forget(now)
-        return len(self._requests), len(self._repeats)
-
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self.window:
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -47,6 +47,8 @@
         Prompt tokens of this request that it does not hold.
     n_fetchable : int
         Those of them that it can take over from another engine.
+    source : str or None
+        That engine; None when too little would be moved.
     slowness : float
         Measured times over predicted ones; 1 is normal.
     failure_share : float
@@ -62,6 +64,7 @@
     backlog: float = 0.0
     n_uncached: int = 0
     n_fetchable: int = 0
+    source: str | None = None
     slowness: float = 1.0
     failure_share: float = 0.0
     home_rank: int | None = None
@@ -71,11 +74,6 @@
         """Prompt tokens that it has to read."""
         return max(0, self.n_uncached - self.n_fetchable)
 
-    @property
-    def n_free(self) -> int:
-        """Free slots, never below 0."""
-        return max(0, self.n_slots - self.n_running)
-
 
 @dataclass(frozen=True, slots=True)
 class ServiceTimes:
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -151,9 +151,7 @@
     reason: str
 
 
-def decide_wait(
-    *, ahead: float, time_left: float, target_left: float, late_is_useful: bool = True
-) -> WaitDecision:
+def decide_wait(*, ahead: float, time_left: float, target_left: float) -> WaitDecision:
     """Decide whether a request that finds no room may wait.
 
     Parameters
@@ -164,21 +162,18 @@
         Seconds until an answer is of no use.
     target_left : float
         Seconds until its answer is late.
-    late_is_useful : bool, default=True
-        A late answer is worth something to the caller.
 
     Returns
     -------
     WaitDecision
         With the time at which a refused caller should come back.
     """
-    limit = time_left if late_is_useful else target_left
     retry_after = min(
         max(ahead - max(target_left, 0.0), MIN_RETRY_AFTER),
         MAX_RETRY_AFTER,
         max(MIN_RETRY_AFTER, time_left * HONOURED_FRACTION * 0.9),
     )
-    if ahead > limit:
-        reason = f"first token in {ahead:.2f} s, {limit:.2f} s left"
+    if ahead > time_left:
+        reason = f"first token in {ahead:.2f} s, {time_left:.2f} s left"
         return WaitDecision(False, retry_after, reason)
     return WaitDecision(True, retry_after, "room expected in time")
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -147,7 +147,6 @@
                 break
             await asyncio.sleep(REGISTER_PAUSE)
         self.talk.tell_all()
-        await asyncio.Event().wait()
 
     def _observe_nodes(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
--- a/packages/medlargate/medlargate/relay/_loads.py
+++ b/packages/medlargate/medlargate/relay/_loads.py
@@ -99,6 +99,7 @@
         for server in usable:
             view = self.view(server.server_id)
             cached = view.count_cached(parts)
+            n_fetchable = max(0, held[1] - cached) if held else 0
             states.append(
                 ServerState(
                     name=server.server_id,
@@ -107,7 +108,8 @@
                     n_slots=spec.engine.n_slots if spec.engine else server.n_slots,
                     backlog=view.sum_reading(now),
                     n_uncached=max(0, n_tokens - cached),
-                    n_fetchable=max(0, held[1] - cached) if held else 0,
+                    n_fetchable=n_fetchable,
+                    source=held[0] if held and n_fetchable >= MIN_FETCH else None,
                     slowness=view.slowness,
                     failure_share=view.failure_share(now),
                     home_rank=homes.get(server.server_id),
@@ -131,30 +133,6 @@
                 best = (server_id, n_tokens)
         return best
 
-    def find_source(
-        self, spec: ServiceSpec, state: ServerState, parts: tuple[PromptPart, ...]
-    ) -> str | None:
-        """Find the server from which another takes over a prompt's beginning.
-
-        Parameters
-        ----------
-        spec : ServiceSpec
-            The service.
-        state : ServerState
-            The server that gets the request.
-        parts : tuple of PromptPart
-            The request's prompt.
-
-        Returns
-        -------
-        str or None
-            None when too little would be moved.
-        """
-        if state.n_fetchable < MIN_FETCH:
-            return None
-        held = self._find_held(spec, parts)
-        return held[0] if held is not None and held[0] != state.name else None
-
     def observe_send(
         self,
         key: int,
@@ -241,7 +219,7 @@
         cut = self._cuts.get(domain)
         return cut is not None and now < cut.until
 
-    def observe_unreachable(self, server_id: str, domain: str = "") -> float:
+    def observe_unreachable(self, server_id: str, domain: str = "") -> None:
         """Take in that a server could not be reached or died.
 
         Parameters
@@ -250,23 +228,16 @@
             The server.
         domain : str, default=""
             Its failure domain; the node's own one is never taken for cut off.
-
-        Returns
-        -------
-        float
-            Seconds for which it gets no requests.
         """
         view = self.view(server_id)
         now = time.monotonic()
         if domain not in ("", self.domain):
             cut = self._cuts.setdefault(domain, DomainCut())
             cut.observe_unreachable(server_id, now)
-        duration = view.suspension
-        view.suspended_until = now + duration
-        view.suspension = min(MAX_SUSPENSION, 2 * duration)
+        view.suspended_until = now + view.suspension
+        view.suspension = min(MAX_SUSPENSION, 2 * view.suspension)
         view.parts.clear()
         view.n_part_tokens = 0
-        return duration
 
     def observe_report(self, server_id: str, load: ServerLoad) -> None:
         """Take in a server's own word on its load.
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -15,6 +15,7 @@
 
 from .._clock import read_boot_clock
 from .._settings import Settings
+from .._tasks import run_to_end
 from ..fleet import (
     Beliefs,
     DutyLease,
@@ -339,7 +340,7 @@
         await self.fleet.start()
 
     def _spawn(self, job: Callable[[], Awaitable[None]]) -> None:
-        self._tasks.append(asyncio.create_task(_log_failure(job)))
+        self._tasks.append(asyncio.create_task(run_to_end(job, pause=RESTART_PAUSE)))
 
     def _observe_reload(self) -> None:
         log.info("reload asked for; this node's settings hold until it restarts")
@@ -404,13 +405,3 @@
         return False
     conn.abort()
     return True
-
-
-async def _log_failure(job: Callable[[], Awaitable[None]]) -> None:
-    """Run a task that is not meant to end; start it again when it fails."""
-    while True:
-        try:
-            await job()
-        except Exception:
-            log.exception("a task of the node failed; it is started again")
-            await asyncio.sleep(RESTART_PAUSE)
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -161,8 +161,7 @@
         state = next(it for it in states if it.name == placement.name)
         if not _is_open(exch, state, times, pressed):
             return None
-        source = self._loads.find_source(exch.service, state, exch.facts.parts)
-        holder = self._beliefs.servers.get(source) if source else None
+        holder = self._beliefs.servers.get(state.source) if state.source else None
         fetch_from = holder.address if holder is not None else None
         return Assigned(servers[placement.name], state, placement, fetch_from)
 
--- a/packages/medlargate/medlargate/relay/tests/test_loads.py
+++ b/packages/medlargate/medlargate/relay/tests/test_loads.py
@@ -55,7 +55,7 @@
         states = self.states()
         self.assertEqual(states["a0"].n_uncached, 0)
         self.assertEqual(states["b0"].n_fetchable, 12_000)
-        self.assertEqual(self.book.find_source(SPEC, states["b0"], PARTS), "a0")
+        self.assertEqual(states["b0"].source, "a0")
 
     def test_the_least_recently_used_parts_yield(self):
         self.send(1, "a0")
@@ -66,7 +66,7 @@
     def test_a_server_that_died_holds_nothing(self):
         self.send(1, "a0")
         self.book.observe_unreachable("a0", "a")
-        self.assertIsNone(self.book.find_source(SPEC, self.states()["b0"], PARTS))
+        self.assertIsNone(self.states()["b0"].source)
 
     def test_every_node_ranks_the_same_home(self):
         other = LoadBook("b")
--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -175,7 +175,7 @@
         self._transport = transport  # type: ignore[assignment]
         set_liveness_options(transport)
         self._server.connections.add(self)
-        self._arm(self._server.limits().idle_timeout, self._close_idle)
+        self._arm(self._server.limits().idle_timeout, self.close_if_idle)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the caller."""
@@ -283,7 +283,7 @@
             return
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
-            self._arm(self._server.limits().idle_timeout, self._close_idle)
+            self._arm(self._server.limits().idle_timeout, self.close_if_idle)
             self._read_events()
         elif self._h11.our_state is h11.MUST_CLOSE:
             self._transport.close()
@@ -355,9 +355,6 @@
             self._timer.cancel()
             self._timer = None
 
-    def _close_idle(self) -> None:
-        self.close_if_idle()
-
     def _time_out_headers(self) -> None:
         self._refuse(408, "the headers were not complete in time")
 
