One node speaks for each failure domain, in sums; every node hears every engine's load

A dead holder of the duties counted as alive for 22 s there, and the next one waited by the names of dead nodes.

Change: the last live node of a domain sends the sums of its domain every 0.3 s to one node of each other domain, which passes them on at home. Single nodes tell far ones only that they live, and the holder what they count. Ranks for the duties go by domain; far peers are kept for minutes, so that domains that lost each other meet again.

--- a/packages/medlargate-standins/medlargate_standins/relay_world.py
+++ b/packages/medlargate-standins/medlargate_standins/relay_world.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -102,15 +103,18 @@
     Parameters
     ----------
     n_nodes : int, default=1
-        Relay nodes, all in ``fd-a``.
+        Relay nodes.
+    domains : sequence of str, default=("fd-a",)
+        Their failure domains in turn.
     """
 
-    def __init__(self, *, n_nodes: int = 1) -> None:
+    def __init__(self, *, n_nodes: int = 1, domains: Sequence[str] = ("fd-a",)) -> None:
         self.platform = Platform()
         self.servers = Servers()
         self.backends: dict[str, Backend] = {}
         self.nodes: list[RelayNode] = []
         self._n_nodes = n_nodes
+        self._domains = domains
         self._numbers = itertools.count(1)
         self._sink = open("/dev/null", "wb")  # noqa: SIM115 (closed with the world)
 
@@ -149,6 +153,7 @@
     async def add_node(self, name: str) -> RelayNode:
         """Start a node and wait until it is ready."""
         ports = [find_free_port() for _ in range(3)]
+        domain = self._domains[len(self.nodes) % len(self._domains)]
         ingress = {
             "frontend": f"{HOST}:{ports[0]}",
             "readiness": f"{HOST}:{ports[1]}",
@@ -160,7 +165,7 @@
             "lease_ms": 1000,
         }
         settings = {
-            "node": {"name": name, "failure_domain": "fd-a", "address": HOST},
+            "node": {"name": name, "failure_domain": domain, "address": HOST},
             "platform": {"endpoint": f"{HOST}:{self.platform_port}", "timeout": 1.0},
             "ingress": ingress,
         }
--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -9,8 +9,16 @@
 from typing import TYPE_CHECKING, Any
 
 from ._beliefs import BeliefAge, Beliefs
+from ._domains import LIFETIME_ROUNDS, DomainTable
 from ._leases import DutyLease
-from ._peer_words import LoadNote, PeerWord, decode_node, encode_node
+from ._peer_words import (
+    BeliefWord,
+    DomainWord,
+    LoadNote,
+    PeerWord,
+    decode_node,
+    encode_node,
+)
 from ._peers import KnownPeer, PeerTable, PeerTalk
 from ._true_time import TrueTime
 from ._usage_counts import UsageCounts
@@ -83,9 +91,11 @@
 
 __all__ = [
     "KINDS",
+    "LIFETIME_ROUNDS",
     "Accepted",
     "Backend",
     "BeliefAge",
+    "BeliefWord",
     "Beliefs",
     "ClaimDesk",
     "Claimed",
@@ -95,6 +105,8 @@
     "ConfigReplica",
     "Counts",
     "Customer",
+    "DomainTable",
+    "DomainWord",
     "DutyLease",
     "Facts",
     "FleetAgent",
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/_domains.py
@@ -0,0 +1,178 @@
+"""What the failure domains tell each other, one node speaking for each.
+
+Answers the load pattern of bursts that reach many nodes of all failure domains at once:
+each node should know how busy every engine is and what it holds, though bytes between
+failure domains are priced. One node of each domain sends the sums over its peers, and
+the node that receives them passes them on within its own, so that the bytes between
+domains grow with the number of domains and not of nodes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ._peer_words import DomainWord
+from ._peers import ALIVE_TIME, FORGET_TIME, PeerTable
+
+# An engine's load changes with each long prompt, which takes it about this long.
+DOMAIN_INTERVAL = 0.3  # seconds
+# With many domains each is told less often, so that a node's part stays bounded.
+INTERVAL_PER_DOMAIN = 0.1  # seconds
+# Rounds without word after which the domain's numbers are not used any more.
+LIFETIME_ROUNDS = 4
+MAX_PARTS_KEPT = 200  # prompts
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    word: DomainWord
+    at: float
+
+
+@dataclass
+class DomainTable:
+    """The last word of each other failure domain.
+
+    Parameters
+    ----------
+    table : PeerTable
+        The nodes as far as known.
+    clock : callable
+        Returns seconds.
+    """
+
+    table: PeerTable
+    clock: Callable[[], float]
+    _heard: dict[str, _Heard] = field(default_factory=dict)
+    _turn: int = 0
+    _parts: list[tuple[float, str, list[tuple[str, int]]]] = field(default_factory=list)
+
+    def is_speaker(self) -> bool:
+        """Tell whether this node speaks for its failure domain.
+
+        Returns
+        -------
+        bool
+            True for the last of its live nodes by name; the first one already has
+            the watches of the store.
+        """
+        near = self.table.alive(zone=self.table.zone)
+        return all(peer.name < self.table.name for peer in near)
+
+    def find_domains(self) -> list[str]:
+        """List the other failure domains that are known."""
+        zones = {peer.zone for peer in self.table.peers.values()} | set(self._heard)
+        return sorted(zones - {self.table.zone, ""})
+
+    def decide_interval(self) -> float:
+        """Return the seconds until the next word."""
+        return max(DOMAIN_INTERVAL, INTERVAL_PER_DOMAIN * len(self.find_domains()))
+
+    def decide_targets(self) -> list[str]:
+        """Choose one node of each other failure domain.
+
+        Returns
+        -------
+        list of str
+            Addresses: of the node that spoke for the domain a moment ago, or of its
+            nodes in turn.
+        """
+        self._turn += 1
+        since = self.clock() - ALIVE_TIME
+        targets = []
+        for zone in self.find_domains():
+            heard = self._heard.get(zone)
+            if heard is not None and heard.at > since:
+                targets.append(heard.word.address)
+                continue
+            peers = sorted(
+                it.address for it in self.table.peers.values() if it.zone == zone
+            )
+            if peers:
+                targets.append(peers[self._turn % len(peers)])
+        return targets
+
+    def observe_word(self, word: DomainWord) -> bool:
+        """Take in a failure domain's word.
+
+        Parameters
+        ----------
+        word : DomainWord
+            Sums over its nodes.
+
+        Returns
+        -------
+        bool
+            False when it is no news.
+        """
+        heard = self._heard.get(word.zone)
+        is_older = heard is not None and (
+            heard.word.name == word.name and heard.word.time >= word.time
+        )
+        if word.zone == self.table.zone or is_older:
+            return False
+        self._heard[word.zone] = _Heard(word, self.clock())
+        return True
+
+    def observe_parts(self, server: str, parts: list[tuple[str, int]]) -> None:
+        """Take in what a server was given by a node of this failure domain.
+
+        Parameters
+        ----------
+        server : str
+            The server.
+        parts : list of (str, int)
+            Prompt parts with their tokens.
+        """
+        self._parts.append((self.clock(), server, parts))
+        del self._parts[:-MAX_PARTS_KEPT]
+
+    def snapshot_parts(self) -> list[tuple[str, list[tuple[str, int]]]]:
+        """Report what servers were given in the last two rounds.
+
+        Returns
+        -------
+        list of (str, list of (str, int))
+            Told twice, since a datagram can be lost.
+        """
+        since = self.clock() - 2 * self.decide_interval()
+        return [(server, parts) for at, server, parts in self._parts if at > since]
+
+    def count_far_nodes(self) -> int:
+        """Count the nodes of other failure domains, those just lost included."""
+        since = self.clock() - FORGET_TIME
+        told = sum(it.word.n_nodes for it in self._heard.values() if it.at > since)
+        return max(told, self.table.count_far_recent())
+
+    def sum_demand(self, service: str) -> float:
+        """Sum the work that arrives at other failure domains.
+
+        Parameters
+        ----------
+        service : str
+            Its name.
+
+        Returns
+        -------
+        float
+            Engine-seconds a second, of the domains heard a moment ago.
+        """
+        now = self.clock()
+        return sum(
+            it.word.demand.get(service, 0.0)
+            for it in self._heard.values()
+            if now - it.at < max(ALIVE_TIME, LIFETIME_ROUNDS * it.word.interval)
+        )
+
+    def rank(self) -> int:
+        """Rank this node among all for the next try for the duties.
+
+        Returns
+        -------
+        int
+            First the first node of each failure domain, then their second ones.
+        """
+        zones = self.find_domains()
+        before = sum(zone < self.table.zone for zone in zones)
+        return self.table.rank_near() * (len(zones) + 1) + before
--- a/packages/medlargate/medlargate/fleet/_peer_words.py
+++ b/packages/medlargate/medlargate/fleet/_peer_words.py
@@ -8,12 +8,12 @@
 from pydantic import BaseModel, Field
 
 
-class PeerWord(BaseModel):
-    """One node's word on itself.
+class BeliefWord(BaseModel):
+    """How far a node's beliefs reach, and where they can be had.
 
     Attributes
     ----------
-    name, incarnation, zone, address : str
+    name, zone, address : str
         Who speaks, and ``IP:PORT`` for datagrams and for pulling beliefs.
     time : float
         Its time of day, seconds since 1970.
@@ -23,24 +23,15 @@
         Equal where the registrations are the same.
     config_age, servers_age : float
         Seconds since the store confirmed them.
-    store_up : bool
-        The store answers it.
-    loads : dict of str to (int, float)
-        Its own requests and seconds of reading by server.
     demand : dict of str to float
-        Work that arrives at it by service, engine-seconds a second.
-    usage : dict of int to dict
-        Its counts by window and customer.
-    hears : list of str
-        Nodes whose usage it has heard, told by the holder of that duty.
-    holder : bool
-        It holds the duties.
+        Work that arrives by service, engine-seconds a second.
+    loads : dict of str to (int, float)
+        Requests and seconds of reading by server.
     crashes : dict of str to list of str
         Servers that crashed on a request, by the request's mark.
     """
 
     name: str
-    incarnation: str
     zone: str
     address: str
     time: float
@@ -49,13 +40,57 @@
     servers_digest: str = ""
     config_age: float = 1e9
     servers_age: float = 1e9
-    store_up: bool = True
-    loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
     demand: dict[str, float] = Field(default_factory=dict)
+    loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
+    crashes: dict[str, list[str]] = Field(default_factory=dict)
+
+
+class PeerWord(BeliefWord):
+    """One node's word on itself.
+
+    Attributes
+    ----------
+    incarnation : str
+        This start of the process.
+    store_up : bool
+        The store answers it.
+    usage : dict of int to dict
+        Its counts by window and customer.
+    hears : list of str
+        Nodes whose usage it has heard, told by the holder of that duty to those of
+        the receiver's failure domain.
+    holder : bool
+        It holds the duties.
+    """
+
+    incarnation: str
+    store_up: bool = True
     usage: dict[int, dict[str, int]] = Field(default_factory=dict)
     hears: list[str] = Field(default_factory=list)
     holder: bool = False
-    crashes: dict[str, list[str]] = Field(default_factory=dict)
+
+
+class DomainWord(BeliefWord):
+    """What one node tells other failure domains of all nodes of its own.
+
+    Loads and demand are sums over the domain.
+
+    Attributes
+    ----------
+    n_nodes : int
+        Nodes of the domain, those just lost included.
+    interval : float
+        Seconds until the next one is sent.
+    parts : list of (str, list of (str, int))
+        Servers and the prompt parts that they were just given, with their tokens.
+    relayed : bool
+        It was passed on within the receiver's failure domain.
+    """
+
+    n_nodes: int = 1
+    interval: float = 0.0
+    parts: list[tuple[str, list[tuple[str, int]]]] = Field(default_factory=list)
+    relayed: bool = False
 
 
 class LoadNote(BaseModel):
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -2,7 +2,9 @@
 
 A node hears of the others from the store once, and from then on from themselves, so
 that the fleet holds together while the store is away. Within a failure domain word
-goes round several times a second; across domains, where bytes are priced, once.
+goes round several times a second; across domains, where bytes are priced, a node tells
+only that it lives, and the holder of the duties what it counts. Loads cross domains in
+sums (``_domains``).
 """
 
 from __future__ import annotations
@@ -17,20 +19,21 @@
 import orjson
 from pydantic import BaseModel, ValidationError
 
-from ._peer_words import LoadNote, PeerWord
+from ._peer_words import DomainWord, LoadNote, PeerWord
 
 log = logging.getLogger(__name__)
 
 NEAR_INTERVAL = 0.2  # seconds, within the failure domain
 FAR_INTERVAL = 1.0  # seconds, across failure domains
-SMALL_FAR_INTERVAL = 0.5  # seconds, in a fleet whose far peers are told in one round
 # Peers told in one round; a larger domain is told in turns, so that a node's part
 # in it does not grow with the fleet.
 MAX_NEAR = 10
-MAX_FAR = 8
+MAX_FAR = 2
 ALIVE_TIME = 3.0  # seconds without word after which a peer counts as away
 ALIVE_ROUNDS = 3  # rounds without word after which a peer of a large fleet is away
-FORGET_TIME = 60.0  # seconds without word after which it is told nothing more
+FORGET_TIME = 60.0  # seconds without word after which it shares no budgets any more
+# Failure domains lose each other for minutes and then have to find each other again.
+DROP_TIME = 900.0  # seconds without word after which a peer is told nothing more
 LOST_TELL_SHARE = 0.1  # of the rounds, for peers that are away
 MAX_DATAGRAM = 60_000  # bytes
 
@@ -115,37 +118,59 @@
         known.zone, known.address = word.zone, word.address
         known.heard_at, known.word = self.clock(), word
 
-    @property
-    def is_small(self) -> bool:
-        """Whether all peers of other failure domains are told in one round."""
-        return self._count_far() <= MAX_FAR
-
     def _count_far(self) -> int:
         return sum(it.zone != self.zone for it in self.peers.values())
 
-    def _alive_since(self) -> float:
+    def _alive_since(self, zone: str) -> float:
         """Return the time since which a peer has to be heard to count as alive."""
-        round_time = FAR_INTERVAL * self._count_far() / MAX_FAR
-        return self.clock() - max(ALIVE_TIME, ALIVE_ROUNDS * round_time)
+        silence = ALIVE_TIME
+        if zone != self.zone:
+            round_time = FAR_INTERVAL * self._count_far() / MAX_FAR
+            silence = max(silence, ALIVE_ROUNDS * round_time)
+        return self.clock() - silence
 
     def is_alive(self, peer: KnownPeer) -> bool:
         """Tell whether a peer was heard a moment ago."""
-        return peer.heard_at > self._alive_since()
+        return peer.heard_at > self._alive_since(peer.zone)
 
     def alive(self, *, zone: str | None = None) -> list[KnownPeer]:
         """List the peers that are heard, of one failure domain or all."""
-        since = self._alive_since()
+        near, far = self._alive_since(self.zone), self._alive_since("")
         return [
             peer
             for peer in self.peers.values()
-            if peer.heard_at > since and (zone is None or peer.zone == zone)
+            if peer.heard_at > (near if peer.zone == self.zone else far)
+            and (zone is None or peer.zone == zone)
+        ]
+
+    def find_holder(self) -> KnownPeer | None:
+        """Return the peer that holds the duties and said so a moment ago."""
+        since = self.clock() - ALIVE_TIME
+        for peer in self.peers.values():
+            if peer.is_holder and peer.heard_at > since:
+                return peer
+        return None
+
+    def list_heard(self, zone: str) -> list[str]:
+        """Name the nodes of a failure domain that spoke a moment ago."""
+        since = self.clock() - ALIVE_TIME
+        return [
+            peer.name
+            for peer in self.peers.values()
+            if peer.zone == zone and peer.heard_at > since
         ]
 
-    def count_nodes(self) -> int:
-        """Count the nodes that may share a budget, those just lost included."""
+    def _list_recent(self) -> list[KnownPeer]:
         now = self.clock()
-        recent = [p for p in self.peers.values() if now - p.heard_at < FORGET_TIME]
-        return 1 + len(recent)
+        return [it for it in self.peers.values() if now - it.heard_at < FORGET_TIME]
+
+    def count_near_nodes(self) -> int:
+        """Count the failure domain's nodes, those just lost included."""
+        return 1 + sum(peer.zone == self.zone for peer in self._list_recent())
+
+    def count_far_recent(self) -> int:
+        """Count the other nodes that were heard in the last minute."""
+        return sum(peer.zone != self.zone for peer in self._list_recent())
 
     def rank_near(self) -> int:
         """Return how many live peers of the failure domain come before this node."""
@@ -167,10 +192,10 @@
             Peers, with those that are away only now and then.
         """
         now = self.clock()
-        since = self._alive_since()
+        since = self._alive_since(self.zone if near else "")
         found = []
         for key, peer in list(self.peers.items()):
-            if now - max(peer.heard_at, peer.known_at) > FORGET_TIME:
+            if now - max(peer.heard_at, peer.known_at) > DROP_TIME:
                 del self.peers[key]
                 continue
             if (peer.zone == self.zone) != near:
@@ -195,9 +220,11 @@
         self,
         on_word: Callable[[PeerWord], None],
         on_note: Callable[[LoadNote], None],
+        on_domain: Callable[[DomainWord], None],
     ) -> None:
         self._on_word = on_word
         self._on_note = on_note
+        self._on_domain = on_domain
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         try:
@@ -205,6 +232,9 @@
             if isinstance(row, dict) and "sender" in row:
                 self._on_note(LoadNote.model_validate(row))
                 return
+            if isinstance(row, dict) and "n_nodes" in row:
+                self._on_domain(DomainWord.model_validate(row))
+                return
             word = PeerWord.model_validate(row)
         except (orjson.JSONDecodeError, ValidationError) as exc:
             log.warning(
@@ -227,22 +257,26 @@
     table : PeerTable
         Whom to tell.
     make_word : callable
-        Returns this node's word; its argument tells whether it stays in the
-        failure domain.
+        Returns this node's word for nodes of a failure domain; its second argument
+        tells whether they hold the duties.
     on_word : callable
         Told each word that comes in.
     on_note : callable
         Told each note on a load.
+    on_domain : callable
+        Told each word of another failure domain.
     """
 
     def __init__(
         self,
         table: PeerTable,
-        make_word: Callable[[bool], PeerWord],
+        make_word: Callable[[str, bool], PeerWord],
         on_word: Callable[[PeerWord], None],
         on_note: Callable[[LoadNote], None],
+        on_domain: Callable[[DomainWord], None],
     ) -> None:
         self._on_note = on_note
+        self._on_domain = on_domain
         self._table = table
         self._make_word = make_word
         self._on_word = on_word
@@ -252,7 +286,8 @@
         """Listen for datagrams."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Endpoint(self._take, self._on_note), local_addr=(host, port)
+            lambda: _Endpoint(self._take, self._on_note, self._on_domain),
+            local_addr=(host, port),
         )
 
     def _take(self, word: PeerWord) -> None:
@@ -261,27 +296,35 @@
 
     def tell(self, *, near: bool) -> None:
         """Send this node's word now."""
-        word = self._make_word(near)
-        targets = self._table.decide_targets(near=near, all_peers=word.holder)
-        if not targets or self._transport is None:
+        if self._transport is None:
+            return
+        is_holder = self._make_word(self._table.zone, False).holder
+        groups: dict[tuple[str, bool], list[str]] = {}
+        for peer in self._table.decide_targets(near=near, all_peers=is_holder):
+            group = groups.setdefault((peer.zone, peer.is_holder), [])
+            group.append(peer.address)
+        for (zone, to_holder), addresses in groups.items():
+            self._send(self._make_word(zone, to_holder), addresses)
+
+    def tell_near(self, message: LoadNote | DomainWord) -> None:
+        """Send a note, or another failure domain's word, within the failure domain."""
+        near = self._table.alive(zone=self._table.zone)
+        self._send(message, [peer.address for peer in near])
+
+    def tell_domains(self, word: DomainWord, addresses: list[str]) -> None:
+        """Send this failure domain's word to other ones."""
+        self._send(word, addresses)
+
+    def _send(self, message: BaseModel, addresses: list[str]) -> None:
+        if self._transport is None or not addresses:
             return
-        self._send(word, targets)
-
-    def note(self, note: LoadNote) -> None:
-        """Send a note on a load to near and far peers."""
-        targets = self._table.decide_targets(near=True)
-        self._send(note, targets + self._table.decide_targets(near=False))
-
-    def _send(self, message: BaseModel, targets: list[KnownPeer]) -> None:
         row = message.model_dump(exclude_defaults=True)
         data = orjson.dumps(row, option=orjson.OPT_NON_STR_KEYS)
-        if self._transport is None:
-            return
         if len(data) > MAX_DATAGRAM:
             log.error("word too large for a datagram", extra={"n_bytes": len(data)})
             return
-        for peer in targets:
-            host, _, port = peer.address.rpartition(":")
+        for address in addresses:
+            host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
     def tell_all(self) -> None:
@@ -301,8 +344,6 @@
         random_state = self._table.random_state
         while True:
             self.tell(near=near)
-            if not near and self._table.is_small:
-                interval = SMALL_FAR_INTERVAL
             await asyncio.sleep(interval * random_state.uniform(0.8, 1.2))
 
     def close(self) -> None:
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -72,10 +72,8 @@
     ----------
     beliefs : Beliefs
         Services and registered engines.
-    table : PeerTable
-        Peers' demand.
-    own_demand : callable
-        Returns this node's demand by service.
+    sum_demand : callable
+        Returns the work of a service that arrives at all nodes.
     send : callable
         Sends an order.
     clock : callable
@@ -85,14 +83,12 @@
     def __init__(
         self,
         beliefs: Beliefs,
-        table: PeerTable,
-        own_demand: Callable[[], dict[str, float]],
+        sum_demand: Callable[[str], float],
         send: SendScale,
         clock: Callable[[], float],
     ) -> None:
         self._beliefs = beliefs
-        self._table = table
-        self._own_demand = own_demand
+        self._sum_demand = sum_demand
         self._send = send
         self._clock = clock
         self._peaks: dict[str, tuple[float, float]] = {}
@@ -141,13 +137,6 @@
         ordered = self._ordered.get((service, zone, True))
         return ordered is not None and ordered.refused
 
-    def _sum_demand(self, service: str) -> float:
-        rates = [self._own_demand().get(service, 0.0)]
-        for peer in self._table.alive():
-            if peer.word is not None:
-                rates.append(peer.word.demand.get(service, 0.0))
-        return sum(rates)
-
     def _hold_peak(
         self,
         service: str,
@@ -228,6 +217,8 @@
         The right to carry them out.
     table : PeerTable
         The other nodes.
+    rank : callable
+        Returns this node's rank for the next try for the duty.
     usage : UsageDuty or None
         Reports usage.
     parts : UsageParts
@@ -245,6 +236,7 @@
         *,
         lease: DutyLease,
         table: PeerTable,
+        rank: Callable[[], int],
         usage: UsageDuty | None,
         parts: UsageParts,
         scale: ScaleDuty | None,
@@ -253,6 +245,7 @@
     ) -> None:
         self.lease = lease
         self._table = table
+        self._rank = rank
         self._usage = usage
         self._parts = parts
         self._scale = scale
@@ -280,12 +273,10 @@
 
     def _may_try(self) -> bool:
         now = self._clock()
-        alive = self._table.alive()
-        if any(peer.is_holder for peer in alive):
+        if self._table.find_holder() is not None:
             self._holder_seen_at = now
             return False
-        rank = sum(peer.name < self._table.name for peer in alive)
-        wait = NO_HOLDER_WAIT + RANK_WAIT * rank
+        wait = NO_HOLDER_WAIT + RANK_WAIT * self._rank()
         if self.lease.may_resume:
             wait = 0.0
         if not self._is_ready() or now - self._holder_seen_at < wait:
@@ -307,12 +298,10 @@
     def _is_heard(self) -> bool:
         if self.is_holder():
             return True
-        return any(
-            peer.word is not None
-            and peer.is_holder
-            and self._table.name in peer.word.hears
-            for peer in self._table.alive()
-        )
+        holder = self._table.find_holder()
+        if holder is None or holder.word is None:
+            return False
+        return self._table.name in holder.word.hears
 
     async def run_scale(self) -> None:
         """Order engines while the duty is held; until cancelled."""
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -12,7 +12,11 @@
 from returns.result import Failure
 
 from ..fleet import (
+    LIFETIME_ROUNDS,
     Beliefs,
+    BeliefWord,
+    DomainTable,
+    DomainWord,
     LoadNote,
     PeerTable,
     PeerTalk,
@@ -40,11 +44,15 @@
 NODES_PREFIX = "medlargate/nodes/"
 # The node's own watch mostly brings the same news within this time.
 PULL_DELAY = 0.15  # seconds
-FAR_PULL_DELAY = 0.7  # seconds; a peer of the failure domain mostly brings it first
+# The node that speaks for its failure domain pulls from others unless the watch there
+# brings the news first; its peers have it from there, or try themselves later.
+FAR_PULL_DELAY = 0.4  # seconds
+LATE_PULL_DELAY = 1.0  # seconds
 PULL_TIMEOUT = 1.0  # seconds
 TRANSIT = 0.1  # seconds that word may have been on its way
 REGISTER_PAUSE = 1.0  # seconds between tries to write this node's entry
 N_WATCHERS = 1  # nodes of a failure domain that watch the store; others hear them
+MIN_DOMAIN_LIFETIME = 1.5  # seconds that a failure domain's word on loads counts
 USAGE_PATIENCE = 10.0  # seconds without word until a peer's counts are given up
 USAGE_WINDOWS_TOLD = 2  # the running window and those before it
 
@@ -93,8 +101,13 @@
         crashes: CrashMarks,
     ) -> None:
         self.table = PeerTable(name, zone, clock)
+        self.domains = DomainTable(self.table, clock)
         self.talk = PeerTalk(
-            self.table, self._make_word, self._take_word, self._take_note
+            self.table,
+            self._make_word,
+            self._take_word,
+            self._take_note,
+            self._take_domain_word,
         )
         self.incarnation = incarnation
         self.is_holder: Callable[[], bool] = lambda: False
@@ -116,7 +129,7 @@
         """Listen for peers."""
         await self.talk.start(self._host, self._port)
         await self._pulls.start(self._host, self._port)
-        self._beliefs.on_config.append(self.talk.tell_all)
+        self._beliefs.on_config.append(self.tell_ages)
         self._beliefs.on_server.append(self._tell_news)
 
     def observe_seeds(self, seeds: str) -> None:
@@ -169,49 +182,89 @@
 
     # Word out
 
-    def _make_word(self, near: bool) -> PeerWord:
+    def _make_ages(self) -> dict[str, Any]:
+        """Return the fields of a ``BeliefWord`` but loads and demand."""
         age = self._beliefs.age()
         now = self._clock()
-        window = self._usage.window_at(self._true_time.now())
+        return {
+            "name": self.table.name,
+            "zone": self.table.zone,
+            "address": f"{self._host}:{self._port}",
+            "time": round(self._true_time.now(), 3),
+            "config_revision": age.config_revision,
+            "servers_revision": age.servers_revision,
+            "servers_digest": self._beliefs.digest(),
+            "config_age": round(min(1e6, now - age.config_confirmed_at), 3),
+            "servers_age": round(min(1e6, now - age.servers_confirmed_at), 3),
+            "crashes": self._crashes.snapshot(),
+        }
+
+    def _make_word(self, zone: str, to_holder: bool) -> PeerWord:
+        near = zone == self.table.zone
         holder = self.is_holder()
+        usage: dict[int, dict[str, int]] = {}
+        if to_holder:
+            window = self._usage.window_at(self._true_time.now())
+            since = window - USAGE_WINDOWS_TOLD + 1
+            usage = self._usage.snapshot(self.incarnation, since=since)
         return PeerWord(
-            name=self.table.name,
+            **self._make_ages(),
             incarnation=self.incarnation,
-            zone=self.table.zone,
-            address=f"{self._host}:{self._port}",
-            time=round(self._true_time.now(), 3),
-            config_revision=age.config_revision,
-            servers_revision=age.servers_revision,
-            servers_digest=self._beliefs.digest(),
-            config_age=round(min(1e6, now - age.config_confirmed_at), 3),
-            servers_age=round(min(1e6, now - age.servers_confirmed_at), 3),
             store_up=self.store_up(),
-            # In a large fleet the rest of the loads is not worth its bytes far away;
-            # long prompts are told in notes.
-            loads=self._loads.snapshot_own() if near or self.table.is_small else {},
-            demand=self.make_demand(),
-            usage=self._usage.snapshot(
-                self.incarnation, since=window - USAGE_WINDOWS_TOLD + 1
-            ),
-            hears=[peer.name for peer in self.table.alive()] if holder else [],
+            loads=self._loads.snapshot_own() if near else {},
+            demand=self.make_demand() if near else {},
+            usage=usage,
+            hears=self.table.list_heard(zone) if holder else [],
             holder=holder,
-            crashes=self._crashes.snapshot(),
         )
 
+    def _make_domain_word(self) -> DomainWord:
+        near = self.table.alive(zone=self.table.zone)
+        demand = self.make_demand()
+        for peer in near:
+            for service, rate in (peer.word.demand if peer.word else {}).items():
+                demand[service] = round(demand.get(service, 0.0) + rate, 4)
+        return DomainWord(
+            **self._make_ages(),
+            loads=self._loads.sum_loads(peer.name for peer in near),
+            demand=demand,
+            n_nodes=self.table.count_near_nodes(),
+            interval=self.domains.decide_interval(),
+            parts=self.domains.snapshot_parts(),
+        )
+
+    async def run_domains(self) -> None:
+        """Speak for the failure domain while that is up to this node."""
+        while True:
+            self._tell_domains()
+            spread = self.table.random_state.uniform(0.8, 1.2)
+            await asyncio.sleep(self.domains.decide_interval() * spread)
+
+    def _tell_domains(self) -> None:
+        if self.domains.is_speaker():
+            targets = self.domains.decide_targets()
+            self.talk.tell_domains(self._make_domain_word(), targets)
+
+    def tell_ages(self) -> None:
+        """Tell peers, and through the speaker other domains, of fresh beliefs."""
+        self.talk.tell(near=True)
+        self._tell_domains()
+
     def observe_long_prompt(
         self, server_id: str, parts: tuple[PromptPart, ...]
     ) -> None:
         """Tell peers at once that an engine got a long prompt."""
         n_running, reading = self._loads.snapshot_server(server_id)
-        self.talk.note(
-            LoadNote(
-                sender=self.table.name,
-                server=server_id,
-                n_running=n_running,
-                reading=reading,
-                parts=[(part.part_id, part.n_tokens) for part in parts],
-            )
+        rows = [(part.part_id, part.n_tokens) for part in parts]
+        self.domains.observe_parts(server_id, rows)
+        note = LoadNote(
+            sender=self.table.name,
+            server=server_id,
+            n_running=n_running,
+            reading=reading,
+            parts=rows,
         )
+        self.talk.tell_near(note)
 
     def _tell_news(self, server_id: str) -> None:
         del server_id
@@ -225,17 +278,41 @@
             log.warning("time of day corrected", extra={"seconds": round(shift, 3)})
         self._usage.merge(word.incarnation, word.usage)
         self._crashes.merge(word.crashes)
-        if word.zone == self.table.zone or self.table.is_small:
+        if word.zone == self.table.zone:
             self._loads.observe_peer(word.name, word.loads)
         self._take_ages(word)
 
+    def _take_domain_word(self, word: DomainWord) -> None:
+        if not self.domains.observe_word(word):
+            return
+        if not word.relayed:
+            self.talk.tell_near(word.model_copy(update={"relayed": True}))
+        self._crashes.merge(word.crashes)
+        lifetime = max(MIN_DOMAIN_LIFETIME, LIFETIME_ROUNDS * word.interval)
+        self._loads.observe_peer(word.zone, word.loads, lifetime=lifetime)
+        for server_id, rows in word.parts:
+            self._loads.observe_parts(server_id, [PromptPart(*row) for row in rows])
+        self._take_ages(word)
+
+    def count_nodes(self) -> int:
+        """Count the fleet's nodes, those just lost included."""
+        return self.table.count_near_nodes() + self.domains.count_far_nodes()
+
+    def sum_demand(self, service: str) -> float:
+        """Sum the work that arrives at all nodes, engine-seconds a second."""
+        near = self.table.alive(zone=self.table.zone)
+        demand = self.make_demand().get(service, 0.0)
+        demand += sum(it.word.demand.get(service, 0.0) for it in near if it.word)
+        return demand + self.domains.sum_demand(service)
+
     def _take_note(self, note: LoadNote) -> None:
+        self.domains.observe_parts(note.server, note.parts)
         parts = [PromptPart(*row) for row in note.parts]
         self._loads.observe_note(
             note.sender, note.server, note.n_running, note.reading, parts
         )
 
-    def _take_ages(self, word: PeerWord) -> None:
+    def _take_ages(self, word: BeliefWord) -> None:
         beliefs, now = self._beliefs, self._clock()
         age = beliefs.age()
         config_at = now - word.config_age - TRANSIT
@@ -251,10 +328,14 @@
         if behind and (self._pulling is None or self._pulling.done()):
             self._pulling = asyncio.create_task(self._pull(word))
 
-    async def _pull(self, word: PeerWord) -> None:
+    def _decide_pull_delay(self, zone: str) -> float:
+        if zone == self.table.zone or not self.table.alive(zone=self.table.zone):
+            return PULL_DELAY
+        return FAR_PULL_DELAY if self.domains.is_speaker() else LATE_PULL_DELAY
+
+    async def _pull(self, word: BeliefWord) -> None:
         """Take a peer's beliefs unless the store brings them first."""
-        far = word.zone != self.table.zone and self.table.alive(zone=self.table.zone)
-        await asyncio.sleep(FAR_PULL_DELAY if far else PULL_DELAY)
+        await asyncio.sleep(self._decide_pull_delay(word.zone))
         age = self._beliefs.age()
         if (
             word.config_revision <= age.config_revision
--- a/packages/medlargate/medlargate/relay/_loads.py
+++ b/packages/medlargate/medlargate/relay/_loads.py
@@ -14,8 +14,10 @@
     MAX_SLOWNESS,
     MAX_SUSPENSION,
     MIN_SLOWNESS,
+    PEER_LIFETIME,
     SMOOTHING,
     DomainCut,
+    PeerLoad,
     Running,
     ServerView,
     TimesFit,
@@ -252,22 +254,43 @@
         view = self.view(server_id)
         view.reported, view.reported_at = load, time.monotonic()
 
-    def observe_peer(self, peer: str, loads: Mapping[str, tuple[int, float]]) -> None:
-        """Take in a peer's own load on each server.
+    def observe_peer(
+        self,
+        peer: str,
+        loads: Mapping[str, tuple[int, float]],
+        *,
+        lifetime: float = PEER_LIFETIME,
+    ) -> None:
+        """Take in the load of a peer, or another failure domain, on each server.
 
         Parameters
         ----------
         peer : str
-            The peer's name.
+            The peer's name, or the failure domain's.
         loads : mapping of str to (int, float)
             Requests and seconds of reading by server; one that is left out is 0.
+        lifetime : float, default=1.5
+            Seconds for which it counts.
         """
         now = time.monotonic()
         for server_id, view in self.views.items():
             if peer in view.peers and server_id not in loads:
                 del view.peers[peer]
         for server_id, (n_running, reading) in loads.items():
-            self.view(server_id).peers[peer] = (n_running, reading, now)
+            load = PeerLoad(n_running, reading, now, now + lifetime)
+            self.view(server_id).peers[peer] = load
+
+    def observe_parts(self, server_id: str, parts: Iterable[PromptPart]) -> None:
+        """Take in what a server holds from now on.
+
+        Parameters
+        ----------
+        server_id : str
+            The server.
+        parts : iterable of PromptPart
+            Parts of a prompt that it was given.
+        """
+        self.view(server_id).observe_parts(parts)
 
     def observe_note(
         self,
@@ -291,7 +314,8 @@
             What the server holds from now on.
         """
         view = self.view(server_id)
-        view.peers[peer] = (n_running, reading, time.monotonic())
+        now = time.monotonic()
+        view.peers[peer] = PeerLoad(n_running, reading, now, now + PEER_LIFETIME)
         view.observe_parts(parts)
 
     def snapshot_server(self, server_id: str) -> tuple[int, float]:
@@ -314,6 +338,32 @@
             if view.running
         }
 
+    def sum_loads(self, peers: Iterable[str]) -> dict[str, tuple[int, float]]:
+        """Sum this node's load and some peers' on each server.
+
+        Parameters
+        ----------
+        peers : iterable of str
+            Their names.
+
+        Returns
+        -------
+        dict of str to (int, float)
+            Requests and seconds of reading.
+        """
+        now = time.monotonic()
+        names = frozenset(peers)
+        sums = {}
+        for server_id, view in self.views.items():
+            n_running, reading = self.snapshot_server(server_id)
+            for peer, load in view.peers.items():
+                if peer in names and now < load.until:
+                    n_running += load.n_running
+                    reading += load.sum_reading(now)
+            if n_running:
+                sums[server_id] = (n_running, round(reading, 2))
+        return sums
+
     def forget(self, server_id: str) -> None:
         """Drop the view of a server that left.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -165,7 +165,7 @@
         return self.demand.snapshot(self.clock())
 
     def _count_nodes(self) -> int:
-        return self.fleet.table.count_nodes()
+        return self.fleet.count_nodes()
 
     def _budget(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
@@ -220,7 +220,7 @@
             SERVERS_PREFIX,
             self.clock,
             watches=self.fleet.watches,
-            on_confirmed=self.fleet.talk.tell_all,
+            on_confirmed=self.fleet.tell_ages,
             config_bound=self.ingress.config_bound_ms / 1000,
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
@@ -237,6 +237,7 @@
             self.fleet.run_registration,
             self.fleet.talk.run_near,
             self.fleet.talk.run_far,
+            self.fleet.run_domains,
             self.duties.run_lease,
             self.duties.run_usage,
             self.duties.run_scale,
@@ -261,6 +262,7 @@
                     "servers_revision": age.servers_revision,
                     "servers_age": round(now - age.servers_confirmed_at, 2),
                     "n_peers": len(self.fleet.table.alive()),
+                    "n_nodes": self.fleet.count_nodes(),
                     "holds_duties": self.duties.is_holder(),
                     "n_store_calls": dict(self.watcher.store.n_calls),
                     "n_connections_opened": self.pool.n_opened,
@@ -315,14 +317,14 @@
         if AUTOSCALE in names:
             scale = ScaleDuty(
                 self.beliefs,
-                self.fleet.table,
-                self._snapshot_demand,
+                self.fleet.sum_demand,
                 make_send_scale(orders, lease, name),
                 self.clock,
             )
         return Duties(
             lease=lease,
             table=self.fleet.table,
+            rank=self.fleet.domains.rank,
             usage=usage,
             parts=UsageParts(store, self.usage, self.incarnation, self.true_time.now),
             scale=scale,
--- a/packages/medlargate/medlargate/relay/_views.py
+++ b/packages/medlargate/medlargate/relay/_views.py
@@ -61,12 +61,36 @@
     has_begun: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What a peer, or another failure domain, has on a server.
+
+    Attributes
+    ----------
+    n_running : int
+        Its requests there.
+    reading : float
+        Seconds of reading that they still needed.
+    at, until : float
+        When it said so, and how long that counts.
+    """
+
+    n_running: int
+    reading: float
+    at: float
+    until: float
+
+    def sum_reading(self, now: float) -> float:
+        """Return the seconds of reading that are left."""
+        return max(0.0, self.reading - (now - self.at)) if now < self.until else 0.0
+
+
 @dataclass
 class ServerView:
     """What is known of one server."""
 
     running: dict[int, Running] = field(default_factory=dict)
-    peers: dict[str, tuple[int, float, float]] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
     read_until: float = float("-inf")
     reported: ServerLoad | None = None
     reported_at: float = float("-inf")
@@ -82,7 +106,7 @@
     def count_running(self, now: float) -> int:
         """Count the requests on the server, of all nodes as far as known."""
         known = len(self.running) + sum(
-            n for n, _, at in self.peers.values() if now - at < PEER_LIFETIME
+            it.n_running for it in self.peers.values() if now < it.until
         )
         if self.reported is not None and now - self.reported_at < REPORT_LIFETIME:
             return max(known, self.reported.n_running + self.reported.n_waiting)
@@ -114,10 +138,7 @@
     def sum_reading(self, now: float) -> float:
         """Sum the reading ahead of a new request, of all nodes, seconds."""
         own = self.sum_own_reading(now)
-        for _, reading, at in self.peers.values():
-            if now - at < PEER_LIFETIME:
-                own += max(0.0, reading - (now - at))
-        return own
+        return own + sum(it.sum_reading(now) for it in self.peers.values())
 
     def failure_share(self, now: float) -> float:
         """Return the share of failures, fading with time."""
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -7,10 +7,13 @@
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
-    """Three nodes of one failure domain."""
+    """Three nodes, of one failure domain unless a case says otherwise."""
+
+    domains = ("fd-a",)
+    n_nodes = 3
 
     async def asyncSetUp(self):
-        self.world = RelayWorld(n_nodes=3)
+        self.world = RelayWorld(n_nodes=self.n_nodes, domains=self.domains)
         await self.world.start()
 
     async def asyncTearDown(self):
@@ -88,3 +91,82 @@
             self.assertEqual(len(busy), 1)
             self.assertIn("aa", views[busy[0]].parts)
         self.assertEqual((await call).status, 200)
+
+
+class DomainsTest(FleetCase):
+    """Six nodes of three failure domains, which hear of each other in sums."""
+
+    domains = ("fd-a", "fd-b", "fd-c")
+    n_nodes = 6
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.wait_for(
+            lambda: all(
+                len(node.fleet.domains.find_domains()) == 2
+                and node.fleet.count_nodes() == 6
+                for node in self.world.nodes
+            )
+        )
+
+    def find_busy(self, node):
+        now = asyncio.get_running_loop().time()
+        views = node.loads.views
+        return [name for name, view in views.items() if view.sum_reading(now) > 0]
+
+    async def test_one_node_speaks_for_each_domain(self):
+        def speakers():
+            return [n for n in self.world.nodes if n.fleet.domains.is_speaker()]
+
+        await self.wait_for(lambda: len(speakers()) == 3)
+        zones = {node.settings.node.failure_domain for node in speakers()}
+        self.assertEqual(zones, set(self.domains))
+
+    async def test_every_node_knows_what_an_engine_reads_and_holds(self):
+        for name in ("e1", "e2"):
+            self.world.backends[name].delay = 1.5
+        call = asyncio.create_task(
+            self.world.call(
+                "/once-stream/x",
+                Token_Usage="40000,10",
+                Prompt_Prefix="aa:35000,bb:5000",
+            )
+        )
+        await self.wait_for(
+            lambda: all(len(self.find_busy(node)) == 1 for node in self.world.nodes),
+            seconds=1.5,
+        )
+        for node in self.world.nodes:
+            self.assertIn("aa", node.loads.views[self.find_busy(node)[0]].parts)
+        self.assertEqual((await call).status, 200)
+
+    async def test_a_domain_that_the_store_refuses_learns_from_the_others(self):
+        refused = [
+            node
+            for node in self.world.nodes
+            if node.settings.node.failure_domain == "fd-b"
+        ]
+        for node in refused:
+            node.watcher.store._url = "http://127.0.0.1:9"
+        await asyncio.sleep(0.1)
+        self.world.put_config(make_config(7))
+        self.world.unregister(self.world.backends["p1"])
+        await self.wait_for(
+            lambda: all(
+                node.beliefs.age().config_version == 7
+                and "p1" not in node.beliefs.servers
+                for node in refused
+            ),
+            seconds=2.5,
+        )
+
+    async def test_work_of_all_domains_is_summed(self):
+        for number in range(6):
+            await self.world.call("/once-stream/x", node=number, Token_Usage="8000,10")
+        totals = [
+            sum(n._snapshot_demand().get("engine", 0.0) for n in self.world.nodes)
+        ]
+        self.assertGreater(totals[0], 0.0)
+        await asyncio.sleep(0.8)
+        told = [node.fleet.sum_demand("engine") for node in self.world.nodes]
+        self.assertGreater(min(told), 0.4 * totals[0])
--- a/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
+++ b/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from medlargate.fleet import Beliefs, PeerTable
+from medlargate.fleet import Beliefs
 from medlargate.platform import StoreError, decode_declaration, decode_registration
 from medlargate.policy import Verdict
 from medlargate.relay._duties import ScaleDuty
@@ -30,10 +30,9 @@
         )
         declaration = Declaration(1, (), {"s": SERVICE})
         self.beliefs.table = make_route_table(declaration)
-        table = PeerTable("n1", "a", lambda: self.now)
         self.demand = {"s": 0.2}
         self.duty = ScaleDuty(
-            self.beliefs, table, lambda: self.demand, self.send, lambda: self.now
+            self.beliefs, self.demand.get, self.send, lambda: self.now
         )
 
     async def send(self, service, zone, desired, spot):
