--- a/packages/medlargate-standins/medlargate_standins/cluster.py
+++ b/packages/medlargate-standins/medlargate_standins/cluster.py
@@ -103,7 +103,7 @@
             for process in (self.platform, *self.engines, *self.services):
                 path = "/v1/vms" if process is self.platform else "/standin/stats"
                 await wait_http(session, process.url + path)
-            await self._seed(session)
+            await self._seed()
             for index in range(self.n_nodes):
                 await self.start_node(session, index)
             for node in self.nodes:
@@ -170,12 +170,13 @@
             }
         )
 
-    async def _seed(self, session: aiohttp.ClientSession) -> None:
+    async def _seed(self) -> None:
         assert self.platform is not None
-        store = HttpStore(session, self.platform.url)
+        store = HttpStore(self.platform.url)
         replica = ConfigReplica(time.monotonic)
         operations = self.make_seed().make_operations()
         (await replica.commit(store, operations, change_id="seed")).unwrap()
+        await store.close()
 
     def _write_settings(self, name: str, port: int, domain: str) -> Path:
         assert self._folder is not None and self.platform is not None
--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -123,19 +123,17 @@
 
 
 async def _seed(checked: SeedFile, address: str, port: int) -> int:
-    import aiohttp
-
     from .fleet import ConfigReplica
     from .platform import HttpStore
 
-    async with aiohttp.ClientSession() as session:
-        store = HttpStore(session, f"http://{address}:{port}")
-        replica = ConfigReplica(time.monotonic)
-        (await replica.sync(store)).unwrap()
-        done = await replica.commit(
-            store, checked.make_operations(), change_id="seed", author="seed"
-        )
-        return done.unwrap()
+    store = HttpStore(f"http://{address}:{port}")
+    replica = ConfigReplica(time.monotonic)
+    (await replica.sync(store)).unwrap()
+    done = await replica.commit(
+        store, checked.make_operations(), change_id="seed", author="seed"
+    )
+    await store.close()
+    return done.unwrap()
 
 
 @main.command()
--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -5,9 +5,9 @@
 callers wait for after all nodes were stopped.
 """
 
-from importlib import import_module
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from .._lazy import make_lazy_getattr
 from ._beliefs import BeliefAge, Beliefs
 from ._domains import LIFETIME_ROUNDS, DomainTable
 from ._leases import DutyLease
@@ -148,10 +148,4 @@
 ]
 
 
-def __getattr__(name: str) -> Any:
-    """Import the module of a name that is asked for the first time."""
-    if name not in _LAZY:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(import_module(_LAZY[name], __name__), name)
-    globals()[name] = value
-    return value
+__getattr__ = make_lazy_getattr(__name__, _LAZY)
--- a/packages/medlargate/medlargate/fleet/_domains.py
+++ b/packages/medlargate/medlargate/fleet/_domains.py
@@ -21,6 +21,12 @@
 INTERVAL_PER_DOMAIN = 0.1  # seconds
 # Rounds without word after which the domain's numbers are not used any more.
 LIFETIME_ROUNDS = 4
+# One node of the fleet asks the store for all. The others stand by, those that speak
+# for a domain first, late enough that its word has reached them.
+SPEAKER_POLL_DELAY = 0.2  # seconds
+SPEAKER_POLL_STEP = 0.1  # seconds a domain
+MAX_SPEAKER_POLL_DELAY = 0.4  # seconds
+STANDBY_POLL_DELAY = (0.4, 0.6)  # seconds, drawn anew for each poll
 MAX_PARTS_KEPT = 200  # prompts
 
 
@@ -145,25 +151,41 @@
         told = sum(it.word.n_nodes for it in self._heard.values() if it.at > since)
         return max(told, self.table.count_far_recent())
 
-    def sum_demand(self, service: str) -> float:
-        """Sum the work that arrives at other failure domains.
+    def list_words(self) -> list[DomainWord]:
+        """List the words of the domains that were heard a moment ago."""
+        now = self.clock()
+        return [
+            it.word
+            for it in self._heard.values()
+            if now - it.at < max(ALIVE_TIME, LIFETIME_ROUNDS * it.word.interval)
+        ]
 
-        Parameters
-        ----------
-        service : str
-            Its name.
+    def decide_poll_delay(self) -> float:
+        """Return how much later than the first node this one asks the store.
 
         Returns
         -------
         float
-            Engine-seconds a second, of the domains heard a moment ago.
+            Seconds; 0 for the node that speaks for the first domain.
+        """
+        if not self.is_speaker():
+            return self.table.random_state.uniform(*STANDBY_POLL_DELAY)
+        before = sum(zone < self.table.zone for zone in self.find_domains())
+        if not before:
+            return 0.0
+        delay = SPEAKER_POLL_DELAY + SPEAKER_POLL_STEP * (before - 1)
+        return min(delay, MAX_SPEAKER_POLL_DELAY)
+
+    def snapshot(self) -> dict[str, float]:
+        """Report the failure domains that were heard.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds since the last word of each.
         """
         now = self.clock()
-        return sum(
-            it.word.demand.get(service, 0.0)
-            for it in self._heard.values()
-            if now - it.at < max(ALIVE_TIME, LIFETIME_ROUNDS * it.word.interval)
-        )
+        return {zone: round(now - it.at, 2) for zone, it in self._heard.items()}
 
     def rank(self) -> int:
         """Rank this node among all for the next try for the duties.
--- a/packages/medlargate/medlargate/fleet/_peer_words.py
+++ b/packages/medlargate/medlargate/fleet/_peer_words.py
@@ -25,6 +25,8 @@
         Seconds since the store confirmed them.
     demand : dict of str to float
         Work that arrives by service, engine-seconds a second.
+    tight_demand : dict of str to float
+        The part of it that streams with short pauses bring.
     loads : dict of str to (int, float)
         Requests and seconds of reading by server.
     crashes : dict of str to list of str
@@ -41,6 +43,7 @@
     config_age: float = 1e9
     servers_age: float = 1e9
     demand: dict[str, float] = Field(default_factory=dict)
+    tight_demand: dict[str, float] = Field(default_factory=dict)
     loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
     crashes: dict[str, list[str]] = Field(default_factory=dict)
 
@@ -87,7 +90,8 @@
         It was passed on within the receiver's failure domain.
     """
 
-    n_nodes: int = 1
+    # Without a default, since its presence tells a domain's word from a node's.
+    n_nodes: int
     interval: float = 0.0
     parts: list[tuple[str, list[tuple[str, int]]]] = Field(default_factory=list)
     relayed: bool = False
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -24,6 +24,9 @@
 log = logging.getLogger(__name__)
 
 NEAR_INTERVAL = 0.2  # seconds, within the failure domain
+# In a large domain each node tells less often, so that the datagrams that one takes in
+# stay bounded; what changes by much is told at once in notes.
+NEAR_INTERVAL_PER_PEER = 0.025  # seconds
 FAR_INTERVAL = 1.0  # seconds, across failure domains
 # Peers told in one round; a larger domain is told in turns, so that a node's part
 # in it does not grow with the fleet.
@@ -294,13 +297,13 @@
         self._table.observe_word(word)
         self._on_word(word)
 
-    def tell(self, *, near: bool) -> None:
-        """Send this node's word now."""
+    def tell(self, *, near: bool, all_peers: bool = False) -> None:
+        """Send this node's word now, to all peers or to those whose turn it is."""
         if self._transport is None:
             return
-        is_holder = self._make_word(self._table.zone, False).holder
+        all_peers = all_peers or self._make_word(self._table.zone, False).holder
         groups: dict[tuple[str, bool], list[str]] = {}
-        for peer in self._table.decide_targets(near=near, all_peers=is_holder):
+        for peer in self._table.decide_targets(near=near, all_peers=all_peers):
             group = groups.setdefault((peer.zone, peer.is_holder), [])
             group.append(peer.address)
         for (zone, to_holder), addresses in groups.items():
@@ -334,17 +337,21 @@
 
     async def run_near(self) -> None:
         """Tell the peers of the failure domain, until cancelled."""
-        await self._run(NEAR_INTERVAL, near=True)
+        await self._run(self._decide_near_interval, near=True)
 
     async def run_far(self) -> None:
         """Tell the other peers, until cancelled."""
-        await self._run(FAR_INTERVAL, near=False)
+        await self._run(lambda: FAR_INTERVAL, near=False)
 
-    async def _run(self, interval: float, *, near: bool) -> None:
+    def _decide_near_interval(self) -> float:
+        n_near = len(self._table.alive(zone=self._table.zone))
+        return max(NEAR_INTERVAL, NEAR_INTERVAL_PER_PEER * n_near)
+
+    async def _run(self, decide_interval: Callable[[], float], *, near: bool) -> None:
         random_state = self._table.random_state
         while True:
             self.tell(near=near)
-            await asyncio.sleep(interval * random_state.uniform(0.8, 1.2))
+            await asyncio.sleep(decide_interval() * random_state.uniform(0.8, 1.2))
 
     def close(self) -> None:
         """Stop listening; nothing is sent afterwards."""
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -23,10 +23,10 @@
 WATCH_WAIT = 10.0  # seconds; a call each is the price of a shorter one
 # Part of the time within which a change has to be in force, after which the store is
 # asked; the rest is for the jitter, a read, its repetition and the relay to peers.
-POLL_AGE_FRACTION = 0.45
-BATCH_PAUSE = 0.1  # seconds
+POLL_AGE_FRACTION = 0.4
+# Changes come in bursts, and each answered watch is a priced call.
+BATCH_PAUSE = 0.2  # seconds
 POLL_CHECK_INTERVAL = 0.1  # seconds
-POLL_JITTER = 0.3  # seconds, so that one node of the fleet asks for all
 MIN_PAUSE = 0.15  # seconds after a failed call
 MAX_PAUSE = 1.0  # seconds after failed calls in a row
 
@@ -51,6 +51,9 @@
         Called after a poll, so that peers need not ask the same.
     config_bound, servers_bound : float, default=2.0
         Seconds within which a change has to be in force.
+    poll_delay : callable
+        Returns seconds by which this node's polls come later than those of the node
+        that asks for all.
     random_state : random.Random
         For jitter.
 
@@ -67,6 +70,7 @@
     clock: Callable[[], float]
     watches: Callable[[], bool] = lambda: True
     on_confirmed: Callable[[], None] = lambda: None
+    poll_delay: Callable[[], float] = lambda: 0.0
     config_bound: float = 2.0
     servers_bound: float = 2.0
     random_state: random.Random = field(default_factory=random.Random)
@@ -168,7 +172,6 @@
                 found.changes, found.revision, confirmed_at=float("-inf")
             )
             if found.changes:
-                # Changes come in bursts; each answered watch is a priced call.
                 await asyncio.sleep(BATCH_PAUSE)
 
     async def _read_servers(self) -> bool:
@@ -186,18 +189,19 @@
 
     async def run_polls(self) -> None:
         """Read again what has not been confirmed for too long, until cancelled."""
+        delay = self.poll_delay()
         while True:
-            jitter = self.random_state.random() * POLL_JITTER
             await asyncio.sleep(POLL_CHECK_INTERVAL)
             now = self.clock()
             self.beliefs.drop_lapsed()
             config_age = now - self.beliefs.config_confirmed_at
             servers_age = now - self.beliefs.servers_confirmed_at
             polls = []
-            if config_age > POLL_AGE_FRACTION * self.config_bound + jitter:
+            if config_age > POLL_AGE_FRACTION * self.config_bound + delay:
                 polls.append(self.refresh_config)
-            if servers_age > POLL_AGE_FRACTION * self.servers_bound + jitter:
+            if servers_age > POLL_AGE_FRACTION * self.servers_bound + delay:
                 polls.append(self._read_servers)
+            delay = self.poll_delay()
             answers = [await poll() for poll in polls]
             if not all(answers):
                 await self._pause()
--- a/packages/medlargate/medlargate/fleet/tests/test_domains.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_domains.py
@@ -6,7 +6,8 @@
 
 
 def make_word(name, zone, time=0.0, **more):
-    return DomainWord(name=name, zone=zone, address=f"{name}:1", time=time, **more)
+    fields = {"n_nodes": 1, **more}
+    return DomainWord(name=name, zone=zone, address=f"{name}:1", time=time, **fields)
 
 
 class DomainsCase(unittest.TestCase):
@@ -75,9 +76,10 @@
     def test_demand_of_a_silent_domain_ends(self):
         self.domains.observe_word(make_word("b2", "b", demand={"s": 0.5}))
         self.domains.observe_word(make_word("c2", "c", demand={"s": 0.25}))
-        self.assertEqual(self.domains.sum_demand("s"), 0.75)
+        told = [word.demand["s"] for word in self.domains.list_words()]
+        self.assertEqual(told, [0.5, 0.25])
         self.now += 10
-        self.assertEqual(self.domains.sum_demand("s"), 0.0)
+        self.assertEqual(self.domains.list_words(), [])
 
     def test_nodes_of_a_silent_domain_share_budgets_for_a_minute(self):
         self.domains.observe_word(make_word("b2", "b", n_nodes=20))
@@ -109,3 +111,22 @@
         self.assertEqual(self.table.find_holder().name, "b1")
         self.now += 4
         self.assertIsNone(self.table.find_holder())
+
+
+class PollDelayTest(DomainsCase):
+    """The load: every node's beliefs grow old at the same moment."""
+
+    def test_one_node_of_the_fleet_asks_first(self):
+        self.assertEqual(self.domains.decide_poll_delay(), 0.0)
+        delays = []
+        for zone in "bc":
+            table = PeerTable(f"{zone}3", zone, lambda: self.now)
+            table.observe_address("a2", "a", "a2:1")
+            table.observe_address("b3", "b", "b3:1")
+            delays.append(DomainTable(table, lambda: self.now).decide_poll_delay())
+        self.assertEqual(delays, [0.2, 0.2 + 0.1])
+
+    def test_others_stand_by(self):
+        self.hear("a3")
+        self.assertGreaterEqual(self.domains.decide_poll_delay(), 0.4)
+        self.assertLessEqual(self.domains.decide_poll_delay(), 0.6)
--- a/packages/medlargate/medlargate/gateway/_node.py
+++ b/packages/medlargate/medlargate/gateway/_node.py
@@ -99,7 +99,7 @@
         platform = self.settings.platform
         url = platform.url
         timeout = platform.timeout
-        self.store = HttpStore(self.platform_session, url, timeout=timeout)
+        self.store = HttpStore(url, timeout=timeout)
         self.platform = PlatformClient(self.platform_session, url, timeout=timeout)
         self.fleet = FleetSide(self)
         self.dispatcher.on_work = self._count_work
@@ -131,6 +131,7 @@
         await self.duties.release()
         self.fleet.close()
         await self.session.close()
+        await self.store.close()
         await self.platform_session.close()
         self.metrics.close()
 
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -1,5 +1,11 @@
 """Clients of the platform: key-value service, VM list, orders, usage reports."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .._lazy import make_lazy_getattr
+from ._calls import CallClient, StoreError
 from ._catalog import decode_declaration, decode_registration
 from ._names import CONFIG_KEY, SERVERS_PREFIX
 from ._orders import DutyCall, OrdersClient
@@ -14,14 +20,6 @@
     make_forward_headers,
     make_refusal_headers,
 )
-from ._services import (
-    GuardedPayload,
-    GuardError,
-    Order,
-    PlatformAnswer,
-    PlatformClient,
-    Vm,
-)
 from ._store import (
     Change,
     Changes,
@@ -32,14 +30,30 @@
     Put,
     Store,
     StoreAnswer,
-    StoreError,
     StoreResult,
 )
 
+if TYPE_CHECKING:
+    from ._services import (
+        GuardedPayload,
+        GuardError,
+        Order,
+        PlatformAnswer,
+        PlatformClient,
+        Vm,
+    )
+
+# Of the OpenAI interface's platform; their HTTP library would delay a node's start.
+_LAZY = dict.fromkeys(
+    ("GuardError", "GuardedPayload", "Order", "PlatformAnswer", "PlatformClient", "Vm"),
+    "._services",
+)
+
 __all__ = [
     "CONFIG_KEY",
     "SERVERS_PREFIX",
     "AnswerFacts",
+    "CallClient",
     "Change",
     "Changes",
     "Compare",
@@ -70,3 +84,6 @@
     "make_forward_headers",
     "make_refusal_headers",
 ]
+
+
+__getattr__ = make_lazy_getattr(__name__, _LAZY)
--- a/packages/medlargate/medlargate/platform/_orders.py
+++ b/packages/medlargate/medlargate/platform/_orders.py
@@ -2,31 +2,18 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import aiohttp
-import orjson
 from returns.result import Failure, Result, Success
 
 from ..policy import Verdict
+from ._calls import CallClient, StoreError
 from ._names import DUTY_HOLDER, FENCE
-from ._services import GuardedPayload, GuardError
-from ._store import StoreError, make_store_error
 
 NOT_DONE = frozenset({400, 403, 409, 429, 503})
 
 
-def _make_resetting_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    """Make a socket whose close discards what is still to be delivered."""
-    family, kind, proto, _, _ = info
-    sock = socket.socket(family, kind, proto)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    return sock
-
-
 @dataclass(frozen=True, slots=True)
 class DutyCall:
     """Who calls, and under which right.
@@ -63,14 +50,11 @@
     """
 
     def __init__(self, url: str, *, timeout: float = 2.0) -> None:
-        connector = aiohttp.TCPConnector(socket_factory=_make_resetting_socket)
-        self._session = aiohttp.ClientSession(connector=connector)
-        self._url = url
-        self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout)
+        self._calls = CallClient(url, timeout=timeout, resets=True)
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._session.close()
+        await self._calls.close()
 
     async def send_usage(
         self, window: int, counts: Mapping[str, int], call: DutyCall
@@ -128,18 +112,13 @@
         self, path: str, body: Mapping[str, object], call: DutyCall
     ) -> Result[int, StoreError]:
         headers = {DUTY_HOLDER: call.holder, FENCE: str(call.fence)}
-        payload = GuardedPayload(orjson.dumps(body), call.guard)
-        try:
-            async with self._session.post(
-                self._url + path, data=payload, headers=headers, timeout=self._timeout
-            ) as resp:
-                await resp.read()
-                if resp.status == 200 or resp.status == 409:
-                    return Success(resp.status)
-                refused = resp.status in NOT_DONE
-                verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
-                return Failure(StoreError(verdict, f"{path} answered {resp.status}"))
-        except GuardError as exc:
-            return Failure(StoreError(Verdict.NOT_RUN, str(exc)))
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            return Failure(make_store_error(exc))
+        called = await self._calls.call(
+            "POST", path, body=body, headers=headers, guard=call.guard
+        )
+        if isinstance(called, Failure):
+            return called
+        status = called.unwrap().status
+        if status in (200, 409):
+            return Success(status)
+        verdict = Verdict.NOT_RUN if status in NOT_DONE else Verdict.MAY_HAVE_RUN
+        return Failure(StoreError(verdict, f"{path} answered {status}"))
--- a/packages/medlargate/medlargate/platform/_services.py
+++ b/packages/medlargate/medlargate/platform/_services.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from ..policy import Verdict
-from ._store import StoreError, make_store_error
+from ._calls import StoreError
 
 
 class Vm(BaseModel):
@@ -48,6 +48,24 @@
     orders: list[Order] = []
 
 
+def make_call_error(exc: Exception) -> StoreError:
+    """Say what may be said of a call of the platform that failed.
+
+    Parameters
+    ----------
+    exc : Exception
+        What was raised.
+
+    Returns
+    -------
+    StoreError
+        ``NOT_RUN`` when no connection came about, else ``MAY_HAVE_RUN``.
+    """
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return StoreError(Verdict.NOT_RUN, str(exc))
+    return StoreError(Verdict.MAY_HAVE_RUN, f"{type(exc).__name__}: {exc}")
+
+
 class VmList(BaseModel):
     """The platform's list of VMs, which lags."""
 
@@ -173,7 +191,7 @@
         except GuardError as exc:
             return Failure(StoreError(Verdict.NOT_RUN, str(exc)))
         except (aiohttp.ClientError, TimeoutError, orjson.JSONDecodeError) as exc:
-            return Failure(make_store_error(exc))
+            return Failure(make_call_error(exc))
 
     async def read_vms(self) -> Result[list[Vm], StoreError]:
         """Read the list of VMs.
--- a/packages/medlargate/medlargate/platform/_store.py
+++ b/packages/medlargate/medlargate/platform/_store.py
@@ -7,11 +7,10 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-import aiohttp
-import orjson
 from returns.result import Failure, Result, Success
 
 from ..policy import Verdict
+from ._calls import CallClient, Reply, StoreError
 
 NOT_DONE_STATUSES = frozenset({400, 403, 413, 429, 503})
 MAX_WATCH_WAIT = 30.0  # seconds, the store's own bound
@@ -104,40 +103,6 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class StoreError:
-    """A call of the store that gave no answer.
-
-    Attributes
-    ----------
-    verdict : Verdict
-        ``MAY_HAVE_RUN`` when the call may have taken effect.
-    message : str
-        What was seen.
-    """
-
-    verdict: Verdict
-    message: str
-
-
-def make_store_error(exc: Exception) -> StoreError:
-    """Say what may be said of a call of the platform that failed.
-
-    Parameters
-    ----------
-    exc : Exception
-        What was raised.
-
-    Returns
-    -------
-    StoreError
-        ``NOT_RUN`` when no connection came about, else ``MAY_HAVE_RUN``.
-    """
-    if isinstance(exc, aiohttp.ClientConnectorError):
-        return StoreError(Verdict.NOT_RUN, str(exc))
-    return StoreError(Verdict.MAY_HAVE_RUN, f"{type(exc).__name__}: {exc}")
-
-
 StoreResult = Result[StoreAnswer, StoreError]
 
 
@@ -236,33 +201,25 @@
     return {"Key": put.key, "Data": data, "LeaseId": put.lease}
 
 
-@dataclass(frozen=True, slots=True)
-class _Reply:
-    status: int
-    body: dict[str, Any]
-
-
 class HttpStore:
     """The users' key-value service over HTTP.
 
     Parameters
     ----------
-    session : aiohttp.ClientSession
-        Connections of the node.
     url : str
         Base address.
     timeout : float, default=2.0
         Seconds per call.
     """
 
-    def __init__(
-        self, session: aiohttp.ClientSession, url: str, *, timeout: float = 2.0
-    ) -> None:
-        self._session = session
-        self._url = url
-        self._timeout = timeout
+    def __init__(self, url: str, *, timeout: float = 2.0) -> None:
+        self.calls = CallClient(url, timeout=timeout)
         self.n_calls: dict[str, int] = {}
 
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.calls.close()
+
     async def _call(
         self,
         method: str,
@@ -272,30 +229,32 @@
         body: dict[str, Any] | None = None,
         accepted: tuple[int, ...] = (200,),
         extra_time: float = 0.0,
-    ) -> Result[_Reply, StoreError]:
+    ) -> Result[Reply, StoreError]:
         kind = path.split("/")[1]
         self.n_calls[kind] = self.n_calls.get(kind, 0) + 1
-        timeout = aiohttp.ClientTimeout(
-            total=self._timeout + extra_time, sock_connect=self._timeout
+        called = await self.calls.call(
+            method, path, query=query, body=body, extra_time=extra_time
         )
+        if isinstance(called, Failure):
+            return called
+        reply = called.unwrap()
+        if reply.status in accepted:
+            return self._check_body(reply, kind)
+        refused = reply.status in NOT_DONE_STATUSES
+        verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+        message = f"store answered {reply.status} to {kind}"
+        return Failure(StoreError(verdict, message))
+
+    def _check_body(self, reply: Reply, kind: str) -> Result[Reply, StoreError]:
         try:
-            async with self._session.request(
-                method,
-                self._url + path,
-                params=query,
-                data=None if body is None else orjson.dumps(body),
-                headers={"Content-Type": "application/json"} if body else None,
-                timeout=timeout,
-            ) as resp:
-                raw = await resp.read()
-                if resp.status not in accepted:
-                    refused = resp.status in NOT_DONE_STATUSES
-                    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
-                    message = f"store answered {resp.status} to {kind}"
-                    return Failure(StoreError(verdict, message))
-                return Success(_Reply(resp.status, orjson.loads(raw) if raw else {}))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
-            return Failure(make_store_error(exc))
+            readable = isinstance(reply.body, dict)
+            fault = "not an object"
+        except ValueError as exc:
+            readable, fault = False, str(exc)
+        if readable:
+            return Success(reply)
+        message = f"store answered {kind} unreadably: {fault}"
+        return Failure(StoreError(Verdict.MAY_HAVE_RUN, message))
 
     async def read(
         self, key: str, *, prefix: bool = False, start: str = "", limit: int = 0
@@ -475,7 +434,7 @@
         return answer.map(lambda got: _changes(got, after))
 
 
-def _changes(reply: _Reply, after: int) -> Changes:
+def _changes(reply: Reply, after: int) -> Changes:
     if reply.status == 410:
         return Changes(after, compacted=True)
     events = reply.body.get("events") or ()
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -4,7 +4,8 @@
 a prompt's beginning again delays every request of that engine and is priced, so that
 the engine that already holds it is worth waiting for; all nodes presume the same home
 for the same beginning without asking each other. Short urgent requests keep away from
-engines that still read long prompts. Crossing failure domains costs by the byte, mostly
+engines that still read long prompts, and streams with short pauses (``_lanes``) from
+all that read such. Crossing failure domains costs by the byte, mostly
 far less than reading again.
 """
 
@@ -24,6 +25,9 @@
 # The same for memory that is moved from another engine instead: priced at about a
 # quarter of reading.
 TRANSFER_WEIGHT = 0.55
+# A stream with short pauses is mostly late at an engine that reads long prompts; so
+# much delay it accepts to go to one that reads none, about half the usual target.
+PAUSE_RISK = 0.25  # seconds
 # Share of the reading that the first and second choice for a prompt are presumed to
 # save, since other nodes send the same beginning there.
 HOME_SAVINGS = (0.8, 0.4)
@@ -55,6 +59,8 @@
         Share of its recent answers that failed, 0 to 1.
     home_rank : int or None
         0 for the first choice for this request's prompt, 1 for the second.
+    risks_pauses : bool
+        It reads long prompts, and this request's stream does not bear that.
     """
 
     name: str
@@ -68,6 +74,7 @@
     slowness: float = 1.0
     failure_share: float = 0.0
     home_rank: int | None = None
+    risks_pauses: bool = False
 
     @property
     def n_to_read(self) -> int:
@@ -177,6 +184,8 @@
         cost = predicted + READING_WEIGHT * reading
         cost += TRANSFER_WEIGHT * state.n_fetchable * times.per_token
         cost += FAILURE_PENALTY * state.failure_share
+        if state.risks_pauses:
+            cost += PAUSE_RISK
         if crossing:
             cost += CROSSING_PER_BYTE * n_bytes
         if state.home_rank is not None and state.home_rank < len(HOME_SAVINGS):
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -10,24 +10,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ._lanes import LONG_READING
 from ._placement import ServerState
-from ._shares import rank_by_hash
 
-# A prompt that takes longer to read than this is long.
-LONG_READING = 0.1  # seconds
 # Reading ahead that a long prompt accepts at an engine: what is nearly done.
 LONG_BACKLOG = 0.1  # seconds
 # Reading ahead that a long prompt accepts once it has waited for the best engine.
 PRESSED_BACKLOG = 0.3  # seconds
 # Reading ahead that a short prompt accepts.
 MAX_BACKLOG = 0.9  # seconds
-# Share of a service's engines that read no long prompts, about the short ones' part
-# of the work, and the number of engines from which on one is set apart.
-SHORT_LANE_SHARE = 0.12
-MIN_LANE_ENGINES = 5
 # Share of its target that a request waits for the engine that suits it best.
 PATIENCE = 0.4
 # Plain servers queue a few requests; beyond their slots waiting here is better.
@@ -70,25 +63,6 @@
     return state.n_running < state.n_slots and state.backlog < max_backlog
 
 
-def find_short_lane(names: Sequence[str]) -> frozenset[str]:
-    """Choose the engines of a service that read no long prompts.
-
-    Parameters
-    ----------
-    names : sequence of str
-        Its engines.
-
-    Returns
-    -------
-    frozenset of str
-        The same on every node that knows the same engines; empty for few engines.
-    """
-    if len(names) < MIN_LANE_ENGINES:
-        return frozenset()
-    n_lane = max(1, round(SHORT_LANE_SHARE * len(names)))
-    return frozenset(rank_by_hash("short prompts", sorted(names))[:n_lane])
-
-
 def rank_waiting(
     *, priority: int, arrived_at: float, time_to_target: float, reading: float
 ) -> tuple[int, bool, float]:
--- a/packages/medlargate/medlargate/policy/tests/test_placement.py
+++ b/packages/medlargate/medlargate/policy/tests/test_placement.py
@@ -12,6 +12,7 @@
     find_short_lane,
     has_room,
     is_pressed,
+    is_tight,
     rank_waiting,
 )
 
@@ -94,6 +95,37 @@
         self.assertTrue(is_pressed(waited=1.1, target=2.5))
 
 
+class ShortPausesTest(unittest.TestCase):
+    """The load: short questions, whose answers may not pause, beside long prompts."""
+
+    def test_a_stream_that_bears_no_long_prompt_beside_it_is_tight(self):
+        times = ServiceTimes(base=0.05, per_token=1 / 37_900)
+        self.assertTrue(is_tight(times, max_pause=0.4, n_tokens_per_event=5))
+        self.assertFalse(is_tight(times, max_pause=1.5, n_tokens_per_event=5))
+        self.assertFalse(is_tight(times, max_pause=0.0, n_tokens_per_event=5))
+
+    def test_it_goes_where_no_long_prompts_are_read(self):
+        idle = engine("idle", n_running=0, risks_pauses=True)
+        lane = engine("lane", n_running=40)
+        self.assertEqual(place(idle, lane), "lane")
+
+    def test_unless_that_takes_too_long(self):
+        idle = engine("idle", n_running=0, risks_pauses=True)
+        lane = engine("lane", n_running=60, backlog=0.4)
+        self.assertEqual(place(idle, lane), "idle")
+
+    def test_a_wave_of_short_questions_widens_the_lane(self):
+        names = [f"e{n}" for n in range(60)]
+        calm = find_short_lane(names, tight_demand=1.0)
+        wave = find_short_lane(names, tight_demand=6.0)
+        self.assertEqual((len(calm), len(wave)), (7, 20))
+        self.assertLess(calm, wave)
+
+    def test_long_prompts_keep_half_of_the_engines(self):
+        names = [f"e{n}" for n in range(12)]
+        self.assertEqual(len(find_short_lane(names, tight_demand=50.0)), 6)
+
+
 class RefusalTest(unittest.TestCase):
     def test_what_can_t_be_of_use_is_refused_with_a_time_to_return(self):
         got = decide_wait(ahead=9.0, time_left=6.0, target_left=0.5)
--- a/packages/medlargate/medlargate/relay/_account.py
+++ b/packages/medlargate/medlargate/relay/_account.py
@@ -92,6 +92,7 @@
             verdict=str(exch.verdict),
             elapsed=round(now - exch.arrived_at, 3),
             first_event=round(first_token, 3) if first_token is not None else None,
+            longest_pause=round(exch.longest_pause, 3) if exch.n_events else None,
             waited=round(wait, 3) if wait is not None else None,
             n_sent=exch.n_sent,
             n_events=exch.n_events,
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -33,6 +33,9 @@
 PEAK_DECAY = 0.03  # of the peak, a second
 # Until then what arrives says little, and engines found are kept as needed.
 START_TIME = 4.0  # seconds
+# Without any load for this long after the start, capacity fades as after a wave.
+FIRST_LOAD_PATIENCE = 60.0  # seconds
+DEMAND_WINDOW = 3.0  # seconds; waves last a few of them
 REFUSED_PAUSE = 3.0  # seconds until an order that found none is tried again
 FAILED_PAUSE = 1.0  # seconds without orders after one that was not taken
 UNFILLED_PAUSE = 2.5  # seconds beyond the boot time until an order is repeated
@@ -47,16 +50,24 @@
     """Work that arrives at this node, by service."""
 
     rates: dict[str, DecayingRate] = field(default_factory=dict)
+    tight_rates: dict[str, DecayingRate] = field(default_factory=dict)
 
-    def observe(self, service: str, seconds: float, now: float) -> None:
+    def observe(self, service: str, seconds: float, now: float, *, tight: bool) -> None:
         """Take in engine-seconds of a request that was sent."""
-        rate = self.rates.setdefault(service, DecayingRate(window=3.0))
-        rate.observe(now, seconds)
+        tables = (self.rates, self.tight_rates) if tight else (self.rates,)
+        for table in tables:
+            rate = table.setdefault(service, DecayingRate(window=DEMAND_WINDOW))
+            rate.observe(now, seconds)
 
     def snapshot(self, now: float) -> dict[str, float]:
         """Report engine-seconds a second by service."""
         return {name: round(rate.decide(now), 4) for name, rate in self.rates.items()}
 
+    def snapshot_tight(self, now: float) -> dict[str, float]:
+        """Report those of streams with short pauses."""
+        rows = self.tight_rates.items()
+        return {name: round(rate.decide(now), 4) for name, rate in rows}
+
 
 @dataclass
 class _Ordered:
@@ -93,6 +104,7 @@
         self._clock = clock
         self._peaks: dict[str, tuple[float, float]] = {}
         self._started_at: dict[str, float] = {}
+        self._loaded: set[str] = set()
         self._next_at = float("-inf")
         self._ordered: dict[tuple[str, str, bool], _Ordered] = {}
 
@@ -151,10 +163,23 @@
             self._peaks[service] = (decide_full_demand(zones, spec), now)
             self._started_at.setdefault(service, now)
         peak, at = self._peaks[service]
+        if self._awaits_load(service, current, now):
+            at = now
         peak = max(current, peak * (1 - PEAK_DECAY) ** (now - at))
         self._peaks[service] = (peak, now)
         return peak
 
+    def _awaits_load(self, service: str, current: float, now: float) -> bool:
+        """Tell whether callers are still to come after the start.
+
+        Answers the pattern of a wave among the first requests: capacity that has
+        faded before it takes an engine's boot time to return.
+        """
+        if current > 0.0:
+            self._loaded.add(service)
+        early = now - self._started_at[service] < FIRST_LOAD_PATIENCE
+        return service not in self._loaded and early
+
     def _is_start(self, service: str) -> bool:
         """Tell whether this node has not yet seen enough of the load."""
         return self._clock() - self._started_at[service] < START_TIME
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -66,6 +66,8 @@
     n_events: int = 0
     placed_at: float | None = None
     first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause: float = 0.0
 
     @property
     def priority(self) -> int:
@@ -98,6 +100,19 @@
         """When its answer or first event is wanted, on the node's clock."""
         return self.arrived_at + self.rule.target
 
+    def observe_event(self, now: float) -> None:
+        """Take in that an event of its stream was passed on.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the node's clock.
+        """
+        self.n_events += 1
+        if self.last_event_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+
     def record(self, kind: str, **facts: Any) -> None:
         """Write one line on a decision.
 
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import orjson
@@ -50,6 +50,7 @@
 LATE_PULL_DELAY = 1.0  # seconds
 PULL_TIMEOUT = 1.0  # seconds
 TRANSIT = 0.1  # seconds that word may have been on its way
+NEWS_DELAY = 0.02  # seconds; the changes of one answer of the store come together
 REGISTER_PAUSE = 1.0  # seconds between tries to write this node's entry
 N_WATCHERS = 1  # nodes of a failure domain that watch the store; others hear them
 MIN_DOMAIN_LIFETIME = 1.5  # seconds that a failure domain's word on loads counts
@@ -112,6 +113,7 @@
         self.incarnation = incarnation
         self.is_holder: Callable[[], bool] = lambda: False
         self.make_demand: Callable[[], dict[str, float]] = dict
+        self.make_tight_demand: Callable[[], dict[str, float]] = dict
         self.store_up: Callable[[], bool] = lambda: True
         self._host = host
         self._port = port
@@ -123,6 +125,7 @@
         self._usage = usage
         self._crashes = crashes
         self._pulls = IngressServer(self._answer_pull, IngressLimits)
+        self._news_due = False
         self._pulling: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -130,7 +133,7 @@
         await self.talk.start(self._host, self._port)
         await self._pulls.start(self._host, self._port)
         self._beliefs.on_config.append(self.tell_ages)
-        self._beliefs.on_server.append(self._tell_news)
+        self._beliefs.on_server.append(self._observe_news)
 
     def observe_seeds(self, seeds: str) -> None:
         """Take in addresses that the settings name.
@@ -213,21 +216,21 @@
             store_up=self.store_up(),
             loads=self._loads.snapshot_own() if near else {},
             demand=self.make_demand() if near else {},
+            tight_demand=self.make_tight_demand() if near else {},
             usage=usage,
             hears=self.table.list_heard(zone) if holder else [],
             holder=holder,
         )
 
     def _make_domain_word(self) -> DomainWord:
-        near = self.table.alive(zone=self.table.zone)
-        demand = self.make_demand()
-        for peer in near:
-            for service, rate in (peer.word.demand if peer.word else {}).items():
-                demand[service] = round(demand.get(service, 0.0) + rate, 4)
+        words = self._list_near_words()
         return DomainWord(
             **self._make_ages(),
-            loads=self._loads.sum_loads(peer.name for peer in near),
-            demand=demand,
+            loads=self._loads.sum_loads(word.name for word in words),
+            demand=_sum_rows([self.make_demand(), *(it.demand for it in words)]),
+            tight_demand=_sum_rows(
+                [self.make_tight_demand(), *(it.tight_demand for it in words)]
+            ),
             n_nodes=self.table.count_near_nodes(),
             interval=self.domains.decide_interval(),
             parts=self.domains.snapshot_parts(),
@@ -247,7 +250,7 @@
 
     def tell_ages(self) -> None:
         """Tell peers, and through the speaker other domains, of fresh beliefs."""
-        self.talk.tell(near=True)
+        self.talk.tell(near=True, all_peers=True)
         self._tell_domains()
 
     def observe_long_prompt(
@@ -266,9 +269,22 @@
         )
         self.talk.tell_near(note)
 
-    def _tell_news(self, server_id: str) -> None:
+    def _observe_news(self, server_id: str) -> None:
+        """Tell the failure domain of changed registrations, once for a burst.
+
+        Only the nodes that hear of them first: those with the watches and those that
+        hear other domains. A word from each node on each change would be most of all
+        datagrams in a large domain.
+        """
         del server_id
-        self.talk.tell(near=True)
+        if self._news_due or not (self.watches() or self.domains.is_speaker()):
+            return
+        self._news_due = True
+        asyncio.get_running_loop().call_later(NEWS_DELAY, self._tell_news)
+
+    def _tell_news(self) -> None:
+        self._news_due = False
+        self.talk.tell(near=True, all_peers=True)
 
     # Word in
 
@@ -300,10 +316,19 @@
 
     def sum_demand(self, service: str) -> float:
         """Sum the work that arrives at all nodes, engine-seconds a second."""
+        words = [*self._list_near_words(), *self.domains.list_words()]
+        told = sum(word.demand.get(service, 0.0) for word in words)
+        return self.make_demand().get(service, 0.0) + told
+
+    def sum_tight_demand(self, service: str) -> float:
+        """Sum the part of it that streams with short pauses bring."""
+        words = [*self._list_near_words(), *self.domains.list_words()]
+        told = sum(word.tight_demand.get(service, 0.0) for word in words)
+        return self.make_tight_demand().get(service, 0.0) + told
+
+    def _list_near_words(self) -> list[PeerWord]:
         near = self.table.alive(zone=self.table.zone)
-        demand = self.make_demand().get(service, 0.0)
-        demand += sum(it.word.demand.get(service, 0.0) for it in near if it.word)
-        return demand + self.domains.sum_demand(service)
+        return [peer.word for peer in near if peer.word is not None]
 
     def _take_note(self, note: LoadNote) -> None:
         self.domains.observe_parts(note.server, note.parts)
@@ -433,3 +458,12 @@
 
 def _decode_entry(row: list[Any]) -> Entry:
     return Entry(row[0], base64.b64decode(row[1]), int(row[2]), 0)
+
+
+def _sum_rows(rows: Iterable[Mapping[str, float]]) -> dict[str, float]:
+    """Add numbers up by name."""
+    sums: dict[str, float] = {}
+    for row in rows:
+        for name, number in row.items():
+            sums[name] = round(sums.get(name, 0.0) + number, 4)
+    return sums
--- a/packages/medlargate/medlargate/relay/_line.py
+++ b/packages/medlargate/medlargate/relay/_line.py
@@ -260,7 +260,7 @@
                     headers = make_answer_headers(opened.head.headers)
                     await exch.responder.start(opened.facts.status, headers)
                 await exch.responder.write(event.data)
-                exch.n_events += 1
+                exch.observe_event(self._clock())
                 if event.event_id is not None:
                     exch.last_event_id = event.event_id
         if splitter.has_rest or not exch.responder.started:
--- a/packages/medlargate/medlargate/relay/_loads.py
+++ b/packages/medlargate/medlargate/relay/_loads.py
@@ -122,7 +122,7 @@
     def _find_held(
         self, spec: ServiceSpec, parts: tuple[PromptPart, ...]
     ) -> tuple[str, int] | None:
-        """Return the server that holds most of a prompt's beginning, and how much."""
+        """Return the server that has read most of a prompt, and how many tokens."""
         if spec.engine is None or not spec.engine.transfer_per_token:
             return None
         now = time.monotonic()
@@ -130,7 +130,7 @@
         for server_id, view in self.views.items():
             if view.suspended_until > now or not view.parts:
                 continue
-            n_tokens = view.count_cached(parts)
+            n_tokens = view.count_ready(parts, now)
             if n_tokens >= MIN_FETCH and (best is None or n_tokens > best[1]):
                 best = (server_id, n_tokens)
         return best
@@ -168,10 +168,11 @@
             predicted=predicted,
             n_uncached=state.n_to_read,
             alone=state.backlog < 0.005 and state.n_running < state.n_slots,
+            parts=parts,
         )
         if spec.engine is not None:
             view.capacity = spec.engine.n_cache_tokens
-            view.observe_parts(parts)
+            view.observe_parts(parts, ready_at=now + predicted)
 
     def observe_begin(self, key: int, spec: ServiceSpec, server_id: str) -> None:
         """Take in a request's first token or answer.
@@ -192,6 +193,7 @@
         run.has_begun = True
         now = time.monotonic()
         elapsed = now - run.sent_at
+        view.observe_read(run.parts, now)
         view.observe_begun(elapsed - run.predicted, now)
         view.suspension = FIRST_SUSPENSION
         for cut in self._cuts.values():
@@ -269,7 +271,7 @@
             The peer's name, or the failure domain's.
         loads : mapping of str to (int, float)
             Requests and seconds of reading by server; one that is left out is 0.
-        lifetime : float, default=1.5
+        lifetime : float, default=2.5
             Seconds for which it counts.
         """
         now = time.monotonic()
@@ -281,7 +283,7 @@
             self.view(server_id).peers[peer] = load
 
     def observe_parts(self, server_id: str, parts: Iterable[PromptPart]) -> None:
-        """Take in what a server holds from now on.
+        """Take in what a server holds once it has read what it was given.
 
         Parameters
         ----------
@@ -290,7 +292,9 @@
         parts : iterable of PromptPart
             Parts of a prompt that it was given.
         """
-        self.view(server_id).observe_parts(parts)
+        view = self.view(server_id)
+        now = time.monotonic()
+        view.observe_parts(parts, ready_at=now + view.sum_reading(now))
 
     def observe_note(
         self,
@@ -316,7 +320,7 @@
         view = self.view(server_id)
         now = time.monotonic()
         view.peers[peer] = PeerLoad(n_running, reading, now, now + PEER_LIFETIME)
-        view.observe_parts(parts)
+        view.observe_parts(parts, ready_at=now + reading)
 
     def snapshot_server(self, server_id: str) -> tuple[int, float]:
         """Report this node's requests and seconds of reading on one server."""
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -11,8 +11,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import aiohttp
-
 from .._clock import read_boot_clock
 from .._settings import Settings
 from .._tasks import run_to_end
@@ -100,7 +98,11 @@
         self.pool = ConnectionPool()
         self.demand = Demand()
         self.waiting = WaitingRoom(
-            self.beliefs, self.loads, self.clock, self._observe_work
+            self.beliefs,
+            self.loads,
+            self.clock,
+            self._observe_work,
+            lambda service: self.fleet.sum_tight_demand(service),
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.true_time = TrueTime(self.clock, time.time)
@@ -135,7 +137,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._closers: list[Callable[[], Awaitable[None]]] = []
         self.stopping = False
-        self.session: aiohttp.ClientSession
         self.watcher: StoreWatcher
         self.fleet: FleetSide
         self.duties: Duties
@@ -156,8 +157,10 @@
     def _observe_usage(self, customer: str) -> None:
         self.usage.observe(self.incarnation, customer, self.true_time.now())
 
-    def _observe_work(self, exch: Exchange, server_id: str, seconds: float) -> None:
-        self.demand.observe(exch.service.name, seconds, self.clock())
+    def _observe_work(
+        self, exch: Exchange, server_id: str, seconds: float, tight: bool
+    ) -> None:
+        self.demand.observe(exch.service.name, seconds, self.clock(), tight=tight)
         if seconds > LONG_READING or exch.n_tokens > LONG_PROMPT:
             self.fleet.observe_long_prompt(server_id, exch.facts.parts)
 
@@ -207,11 +210,9 @@
 
     async def start(self) -> None:
         """Open listeners and start the node's tasks."""
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
-        )
         platform = self.settings.platform
-        store = HttpStore(self.session, platform.url, timeout=platform.timeout)
+        store = HttpStore(platform.url, timeout=platform.timeout)
+        self._closers.append(store.close)
         self.fleet = self._make_fleet_side(store)
         self.watcher = StoreWatcher(
             store,
@@ -221,6 +222,7 @@
             self.clock,
             watches=self.fleet.watches,
             on_confirmed=self.fleet.tell_ages,
+            poll_delay=self.fleet.domains.decide_poll_delay,
             config_bound=self.ingress.config_bound_ms / 1000,
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
@@ -228,6 +230,7 @@
         self.duties = self._make_duties(store)
         self.fleet.is_holder = self.duties.is_holder
         self.fleet.make_demand = self._snapshot_demand
+        self.fleet.make_tight_demand = lambda: self.demand.snapshot_tight(self.clock())
         await self._listen()
         for job in (
             self.watcher.run_config,
@@ -263,6 +266,7 @@
                     "servers_age": round(now - age.servers_confirmed_at, 2),
                     "n_peers": len(self.fleet.table.alive()),
                     "n_nodes": self.fleet.count_nodes(),
+                    "domains_age": self.fleet.domains.snapshot(),
                     "holds_duties": self.duties.is_holder(),
                     "n_store_calls": dict(self.watcher.store.n_calls),
                     "n_connections_opened": self.pool.n_opened,
@@ -381,7 +385,6 @@
         self.pool.close()
         for close in self._closers:
             await close()
-        await self.session.close()
         self.writer.flush()
 
     # Pages
--- a/packages/medlargate/medlargate/relay/_views.py
+++ b/packages/medlargate/medlargate/relay/_views.py
@@ -21,7 +21,7 @@
 FAILURE_HALF_LIFE = 6.0  # seconds, so that an avoided server is tried again
 MIN_SLOWNESS, MAX_SLOWNESS = 0.7, 10.0  # of what all servers take on average
 REPORT_LIFETIME = 0.5  # seconds that a server's word on its load counts
-PEER_LIFETIME = 1.5  # seconds that a peer's word on its own load counts
+PEER_LIFETIME = 2.5  # seconds that a peer's word on its own load counts, two rounds
 FIRST_SUSPENSION = 0.5  # seconds without requests after a failed connection
 MAX_SUSPENSION = 4.0  # seconds
 # Answers the pattern of a failure domain cut off: each of its servers costs a request
@@ -51,6 +51,8 @@
         Prompt tokens that had to be read, as believed.
     alone : bool
         Nothing else was to be read before it.
+    parts : tuple of PromptPart
+        Its prompt.
     """
 
     reading: float
@@ -58,6 +60,7 @@
     predicted: float
     n_uncached: int
     alone: bool
+    parts: tuple[PromptPart, ...] = ()
     has_begun: bool = False
 
 
@@ -85,6 +88,22 @@
         return max(0.0, self.reading - (now - self.at)) if now < self.until else 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class HeldPart:
+    """A part of a prompt in a server's memory.
+
+    Attributes
+    ----------
+    n_tokens : int
+        Its length.
+    ready_at : float
+        When it will have been read, seconds.
+    """
+
+    n_tokens: int
+    ready_at: float
+
+
 @dataclass
 class ServerView:
     """What is known of one server."""
@@ -94,7 +113,7 @@
     read_until: float = float("-inf")
     reported: ServerLoad | None = None
     reported_at: float = float("-inf")
-    parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    parts: OrderedDict[str, HeldPart] = field(default_factory=OrderedDict)
     n_part_tokens: int = 0
     capacity: int = FIRST_CAPACITY
     slowness: float = 1.0
@@ -151,7 +170,11 @@
         self.failures_at = now
 
     def count_cached(self, parts: Iterable[PromptPart]) -> int:
-        """Count the leading tokens of a prompt that were read there before."""
+        """Count the leading tokens of a prompt that need not be read there.
+
+        Those that are just being read count, since a request that comes after them
+        finds them read.
+        """
         n_tokens = 0
         for part in parts:
             if part.part_id not in self.parts:
@@ -159,17 +182,36 @@
             n_tokens += part.n_tokens
         return n_tokens
 
-    def observe_parts(self, parts: Iterable[PromptPart]) -> None:
-        """Take in that a prompt is read there."""
+    def count_ready(self, parts: Iterable[PromptPart], now: float) -> int:
+        """Count the leading tokens of a prompt that another engine can take over."""
+        n_tokens = 0
+        for part in parts:
+            held = self.parts.get(part.part_id)
+            if held is None or held.ready_at > now:
+                break
+            n_tokens += part.n_tokens
+        return n_tokens
+
+    def observe_parts(
+        self, parts: Iterable[PromptPart], *, ready_at: float = float("-inf")
+    ) -> None:
+        """Take in that a prompt is read there, and when that will be done."""
         for part in parts:
             if part.part_id in self.parts:
                 self.parts.move_to_end(part.part_id)
             else:
-                self.parts[part.part_id] = part.n_tokens
+                self.parts[part.part_id] = HeldPart(part.n_tokens, ready_at)
                 self.n_part_tokens += part.n_tokens
         while self.n_part_tokens > self.capacity and self.parts:
-            _, n_tokens = self.parts.popitem(last=False)
-            self.n_part_tokens -= n_tokens
+            _, held = self.parts.popitem(last=False)
+            self.n_part_tokens -= held.n_tokens
+
+    def observe_read(self, parts: Iterable[PromptPart], now: float) -> None:
+        """Take in that a prompt has been read: its first token came."""
+        for part in parts:
+            held = self.parts.get(part.part_id)
+            if held is not None and held.ready_at > now:
+                self.parts[part.part_id] = HeldPart(held.n_tokens, now)
 
 
 @dataclass
--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
 
 from ..fleet import Beliefs
 from ..policy import (
@@ -18,6 +18,7 @@
     find_short_lane,
     has_room,
     is_pressed,
+    is_tight,
     rank_waiting,
 )
 from ..routing import Registration
@@ -25,6 +26,7 @@
 from ._loads import LoadBook
 
 LOOK_INTERVAL = 0.05  # seconds; peers' loads change without a sign here
+LANE_INTERVAL = 0.25  # seconds; about as often as other nodes' demand is heard
 ANSWER_BYTES = 3000  # of a usual answer with its headers
 NO_SERVER_WAIT = 1.0  # seconds; a restarting server is back within a few
 NO_SERVER_RETRY_AFTER = 0.7  # seconds
@@ -71,7 +73,10 @@
     clock : callable
         Returns seconds.
     observe_work : callable
-        Told server and seconds of reading of each request that goes on.
+        Told server and seconds of reading of each request that goes on, and whether
+        its stream is tight.
+    sum_tight : callable
+        Returns the reading for tight streams of a service that arrives at the fleet.
     """
 
     def __init__(
@@ -79,8 +84,11 @@
         beliefs: Beliefs,
         loads: LoadBook,
         clock: Callable[[], float],
-        observe_work: Callable[[Exchange, str, float], None],
+        observe_work: Callable[[Exchange, str, float, bool], None],
+        sum_tight: Callable[[str], float],
     ) -> None:
+        self._sum_tight = sum_tight
+        self._lanes: dict[str, tuple[float, frozenset[str]]] = {}
         self._observe_work = observe_work
         self._beliefs = beliefs
         self._loads = loads
@@ -178,14 +186,25 @@
         )
         if exch.service.engine is None:
             return states
-        lane = find_short_lane(list(servers))
+        lane = self._find_lane(exch.service.name, servers)
+        tight = bool(lane) and _is_tight(exch, times)
         allowed = [
-            state
+            replace(state, risks_pauses=True)
+            if tight and state.name not in lane
+            else state
             for state in states
             if state.name not in lane or _read_time(state, times) <= LONG_READING
         ]
         return allowed or states
 
+    def _find_lane(self, service: str, servers: Collection[str]) -> frozenset[str]:
+        now = self._clock()
+        found = self._lanes.get(service)
+        if found is None or now - found[0] > LANE_INTERVAL:
+            lane = find_short_lane(list(servers), tight_demand=self._sum_tight(service))
+            found = self._lanes[service] = (now, lane)
+        return found[1]
+
     def _take(self, exch: Exchange, assigned: Assigned) -> Assigned:
         now = self._clock()
         exch.placed_at = now
@@ -202,6 +221,7 @@
             n_fetchable=assigned.state.n_fetchable,
             fetch_from=assigned.fetch_from,
             home_rank=assigned.state.home_rank,
+            risks_pauses=assigned.state.risks_pauses,
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._beliefs.servers_revision,
         )
@@ -216,7 +236,8 @@
             placement.predicted,
         )
         if exch.service.engine is not None:
-            self._observe_work(exch, placement.name, reading)
+            tight = _is_tight(exch, times)
+            self._observe_work(exch, placement.name, reading, tight)
         return assigned
 
     def observe_change(self) -> None:
@@ -287,6 +308,18 @@
             self.observe_change()
 
 
+def _is_tight(exch: Exchange, times: ServiceTimes) -> bool:
+    """Tell whether a request's stream is late beside long prompts."""
+    engine = exch.service.engine
+    if engine is None or not exch.rule.streams:
+        return False
+    return is_tight(
+        times,
+        max_pause=exch.rule.max_pause,
+        n_tokens_per_event=engine.n_tokens_per_event,
+    )
+
+
 def _read_time(state: ServerState, times: ServiceTimes) -> float:
     """Return the seconds that a server reads a request's prompt."""
     return state.n_to_read * times.per_token * state.slowness
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -5,6 +5,16 @@
 
 from medlargate_standins.relay_world import RelayWorld, make_config
 
+from medlargate.platform import CallClient
+
+
+def refuse_store(node):
+    """Let no further call of a node reach the store."""
+    store = node.watcher.store
+    for conn in store.calls._idle:
+        conn.abort()
+    store.calls = CallClient("http://127.0.0.1:9")
+
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
     """Three nodes, of one failure domain unless a case says otherwise."""
@@ -56,8 +66,7 @@
     async def test_a_node_that_the_store_refuses_learns_from_its_peers(self):
         refused = self.world.nodes[0]
         await self.wait_for(lambda: len(refused.fleet.table.alive()) == 2)
-        store = refused.watcher.store
-        store._url = "http://127.0.0.1:9"
+        refuse_store(refused)
         await asyncio.sleep(0.1)
         self.world.put_config(make_config(7))
         self.world.unregister(self.world.backends["p1"])
@@ -147,7 +156,7 @@
             if node.settings.node.failure_domain == "fd-b"
         ]
         for node in refused:
-            node.watcher.store._url = "http://127.0.0.1:9"
+            refuse_store(node)
         await asyncio.sleep(0.1)
         self.world.put_config(make_config(7))
         self.world.unregister(self.world.backends["p1"])
@@ -170,3 +179,36 @@
         await asyncio.sleep(0.8)
         told = [node.fleet.sum_demand("engine") for node in self.world.nodes]
         self.assertGreater(min(told), 0.4 * totals[0])
+
+
+class LoneNodesTest(FleetCase):
+    """Three nodes, each alone in its failure domain."""
+
+    domains = ("fd-a", "fd-b", "fd-c")
+
+    async def test_each_is_heard_by_the_others(self):
+        await self.wait_for(
+            lambda: all(
+                len(node.fleet.domains.snapshot()) == 2 for node in self.world.nodes
+            )
+        )
+
+
+class NewsTest(FleetCase):
+    """The load: many registrations change at once, and every node hears of it."""
+
+    async def test_a_burst_is_told_once_and_not_by_every_node(self):
+        for node in self.world.nodes:
+            await self.wait_for(lambda node=node: len(node.fleet.table.alive()) == 2)
+        told = dict.fromkeys(range(3), 0)
+        for number, node in enumerate(self.world.nodes):
+
+            def count(*, near, all_peers=False, number=number):
+                told[number] += all_peers
+
+            node.fleet.talk.tell = count
+        for node in self.world.nodes:
+            for name in ("s1", "s2", "s3", "s4"):
+                node.fleet._observe_news(name)
+        await asyncio.sleep(0.1)
+        self.assertEqual(told, {0: 1, 1: 0, 2: 1})
--- a/packages/medlargate/medlargate/relay/tests/test_loads.py
+++ b/packages/medlargate/medlargate/relay/tests/test_loads.py
@@ -1,5 +1,6 @@
 """What a node believes of servers' loads, memory and reachability."""
 
+import time
 import unittest
 
 from medlargate.platform import PromptPart
@@ -52,11 +53,31 @@
 class MemoryTest(LoadsCase):
     def test_what_was_read_there_is_held_there(self):
         self.send(1, "a0")
+        self.book.observe_begin(1, SPEC, "a0")
         states = self.states()
         self.assertEqual(states["a0"].n_uncached, 0)
         self.assertEqual(states["b0"].n_fetchable, 12_000)
         self.assertEqual(states["b0"].source, "a0")
 
+    def test_what_is_still_being_read_cannot_be_taken_over(self):
+        # The load: the same beginning arrives again at once, in a wave.
+        self.send(1, "a0")
+        states = self.states()
+        self.assertEqual(states["a0"].n_uncached, 0)
+        self.assertEqual(states["b0"].n_fetchable, 0)
+        self.assertIsNone(states["b0"].source)
+
+    def test_what_a_peer_sent_is_ready_after_its_reading(self):
+        self.book.observe_note("n2", "b1", 1, 0.05, PARTS)
+        self.assertEqual(self.states()["a0"].n_fetchable, 0)
+        time.sleep(0.06)
+        self.assertEqual(self.states()["a0"].n_fetchable, 12_000)
+
+    def test_of_two_holders_the_one_that_is_ready_is_the_source(self):
+        self.book.observe_parts("b1", PARTS)
+        self.send(1, "a0")
+        self.assertEqual(self.states()["c0"].source, "b1")
+
     def test_the_least_recently_used_parts_yield(self):
         self.send(1, "a0")
         for number in range(5):
--- a/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
+++ b/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
@@ -52,6 +52,29 @@
         )
         self.assertEqual(await self.step(0.4), [])
 
+    def count_wanted(self):
+        """Return the latest orders of reclaimable engines, summed."""
+        rows = {zone: desired for zone, desired, spot in self.sent if spot}
+        return sum(rows.values())
+
+    async def test_capacity_waits_for_the_first_wave(self):
+        # The load: nothing for 25 seconds after the start, then a wave.
+        self.demand["s"] = 0.0
+        await self.step()
+        for _ in range(25):
+            await self.step(1.0)
+            self.assertIn(self.count_wanted(), (0, 9))
+        self.demand["s"] = 0.1
+        await self.step(1.0)
+        fewer = [row for _ in range(60) for row in await self.step(1.0) if row[2]]
+        self.assertLess(min(desired for _, desired, _ in fewer), 3)
+
+    async def test_capacity_without_any_load_fades_later(self):
+        self.demand["s"] = 0.0
+        await self.step()
+        rows = [row for _ in range(130) for row in await self.step(1.0) if row[2]]
+        self.assertLess(min(desired for _, desired, _ in rows), 3)
+
     async def test_an_order_that_was_not_filled_is_repeated(self):
         await self.step()
         again = await self.step(8.0)
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -280,6 +280,20 @@
             and idle < max_idle * self._keep_alive
         )
 
+    def set_option(self, level: int, name: int, value: bytes) -> None:
+        """Set an option of the connection's socket.
+
+        Parameters
+        ----------
+        level, name : int
+            As the operating system names it.
+        value : bytes
+            Its new value.
+        """
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(level, name, value)
+
     def abort(self) -> None:
         """Reset the connection."""
         if self._transport is not None:
