A randomized soak of real node processes behind faulty links

This one runs relay nodes as processes, with their ways to the store and to every server through loopback proxies (delay, reset, refusal, silence both ways or one), signals (kill, stop, pause, reload), outages and lost answers of the store, servers that misbehave or drain, and changes of the configuration, in series that overlap. Callers keep their connections. It checks what callers, servers and the platform saw: own and whole answers, streams without gaps, one run, refusals that did not run, attempts, duties, and that callers are served after the last fault.

Ruled out: the clock's jumps, which cannot be injected from outside a process here.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 PORT ?= 8080
+SEEDS ?=
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/medlargate packages/medlargate-ctl packages/medlargate-standins
 EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
 
-.PHONY: run test fuzz mutants bench capacity lint format load faults membership
+.PHONY: run test fuzz mutants bench capacity lint format load faults membership soak
 
 $(VENV)/installed: requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -47,3 +48,6 @@
 
 membership: $(VENV)/installed
 	@$(BIN)/python benchmarks/membership.py
+
+soak: $(VENV)/installed
+	@$(BIN)/python -m medlargate_standins.soak --seeds "$(SEEDS)" --count 5
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/soak/_callers.py
@@ -0,0 +1,110 @@
+"""Callers that keep their connections until the node's process is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from dataclasses import dataclass
+
+from ..demo import HOST
+from ..relay_world import Reply, make_request, read_reply
+from ._fleet import Fleet, NodeProcess
+
+KINDS = ("read", "book", "once-stream", "resume-stream")
+PATIENCE = 6.0  # seconds; the route's own timeout is half of it
+PAUSE = 0.05  # seconds between two requests of a caller
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request and what its caller got.
+
+    Attributes
+    ----------
+    request_id, kind, node : str
+        Which request, on which route, at which node.
+    sent_at, ended_at : float
+        Seconds.
+    reply : Reply
+        As far as it came; status 0 without one.
+    is_cut : bool
+        The soak ended while it was open.
+    """
+
+    request_id: str
+    kind: str
+    node: str
+    sent_at: float
+    ended_at: float
+    reply: Reply
+    is_cut: bool = False
+
+
+class Caller:
+    """Sends one request after the other to one node.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Where.
+    node : NodeProcess
+        The node.
+    name : str
+        Begins its requests' ids.
+    random_state : random.Random
+        Chooses the kinds.
+    """
+
+    def __init__(
+        self, fleet: Fleet, node: NodeProcess, name: str, random_state: random.Random
+    ) -> None:
+        self._fleet = fleet
+        self._node = node
+        self._name = name
+        self._random = random_state
+        self._numbers = itertools.count(1)
+        self._conn: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.calls: list[Call] = []
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        while True:
+            await self._call_once()
+            await asyncio.sleep(PAUSE * self._random.uniform(0.5, 1.5))
+
+    async def _call_once(self) -> None:
+        kind = self._random.choice(KINDS)
+        request_id = f"{self._name}-{next(self._numbers)}"
+        key = self._random.choice(self._fleet.keys)
+        sent_at = time.monotonic()
+        reply = Reply()
+        is_cut = True
+        try:
+            async with asyncio.timeout(PATIENCE):
+                reader, writer = await self._connect()
+                request = make_request("POST", f"/{kind}/x", request_id, b"?", Key=key)
+                writer.write(request)
+                reply = await read_reply(reader)
+            is_cut = False
+        except (OSError, TimeoutError):
+            # What was seen so far is judged; the connection is given up.
+            is_cut = False
+            self._drop()
+        finally:
+            now, node = time.monotonic(), self._node.name
+            call = Call(request_id, kind, node, sent_at, now, reply, is_cut)
+            self.calls.append(call)
+        if not reply.complete or reply.headers.get("connection") == "close":
+            self._drop()
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._conn is None:
+            self._conn = await asyncio.open_connection(HOST, self._node.port)
+        return self._conn
+
+    def _drop(self) -> None:
+        if self._conn is not None:
+            self._conn[1].transport.abort()
+            self._conn = None
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
@@ -0,0 +1,245 @@
+"""What a soak plays: node processes, a platform and servers behind faulty links."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+import yaml
+from medlargate.platform import Delete, Put
+
+from ..backend import Backend, SeenRequest
+from ..demo import HOST, Servers
+from ..platform import Platform, make_platform_app
+from ..relay_world import KEY, make_config
+from ._link import Link
+
+DOMAINS = ("fd-a", "fd-b", "fd-c")
+SECOND_KEY = "key-beta"
+BAD_BEHAVIOURS = ("error", "reset", "half", "strange", "extra", "refuse")
+PORTS = range(12_000, 30_000)  # below those that the kernel gives to connections
+GRACE = 4.0  # seconds
+USAGE_WINDOW = 2.0  # seconds
+START_TIME = 15.0  # seconds
+
+
+def _find_port() -> int:
+    """Find a port that no outgoing connection takes while its node is down."""
+    while True:
+        port = secrets.choice(PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
+
+
+@dataclass
+class NodeProcess:
+    """One node as a process of its own.
+
+    Attributes
+    ----------
+    name, domain : str
+        Which node.
+    port : int
+        Where callers connect.
+    store : Link
+        Its way to the platform.
+    settings, logs : Path
+        Its files.
+    """
+
+    name: str
+    domain: str
+    port: int
+    readiness: int
+    store: Link
+    settings: Path
+    logs: Path
+    popen: subprocess.Popen[bytes] | None = None
+    is_paused: bool = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its lines are added to the log."""
+        command = [sys.executable, "-m", "medlargate", "serve", str(self.settings)]
+        with self.logs.open("ab") as logs:
+            self.popen = subprocess.Popen(command, stdout=logs, stderr=logs)
+        self.is_paused = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.popen is not None and self.is_running:
+            self.popen.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.is_paused = number is signal.SIGSTOP
+
+    async def wait_end(self, seconds: float) -> None:
+        """Wait for the end of the process, killing it at last."""
+        end = time.monotonic() + seconds
+        while self.is_running and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if self.popen is not None and self.is_running:
+            self.popen.kill()
+        if self.popen is not None:
+            await asyncio.to_thread(self.popen.wait)
+
+
+@dataclass
+class Fleet:
+    """Nodes, platform and servers.
+
+    Parameters
+    ----------
+    n_nodes : int
+        Node processes, in three failure domains in turn.
+    random_state : random.Random
+        Decides which requests a server treats badly.
+    """
+
+    n_nodes: int
+    random_state: random.Random
+    platform: Platform = field(default_factory=Platform)
+    nodes: list[NodeProcess] = field(default_factory=list)
+    backends: dict[str, Backend] = field(default_factory=dict)
+    links: dict[str, Link] = field(default_factory=dict)
+    bad_share: float = 0.0
+    version: int = 1
+    keys: tuple[str, ...] = (KEY, SECOND_KEY)
+    _servers: Servers = field(default_factory=Servers)
+    _folder: Any = None
+
+    async def start(self, folder: Path | None = None) -> None:
+        """Start everything and wait until the nodes are ready."""
+        self._folder = tempfile.TemporaryDirectory()
+        path = folder or Path(self._folder.name)
+        path.mkdir(parents=True, exist_ok=True)
+        platform_port = await self._servers.start(make_platform_app(self.platform))
+        self.put_config()
+        for number in range(8):
+            service = "engine" if number % 2 else "plain"
+            await self._add_backend(f"{service}-{number}", service, number)
+        for number in range(self.n_nodes):
+            await self._add_node(number, platform_port, path)
+        ready = await asyncio.gather(*(self.wait_ready(it) for it in self.nodes))
+        if not all(ready):
+            await self.close()
+            raise RuntimeError("a node did not become ready before the first fault")
+
+    async def _add_backend(self, name: str, service: str, number: int) -> None:
+        zone = DOMAINS[number % len(DOMAINS)]
+        backend = Backend(name, service, zone, slots=16, behaviour=self._behave)
+        backend.pause = 0.05 if service == "engine" else 0.0
+        await backend.start(HOST)
+        link = Link(backend.port)
+        await link.start()
+        self.backends[name], self.links[name] = backend, link
+        self.register(name)
+
+    def _behave(self, req: SeenRequest) -> str:
+        del req
+        if self.random_state.random() >= self.bad_share:
+            return "ok"
+        return self.random_state.choice(BAD_BEHAVIOURS)
+
+    def register(self, name: str, *, state: str = "ready") -> None:
+        """Write a server's registration, whose address is its link's."""
+        row = orjson.loads(self.backends[name].registration(HOST, state=state))
+        row["Address"] = f"{HOST}:{self.links[name].port}"
+        put = Put(f"servers/{name}", orjson.dumps(row))
+        self.platform.store.write([], [put], [])
+
+    def unregister(self, name: str) -> None:
+        """Remove a server's registration; it goes on serving for a while."""
+        self.platform.store.write([], [Delete(f"servers/{name}")], [])
+
+    def put_config(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        tenants = [{"Name": "alpha", "ApiKeys": list(self.keys)}]
+        row = make_config(self.version, Tenants=tenants)
+        put = Put("op/config", orjson.dumps(row))
+        self.platform.store.write([], [put], [])
+
+    async def _add_node(self, number: int, platform_port: int, folder: Path) -> None:
+        store = Link(platform_port)
+        await store.start()
+        ports = [_find_port() for _ in range(3)]
+        name = f"n{number + 1}"
+        ingress = {
+            "frontend": f"{HOST}:{ports[0]}",
+            "readiness": f"{HOST}:{ports[1]}",
+            "fleet_port": ports[2],
+            "orders": f"{HOST}:{platform_port}",
+            "usage_window": USAGE_WINDOW,
+            "grace": GRACE,
+            "duties": "metering",
+            "lease_ms": 1000,
+        }
+        domain = DOMAINS[number % len(DOMAINS)]
+        settings = {
+            "node": {"name": name, "failure_domain": domain, "address": HOST},
+            "platform": {"endpoint": f"{HOST}:{store.port}", "timeout": 1.0},
+            "ingress": ingress,
+        }
+        file = folder / f"{name}.yaml"
+        file.write_text(yaml.safe_dump(settings))
+        logs = folder / f"{name}.log"
+        node = NodeProcess(name, domain, ports[0], ports[1], store, file, logs)
+        self.nodes.append(node)
+        node.start()
+
+    async def wait_ready(self, node: NodeProcess, seconds: float = START_TIME) -> bool:
+        """Wait until a node says that callers may come."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if await self.is_ready(node):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def is_ready(self, node: NodeProcess) -> bool:
+        """Ask a node whether callers may come."""
+        try:
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(HOST, node.readiness)
+                writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    def pick_link(self, choose: Callable[[list[Link]], Link]) -> Link:
+        """Choose one of all links."""
+        return choose([*self.links.values(), *(node.store for node in self.nodes)])
+
+    async def close(self) -> None:
+        """End the processes that were started here, then the rest."""
+        for node in self.nodes:
+            node.send(signal.SIGCONT)
+            node.send(signal.SIGTERM)
+        await asyncio.gather(*(node.wait_end(GRACE + 2) for node in self.nodes))
+        for link in [*self.links.values(), *(node.store for node in self.nodes)]:
+            await link.close()
+        for backend in self.backends.values():
+            await backend.close()
+        await self._servers.close()
+        with contextlib.suppress(OSError):
+            self._folder.cleanup()
--- /dev/null
+++ b/packages/medlargate-standins/medlargate_standins/tests/test_soak.py
@@ -0,0 +1,117 @@
+"""A short seeded soak, the seeds that ever failed, and the soak's own checks."""
+
+import asyncio
+import random
+import unittest
+
+from ..demo import HOST
+from ..relay_world import Reply
+from ..soak import run_soak
+from ..soak._callers import Call
+from ..soak._checks import find_broken_promises
+from ..soak._fleet import Fleet
+from ..soak._link import Link
+
+# Seeds whose soak once failed, each with its cause.
+FAILED_SEEDS = {
+    3: "a node's port was taken by a connection while it was down (the soak's fault)",
+}
+SECONDS = 5.0
+
+
+class SoakTest(unittest.IsolatedAsyncioTestCase):
+    async def test_promises_hold_under_random_faults(self):
+        for seed in (1, *FAILED_SEEDS):
+            with self.subTest(seed=seed):
+                report = await run_soak(seed, seconds=SECONDS, n_nodes=3)
+                self.assertEqual(report.broken, (), report.injected)
+                self.assertGreater(report.n_served, 100)
+
+
+class ChecksTest(unittest.TestCase):
+    """Each check finds what it is for."""
+
+    def setUp(self):
+        self.fleet = Fleet(0, random.Random(0))
+
+    def check(self, kind, status, body=b"", *, owner="r1", runs=0):
+        self.fleet.backends["s"] = backend = _Runs()
+        backend.runs["r1"] = runs
+        reply = Reply(status, {"attempt-id": owner}, body, complete=True)
+        call = Call("r1", kind, "n1", 0.0, 1.0, reply)
+        return find_broken_promises(self.fleet, [call])
+
+    def test_a_good_answer_breaks_nothing(self):
+        self.assertEqual(self.check("read", 200, b"s ran r1", runs=1), [])
+
+    def test_a_booking_that_ran_twice(self):
+        self.assertIn("ran 2 times", self.check("book", 502, runs=2)[0])
+
+    def test_a_refusal_of_what_ran(self):
+        self.assertIn("answered 503 and ran", self.check("book", 503, runs=1)[0])
+
+    def test_another_requests_answer(self):
+        broken = self.check("read", 200, b"s ran r1", owner="r2", runs=1)
+        self.assertIn("answer of r2", broken[0])
+
+    def test_a_stream_with_a_gap_that_looks_complete(self):
+        body = b"id: 1\ndata: 1\n\nid: 3\ndata: 3\n\n"
+        self.assertIn("events [1, 3]", self.check("resume-stream", 200, body)[0])
+
+    def test_a_window_with_two_figures_and_an_old_number(self):
+        self.fleet.platform.usage[7] = [{"a": 1}, {"a": 2}]
+        self.fleet.platform.duty_calls += [("n1", 5), ("n2", 4), ("n3", 5)]
+        self.assertEqual(len(find_broken_promises(self.fleet, [])), 3)
+
+
+class _Runs:
+    def __init__(self):
+        self.runs = {}
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = await asyncio.start_server(self.echo, HOST, 0)
+        self.link = Link(self.server.sockets[0].getsockname()[1])
+        await self.link.start()
+
+    async def asyncTearDown(self):
+        await self.link.close()
+        self.server.close()
+
+    async def echo(self, reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def ask(self, seconds=0.2):
+        reader, writer = await asyncio.open_connection(HOST, self.link.port)
+        try:
+            async with asyncio.timeout(seconds):
+                writer.write(b"x")
+                return await reader.read(1)
+        finally:
+            writer.transport.abort()
+
+    async def test_it_forwards(self):
+        self.assertEqual(await self.ask(), b"x")
+
+    async def test_silence_ends_with_the_mode(self):
+        for mode in ("silent", "deaf"):
+            self.link.set_mode(mode)
+            with self.assertRaises(TimeoutError):
+                await self.ask()
+            self.link.set_mode("ok")
+            self.assertEqual(await self.ask(), b"x")
+
+    async def test_refusal_and_reset(self):
+        for mode in ("refuse", "reset"):
+            self.link.set_mode(mode)
+            self.assertIn(await self._ask_or_reset(), (b"", "reset"))
+            self.link.set_mode("ok")
+
+    async def _ask_or_reset(self):
+        try:
+            return await self.ask()
+        except ConnectionError:
+            return "reset"
