--- /dev/null
+++ b/packages/medlargate/medlargate/transport/tests/test_fuzz_bytes.py
@@ -0,0 +1,250 @@
+"""Any bytes, split anywhere, from callers and from servers."""
+
+import asyncio
+import itertools
+import re
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from medlargate_standins.fuzzing import make_fuzz_settings
+
+from medlargate.routing import IngressLimits
+
+from .. import BackendConnection, CallerConnection, ExchangeFaultError, IngressServer
+
+SETTINGS = make_fuzz_settings(n_long=20_000, n_ci=300)
+N_TURNS = 40  # of the event loop, far more than an exchange without waits takes
+HEAD = re.compile(rb"HTTP/1\.1 (\d{3}) [^\r\n]*\r\n((?:[^\r\n]+\r\n)*)\r\n")
+
+bodies = st.binary(max_size=60)
+messages = st.tuples(bodies, st.booleans())  # a body, and whether it comes in chunks
+# What breaks parsers: framing in two ways, bare line ends, sizes that are none, zeros.
+fragments = st.sampled_from(
+    [
+        b"\r\n",
+        b"\n",
+        b"\x00",
+        b" ",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 3, 4\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Connection: close\r\n",
+        b"Expect: 100-continue\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"GET / HTTP/0.9\r\n\r\n",
+        b"POST /\xff HTTP/1.1\r\n",
+        b"0\r\n\r\n",
+        b"ffffffffffffffffffff\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 204 No\r\nContent-Length: 5\r\n\r\nabcde",
+        b"X: " + b"a" * 3000 + b"\r\n",
+    ]
+)
+
+
+def make_request(number, body, chunked):
+    head = f"POST /{number} HTTP/1.1\r\nHost: x\r\nX-Id: {number}\r\n".encode()
+    if chunked:
+        pieces = b"".join(
+            b"%x\r\n%s\r\n" % (1, body[i : i + 1]) for i in range(len(body))
+        )
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + pieces + b"0\r\n\r\n"
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def make_answer(body, chunked):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+    if chunked:
+        return head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (
+            len(body),
+            body,
+        )
+    return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+@st.composite
+def broken(draw, make):
+    """Draw a message with bytes replaced, taken out or put in."""
+    data = bytearray(make(draw))
+    for _ in range(draw(st.integers(1, 4))):
+        start = draw(st.integers(0, len(data)))
+        end = min(len(data), start + draw(st.integers(0, 12)))
+        data[start:end] = draw(st.one_of(fragments, st.binary(max_size=8)))
+    return bytes(data)
+
+
+@st.composite
+def split(draw, stream):
+    """Draw a stream in pieces."""
+    data = draw(stream)
+    cuts = draw(st.lists(st.integers(0, len(data)), max_size=8))
+    places = sorted({0, len(data), *cuts})
+    return [data[a:b] for a, b in itertools.pairwise(places)]
+
+
+def draw_request(draw):
+    chunked = draw(st.booleans())
+    return make_request(1, draw(bodies.filter(len)), chunked)
+
+
+def draw_answer(draw):
+    return make_answer(draw(bodies.filter(len)), draw(st.booleans()))
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what is written."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = bytearray()
+        self.closed = False
+
+    def write(self, data):
+        if not self.closed:
+            self.written += data
+
+    def close(self):
+        self.closed = True
+
+    abort = close
+
+    def is_closing(self):
+        return self.closed
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+def read_answers(data):
+    """Split what a node wrote into answers; fail on anything else."""
+    answers = []
+    while data:
+        found = HEAD.match(data)
+        assert found is not None, data[:80]
+        headers = dict(
+            line.lower().split(b": ", 1) for line in found[2].splitlines() if line
+        )
+        status = int(found[1])
+        end = found.end() + int(headers.get(b"content-length", 0))
+        assert end <= len(data), "an answer that ends early"
+        if status != 100:
+            answers.append((status, headers, data[found.end() : end]))
+        data = data[end:]
+    return answers
+
+
+class FuzzCase(unittest.TestCase):
+    def setUp(self):
+        self.runner = asyncio.Runner()
+        self.addCleanup(self.runner.close)
+        self.faults = []
+        loop = self.runner.get_loop()
+        loop.set_exception_handler(lambda _, context: self.faults.append(context))
+
+
+class CallersTest(FuzzCase):
+    """A node that echoes what it takes for a request."""
+
+    async def play(self, pieces):
+        async def echo(req, responder):
+            await asyncio.sleep(0)
+            headers = [(b"X-Id", (req.get("x-id") or "").encode("latin-1"))]
+            await responder.send(200, headers, req.body)
+
+        server = IngressServer(echo, lambda: IngressLimits(max_header_bytes=2048))
+        conn, transport = CallerConnection(server), FakeTransport()
+        conn.connection_made(transport)
+        for piece in pieces:
+            if transport.closed:
+                break
+            conn.data_received(piece)
+            await asyncio.sleep(0)
+        for _ in range(N_TURNS):
+            await asyncio.sleep(0)
+        conn.connection_lost(None)
+        await server.close()
+        return read_answers(bytes(transport.written))
+
+    @SETTINGS
+    @given(
+        st.lists(st.tuples(bodies, st.booleans()), min_size=1, max_size=4), st.data()
+    )
+    def test_requests_are_answered_in_order_however_they_are_split(self, rows, data):
+        stream = b"".join(
+            make_request(number, body, chunked)
+            for number, (body, chunked) in enumerate(rows)
+        )
+        pieces = data.draw(split(st.just(stream)))
+        answers = self.runner.run(self.play(pieces))
+        ids = [int(headers[b"x-id"]) for _, headers, _ in answers]
+        self.assertEqual(ids, list(range(len(rows))))
+        self.assertEqual([body for _, _, body in answers], [body for body, _ in rows])
+        self.assertEqual(self.faults, [])
+
+    @SETTINGS
+    @given(split(broken(draw_request)))
+    def test_broken_bytes_get_answers_in_the_protocol_or_a_closed_connection(
+        self, pieces
+    ):
+        answers = self.runner.run(self.play(pieces))
+        for status, headers, _ in answers[:-1]:
+            self.assertNotEqual(headers.get(b"connection"), b"close", status)
+        self.assertEqual(self.faults, [])
+
+
+class ServersTest(FuzzCase):
+    """A node that reads what a server sends as the answer to its request."""
+
+    async def play(self, pieces):
+        conn, transport = BackendConnection(), FakeTransport()
+        conn.connection_made(transport)
+        conn.send("POST", "/", [(b"Host", b"x")], b"abc")
+        read = asyncio.create_task(self.read(conn))
+        for piece in pieces:
+            conn.data_received(piece)
+            await asyncio.sleep(0)
+        conn.eof_received()
+        conn.connection_lost(None)
+        async with asyncio.timeout(1.0):
+            return await read
+
+    async def read(self, conn):
+        try:
+            head = await conn.read_head()
+            body = b"".join([piece async for piece in conn.read_body()])
+        except ExchangeFaultError as exc:
+            return exc
+        conn.finish(0.0)
+        return head, body
+
+    @SETTINGS
+    @given(bodies, st.booleans(), st.data())
+    def test_an_answer_is_read_whole_however_it_is_split(self, body, chunked, data):
+        pieces = data.draw(split(st.just(make_answer(body, chunked and bool(body)))))
+        head, got = self.runner.run(self.play(pieces))
+        self.assertEqual((head.status, got), (200, body))
+
+    @SETTINGS
+    @given(bodies.filter(len), st.booleans(), st.data())
+    def test_an_answer_that_ends_early_is_a_fault(self, body, chunked, data):
+        answer = make_answer(body, chunked)
+        end = data.draw(st.integers(0, len(answer) - 1))
+        pieces = data.draw(split(st.just(answer[:end])))
+        got = self.runner.run(self.play(pieces))
+        self.assertIsInstance(got, ExchangeFaultError)
+
+    @SETTINGS
+    @given(split(broken(draw_answer)))
+    def test_broken_bytes_are_an_answer_or_a_fault(self, pieces):
+        self.runner.run(self.play(pieces))
+        self.assertEqual(self.faults, [])
