Take in changed settings at SIGHUP; tell everyone at once when the duty is lost

The holder now tells everyone at once, and the waits are 0.4 s. - SIGHUP was only noted. The settings that no open socket, lease or window depends on are in force at once, the others at the next start; budgets keep what was spent; a file with faults changes nothing.

--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -51,7 +51,7 @@
     except SettingsError as exc:
         _exit_with_faults(exc)
     if checked.ingress is not None:
-        _run_relay(checked)
+        _run_relay(checked, settings)
         return
     from .telemetry import configure_logging
 
@@ -59,12 +59,13 @@
     asyncio.run(_serve(checked))
 
 
-def _run_relay(checked: Settings) -> None:
+def _run_relay(checked: Settings, file: Path) -> None:
     from .relay import RelayNode
     from .telemetry import write_logs_to
 
     writer = write_logs_to(1, level=checked.log.level, node=checked.node.name)
-    asyncio.run(RelayNode(checked, writer).run())
+    node = RelayNode(checked, writer, lambda: read_settings(file))
+    asyncio.run(node.run())
 
 
 async def _serve(checked: Settings) -> None:
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -335,6 +335,11 @@
         self.tell(near=True)
         self.tell(near=False)
 
+    def tell_everyone(self) -> None:
+        """Send this node's word to all peers, whoever's turn it is."""
+        self.tell(near=True, all_peers=True)
+        self.tell(near=False, all_peers=True)
+
     async def run_near(self) -> None:
         """Tell the peers of the failure domain, until cancelled."""
         await self._run(self._decide_near_interval, near=True)
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -25,8 +25,8 @@
 STEP_INTERVAL = 0.4  # seconds; several renewals within the lease's safe part
 # A node tries for the duty after this long without a holder, later by rank, so that
 # one of them asks the store and not all.
-NO_HOLDER_WAIT = 0.8  # seconds
-RANK_WAIT = 0.6  # seconds a rank
+NO_HOLDER_WAIT = 0.4  # seconds
+RANK_WAIT = 0.4  # seconds a rank
 # Between tries, each a read, while nobody has the duty: the lease of a lost holder ends
 # at a moment that only the store knows.
 ACQUIRE_PAUSE = 0.5  # seconds
@@ -256,6 +256,8 @@
         Returns seconds.
     is_ready : callable
         Tells whether this node should try for the duty.
+    on_lost : callable
+        Called when the duty is lost, so that others hear of it at once.
     """
 
     def __init__(
@@ -269,6 +271,7 @@
         scale: ScaleDuty | None,
         clock: Callable[[], float],
         is_ready: Callable[[], bool],
+        on_lost: Callable[[], None],
     ) -> None:
         self.lease = lease
         self._table = table
@@ -278,6 +281,7 @@
         self._scale = scale
         self._clock = clock
         self._is_ready = is_ready
+        self._on_lost = on_lost
         self._holder_seen_at = clock()
         self._tried_at = float("-inf")
 
@@ -294,10 +298,15 @@
             after = self.lease.states.state
             if before != after:
                 log.info("duty", extra={"state": after, "fence": self.lease.fence})
-                if after == "follower" and self._scale is not None:
-                    self._scale.forget()
+                if after == "follower":
+                    self._observe_loss()
             await asyncio.sleep(STEP_INTERVAL)
 
+    def _observe_loss(self) -> None:
+        if self._scale is not None:
+            self._scale.forget()
+        self._on_lost()
+
     def _may_try(self) -> bool:
         now = self._clock()
         if self._table.find_holder() is not None:
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from .._clock import read_boot_clock
-from .._settings import Settings
+from .._settings import Settings, SettingsError
 from .._tasks import run_to_end
 from ..fleet import (
     Beliefs,
@@ -57,6 +57,7 @@
 from ._fleet_side import FleetSide
 from ._line import RequestLine
 from ._loads import LoadBook
+from ._reload import decide_reload
 from ._sender import Sender
 from ._waiting import WaitingRoom
 
@@ -83,9 +84,17 @@
         Checked settings, with the section ``ingress``.
     writer : LineWriter
         Where decisions are written.
+    read_settings : callable or None
+        Reads the settings file anew; None where there is none.
     """
 
-    def __init__(self, settings: Settings, writer: LineWriter) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        writer: LineWriter,
+        read_settings: Callable[[], Settings] | None = None,
+    ) -> None:
+        self._read_settings = read_settings
         assert settings.ingress is not None
         self.settings = settings
         self.ingress = settings.ingress
@@ -336,6 +345,7 @@
             scale=scale,
             clock=self.clock,
             is_ready=lambda: self.is_ready,
+            on_lost=self.fleet.talk.tell_everyone,
         )
 
     async def _listen(self) -> None:
@@ -351,7 +361,31 @@
         self._tasks.append(asyncio.create_task(run_to_end(job, pause=RESTART_PAUSE)))
 
     def _observe_reload(self) -> None:
-        log.info("reload asked for; this node's settings hold until it restarts")
+        """Take in a changed settings file; requests go on meanwhile."""
+        if self._read_settings is None:
+            log.info("reload asked for; this node has no settings file")
+            return
+        try:
+            reload = decide_reload(self.settings, self._read_settings())
+        except SettingsError as exc:
+            faults = [str(fault) for fault in exc.faults]
+            log.error(
+                "settings not taken; the last ones hold", extra={"faults": faults}
+            )
+            return
+        assert reload.settings.ingress is not None
+        self.settings, self.ingress = reload.settings, reload.settings.ingress
+        logging.getLogger().setLevel(self.settings.log.level)
+        self.fleet.observe_seeds(self.ingress.seeds)
+        for budget in self._budgets.values():
+            # What was spent goes on to count.
+            budget.ratio = self.ingress.retry_ratio
+            budget.slack = self.ingress.retry_slack
+            budget.window = self.ingress.retry_window
+        log.info(
+            "settings taken in",
+            extra={"live": reload.live, "at_next_start": reload.at_start},
+        )
 
     async def stop(self) -> None:
         """Leave the balancer, let requests end, then close."""
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -169,6 +169,24 @@
             seconds=2.5,
         )
 
+    async def test_every_node_hears_at_once_that_the_duty_was_lost(self):
+        # The load: the store refuses the holder; a window's report is due meanwhile.
+        def find():
+            return next((n for n in self.world.nodes if n.duties.is_holder()), None)
+
+        await self.wait_for(lambda: find() is not None)
+        holder = find()
+        others = [node for node in self.world.nodes if node is not holder]
+        await self.wait_for(
+            lambda: all(node.fleet.table.find_holder() for node in others)
+        )
+        refuse_store(holder)
+        await self.wait_for(lambda: not holder.duties.is_holder())
+        await asyncio.sleep(0.1)
+        name = holder.fleet.table.name
+        known = [node.fleet.table.find_holder() for node in others]
+        self.assertNotIn(name, [peer.name for peer in known if peer is not None])
+
     async def test_work_of_all_domains_is_summed(self):
         for number in range(6):
             await self.world.call("/once-stream/x", node=number, Token_Usage="8000,10")
