Refuse nobody because the node itself stood still; two tests that depended on chance

Cause: test_a_busy_service_waits_and_then_serves failed in 2 of 8 runs beside load, with 503 too_late for half of its calls. The wait for a plain service was predicted by how overdue answers are, times the servers' slowness; when the process stands still (a pause, a busy machine) every answer is overdue at once. Of a plain server only the requests on it count now. Ruled out: connect timeouts (no fault lines). test_a_resumable_stream_goes_on_elsewhere took the first engine for granted, which is chosen by chance since short requests are spread; it now compares the offsets of both engines' requests, which says the same of either order.

Tried and taken back: nodes that tell each other of servers that fail.

--- a/packages/medlargate/medlargate/relay/_waiting.py
+++ b/packages/medlargate/medlargate/relay/_waiting.py
@@ -21,6 +21,7 @@
     has_room,
     is_pressed,
     is_tight,
+    predict_first_token,
     rank_waiting,
 )
 from ..routing import Registration
@@ -301,12 +302,8 @@
             exch.service, servers, exch.facts.parts, exch.n_tokens
         )
         times = self._loads.times(exch.service)
-        soonest = min(
-            state.backlog * state.slowness + state.n_to_read * times.per_token
-            for state in states
-        )
         decision = decide_wait(
-            ahead=soonest,
+            ahead=min(_expect(exch, state, times) for state in states),
             time_left=exch.deadline - now,
             target_left=exch.target_at - now,
         )
@@ -335,6 +332,17 @@
     )
 
 
+def _expect(exch: Exchange, state: ServerState, times: ServiceTimes) -> float:
+    """Return the seconds until a server could answer a waiting request at the best.
+
+    Of a plain server only the requests on it count. Overdue answers of all servers at
+    once mostly mean that this node itself stood still.
+    """
+    if exch.service.engine is None:
+        return predict_first_token(replace(state, backlog=0.0, slowness=1.0), times)
+    return state.backlog * state.slowness + state.n_to_read * times.per_token
+
+
 def _read_time(state: ServerState, times: ServiceTimes) -> float:
     """Return the seconds that a server reads a request's prompt."""
     return state.n_to_read * times.per_token * state.slowness
--- a/packages/medlargate/medlargate/relay/tests/test_relay.py
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Requests through a node, with backend servers that break their rules."""
 
 import asyncio
+import time
 import unittest
 
 from medlargate_standins.backend import SEAL, Backend
@@ -355,7 +356,9 @@
         reply = await self.world.call("/resume-stream/x", request_id="r1")
         self.assertTrue(reply.complete)
         self.assertEqual(reply.body, self.EVENTS)
-        self.assertEqual(self.seen("engine")[-1].headers["last-event-id"], "2")
+        # Either engine may have been the first.
+        offsets = [req.headers.get("last-event-id") for req in self.seen("engine")]
+        self.assertCountEqual(offsets, [None, "2"])
 
     async def test_a_stream_cut_before_its_first_event_is_a_502(self):
         self.behave("engine", lambda _: "reset")
@@ -455,6 +458,23 @@
         replies = await asyncio.gather(*calls)
         self.assertEqual({reply.status for reply in replies}, {200})
 
+    async def test_a_pause_of_the_node_refuses_nobody(self):
+        # The load: requests wait for a plain service as the process stands still, so
+        # that every answer seems overdue.
+        node = self.world.nodes[0]
+        for name in ("p1", "p2"):
+            self.world.backends[name].delay = 0.2
+        calls = [asyncio.create_task(self.world.call("/read/x")) for _ in range(30)]
+        await asyncio.sleep(0.15)
+        self.assertGreater(node.waiting.snapshot()["plain"], 10)
+        time.sleep(0.6)  # noqa: ASYNC251 (the pause)
+        for name in ("p1", "p2"):
+            node.loads.view(name).slowness = 8.0
+        # The node looks at its queue before it reads what came meanwhile.
+        node.waiting.observe_change()
+        replies = await asyncio.gather(*calls)
+        self.assertEqual({reply.status for reply in replies}, {200})
+
     async def test_a_new_server_takes_part(self):
         backend = await self.world.add_backend(Backend("p3", "plain", slots=50))
         self.assertEqual(backend.registration(HOST)[:1], b"{")
