Keep what nodes counted while nobody holds the duty

Without a holder, words carry usage to all again. Ruled out: a lost part in the store (it answered 503 to each). Also explain reads sys.stdin, as click's function for it is deprecated.

--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -189,7 +189,7 @@
     """Tell the path of REQUEST_ID from LOGS of any nodes, or standard input."""
     from .telemetry import explain_request
 
-    streams = logs or (click.get_text_stream("stdin"),)
+    streams = logs or (sys.stdin,)
     told = explain_request(chain.from_iterable(streams), request_id)
     for line in told:
         click.echo(line)
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -206,7 +206,9 @@
         near = zone == self.table.zone
         holder = self.is_holder()
         usage: dict[int, dict[str, int]] = {}
-        if to_holder:
+        # Without a holder everyone keeps it for the next one: this node may be gone
+        # by then, and its store away.
+        if to_holder or (not holder and self.table.find_holder() is None):
             window = self._usage.window_at(self._true_time.now())
             since = window - USAGE_WINDOWS_TOLD + 1
             usage = self._usage.snapshot(self.incarnation, since=since)
--- a/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fleet_side.py
@@ -62,6 +62,29 @@
         self.assertGreater(successor.duties.lease.fence, fence)
 
 
+class UsageWithoutHolderTest(FleetCase):
+    """The load: nodes are stopped in turn while the store is away."""
+
+    async def test_what_a_stopped_node_counted_is_kept_by_the_others(self):
+        await self.wait_for(lambda: any(n.duties.is_holder() for n in self.world.nodes))
+        for node in self.world.nodes:
+            refuse_store(node)
+        await self.wait_for(
+            lambda: all(
+                not node.duties.is_holder() and node.fleet.table.find_holder() is None
+                for node in self.world.nodes
+            )
+        )
+        for _ in range(5):
+            await self.world.call("/read/x", node=0)
+        stopped, *others = self.world.nodes
+        await stopped.close()
+        await asyncio.sleep(0.1)
+        for node in others:
+            windows = node.usage.snapshot(stopped.incarnation, since=0).values()
+            self.assertEqual(sum(counts["alpha"] for counts in windows), 5)
+
+
 class RelayedBeliefsTest(FleetCase):
     async def test_a_node_that_the_store_refuses_learns_from_its_peers(self):
         refused = self.world.nodes[0]
