A silent attempt is given up only for another one; bytes without end end an attempt

The limit now takes effect only while an attempt, the retry budget and an untried server are left.

Bytes that are no answer: at most 8 informational responses, 4 MiB of a body (16 MiB before), 64 KiB of a refusal's body, whose head already says that the request was not run; events without an id are refused instead of relayed; bytes on an idle connection close it at once.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -15,6 +15,9 @@
 import orjson
 
 SEAL = "seal"
+ENDLESS_PART = b"endless " * 2048
+# An endless response ends here, so that a test can't run forever.
+MAX_ENDLESS_BYTES = 64_000_000
 
 
 @dataclass(frozen=True)
@@ -71,6 +74,12 @@
         For streams only: ``cut:N`` aborts the connection inside event N; ``end:N``
         closes it after event N, without the end of the body.
 
+        Endless, until the client closes: ``endless-head`` sends a head without end,
+        ``endless-interim`` informational responses, ``endless-refusal`` the body of a
+        503 with ``Not-Executed``, ``endless-body`` the body of a sealed 200,
+        ``endless-tail`` bytes after a complete response, and ``trickle`` a body of one
+        byte every 50 ms. ``n_endless_bytes`` counts the bytes sent.
+
         A behaviour of the other kind of response has the effect of ``ok``. A request
         without ``Expect-Instance``, or with another server's id in it, is answered
         with 421 whatever the behaviour, and not executed.
@@ -88,6 +97,8 @@
     n_disconnects : int
         Number of connections that the client closed, or that failed, before the
         response was complete.
+    n_endless_bytes : int
+        Largest number of bytes sent on one connection by an endless behaviour.
     port : int
         TCP port; 0 before ``start``.
     """
@@ -104,6 +115,7 @@
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     n_connections: int = 0
     n_disconnects: int = 0
+    n_endless_bytes: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
@@ -169,7 +181,13 @@
             writer.write(_encode_head(req, 503, 0, "Not-Executed: 1\r\n"))
             await writer.drain()
             return True
+        if kind == "endless-refusal":
+            head = _encode_head(req, 503, None, "Not-Executed: 1\r\n")
+            return await self._send_endless(writer, head, ENDLESS_PART)
         self.runs[req.request_id] += 1
+        if kind.startswith("endless") or kind == "trickle":
+            head, part, pause = _make_endless_response(req, kind)
+            return await self._send_endless(writer, head, part, pause=pause)
         if kind == "silent":
             await self._wait_for_disconnect(reader)
             return False
@@ -194,6 +212,25 @@
             )
         return await self._send_full_response(req, writer, kind)
 
+    async def _send_endless(
+        self,
+        writer: asyncio.StreamWriter,
+        head: bytes,
+        part: bytes,
+        *,
+        pause: float = 0.0,
+    ) -> bool:
+        """Send a part over and over until the client closes the connection."""
+        n_bytes = 0
+        writer.write(head)
+        while n_bytes < MAX_ENDLESS_BYTES:
+            writer.write(part)
+            n_bytes += len(part)
+            self.n_endless_bytes = max(self.n_endless_bytes, n_bytes)
+            await writer.drain()
+            await asyncio.sleep(pause)
+        return False
+
     async def _wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         await reader.read(1)
         self.n_disconnects += 1
@@ -253,6 +290,23 @@
         return True
 
 
+def _make_endless_response(
+    req: ReceivedRequest, kind: str
+) -> tuple[bytes, bytes, float]:
+    """Return the head, the repeated part and the pause of an endless response."""
+    seal = f"Response-Seal: {SEAL}\r\n"
+    head = _encode_head(req, 200, None, seal)
+    if kind == "endless-head":
+        return b"HTTP/1.1 200 X\r\nX-Endless: ", ENDLESS_PART, 0.0
+    if kind == "endless-interim":
+        return b"", b"HTTP/1.1 102 X\r\n\r\n" * 1024, 0.0
+    if kind == "endless-tail":
+        head = _encode_head(req, 200, 2, seal) + b"ok"
+    if kind == "trickle":
+        return head, b"x", 0.05
+    return head, ENDLESS_PART, 0.0
+
+
 def _encode_chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
--- a/packages/medlargate/medlargate/policy/_fleet_budget.py
+++ b/packages/medlargate/medlargate/policy/_fleet_budget.py
@@ -65,13 +65,30 @@
         bool
             Whether the retry may be sent.
         """
-        self._drop_expired(now)
-        allowed = self.ratio * len(self._requests) + self.slack / max(1, n_nodes)
-        if len(self._retries) + 1 > SAFETY_FACTOR * allowed:
+        if not self.can_spend(now, n_nodes=n_nodes):
             return False
         self._retries.append(now)
         return True
 
+    def can_spend(self, now: float, *, n_nodes: int) -> bool:
+        """Return whether the budget has room for a retry.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        n_nodes : int
+            Number of nodes among which the slack is divided.
+
+        Returns
+        -------
+        bool
+            Whether ``spend`` would allow a retry.
+        """
+        self._drop_expired(now)
+        allowed = self.ratio * len(self._requests) + self.slack / max(1, n_nodes)
+        return len(self._retries) + 1 <= SAFETY_FACTOR * allowed
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self.window:
--- a/packages/medlargate/medlargate/relay/_events.py
+++ b/packages/medlargate/medlargate/relay/_events.py
@@ -17,16 +17,16 @@
     ----------
     data : bytes
         Bytes of the event as received, including the terminating blank line.
-    event_id : int or None
-        Sequence number of the event; None if it has none.
+    event_id : int
+        Sequence number of the event.
     """
 
     data: bytes
-    event_id: int | None
+    event_id: int
 
 
 class EventOrderError(Exception):
-    """Exception raised when a stream skips an event or an event is too long."""
+    """Exception raised when a stream skips an event or contains no valid event."""
 
 
 @dataclass
@@ -71,14 +71,19 @@
         Raises
         ------
         EventOrderError
-            If an event id is skipped, or an event exceeds ``MAX_EVENT_BYTES``.
+            If an event id is skipped or missing, or an event exceeds
+            ``MAX_EVENT_BYTES``.
         """
         self._buffer += data
         events = []
         while match := _EVENT_END.search(self._buffer):
             raw = bytes(self._buffer[: match.end()])
             del self._buffer[: match.end()]
-            event = StreamEvent(raw, _read_id(raw))
+            event_id = _read_id(raw)
+            if event_id is None:
+                # Bytes that are no event of the server must not reach the caller.
+                raise EventOrderError(f"an event of {len(raw)} bytes has no id")
+            event = StreamEvent(raw, event_id)
             if self._is_new(event):
                 events.append(event)
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -86,8 +91,6 @@
         return events
 
     def _is_new(self, event: StreamEvent) -> bool:
-        if event.event_id is None:
-            return True
         last = self.last_event_id
         if last is not None and event.event_id <= last:
             return False
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -101,10 +101,7 @@
         now = time.monotonic()
         candidates = list(servers)
         available = [
-            it
-            for it in candidates
-            if self.get_view(it.server_id).suspended_until <= now
-            and not self._is_domain_suspended(it.zone, now)
+            it for it in candidates if not self.is_suspended(it.server_id, it.zone)
         ] or candidates
         preferred_ranks = _rank_preferred_servers(available, parts)
         source = self._find_prefix_source(spec, parts)
@@ -247,6 +244,26 @@
         """
         self.get_view(server_id).running.pop(exchange_id, None)
 
+    def is_suspended(self, server_id: str, domain: str) -> bool:
+        """Return whether a server gets no requests after failed connections.
+
+        Parameters
+        ----------
+        server_id : str
+            Server to look up.
+        domain : str
+            Failure domain of the server.
+
+        Returns
+        -------
+        bool
+            Whether the server or its whole failure domain is suspended.
+        """
+        now = time.monotonic()
+        return self.get_view(
+            server_id
+        ).suspended_until > now or self._is_domain_suspended(domain, now)
+
     def _is_domain_suspended(self, domain: str, now: float) -> bool:
         partition = self._partitions.get(domain)
         return partition is not None and now < partition.suspended_until
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -14,7 +14,7 @@
 from ..routing import Registration
 from ..transport import ExchangeFaultError, IncomingRequest, Responder
 from ._accept import Acceptor
-from ._events import EventOrderError, EventSplitter
+from ._events import EventOrderError, EventSplitter, StreamEvent
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._request_queue import RequestQueue, ServerAssignment
@@ -24,9 +24,10 @@
     AttemptError,
     OpenAnswer,
     Sender,
-    limit_silence,
     max_event_silence,
+    max_head_silence,
 )
+from ._silence import SilenceLimit
 
 log = logging.getLogger(__name__)
 
@@ -215,14 +216,32 @@
             raise self._make_timeout(exch)
         if exch.n_sent == 0:
             self._get_budget(exch.service.name).observe_request(self._clock())
+
+        def may_abandon() -> bool:
+            return self._may_abandon(exch)
+
         async with self._sender.open(
-            exch, assignment, time_left=time_left
+            exch, assignment, time_left=time_left, may_abandon=may_abandon
         ) as open_answer:
             if exch.rule.streams and open_answer.facts.status in SUCCESS_STATUSES:
-                return await self._relay_stream(exch, assignment, open_answer)
-            answer = await open_answer.read_whole()
+                return await self._relay_stream(
+                    exch, assignment, open_answer, may_abandon
+                )
+            async with SilenceLimit(max_head_silence(exch), may_abandon):
+                answer = await open_answer.read_whole()
         return await self._relay_whole(exch, assignment, answer)
 
+    def _may_abandon(self, exch: Exchange) -> bool:
+        """Return whether another attempt can follow a silent one."""
+        return (
+            exch.rule.repeatable
+            and exch.n_sent < exch.rule.max_attempts
+            and self._get_budget(exch.service.name).can_spend(
+                self._clock(), n_nodes=self._count_nodes()
+            )
+            and self._queue.has_untried_server(exch)
+        )
+
     async def _relay_whole(
         self, exch: Exchange, assignment: ServerAssignment, answer: Answer
     ) -> Outcome:
@@ -252,34 +271,30 @@
         await exch.responder.send(answer.facts.status, headers, answer.body)
 
     async def _relay_stream(
-        self, exch: Exchange, assignment: ServerAssignment, open_answer: OpenAnswer
+        self,
+        exch: Exchange,
+        assignment: ServerAssignment,
+        open_answer: OpenAnswer,
+        may_abandon: Callable[[], bool],
     ) -> Outcome:
         if not open_answer.facts.sealed or open_answer.facts.encoded:
             message = "stream without a valid seal or with an encoded body"
             raise AttemptError("invalid", message, Verdict.MAY_HAVE_RUN)
         splitter = EventSplitter(exch.last_event_id)
         started = False
-        body = open_answer.conn.read_body()
-        while True:
-            try:
-                async with limit_silence(max_event_silence(exch) if started else None):
-                    data = await anext(body)
-                events = splitter.feed(data)
-            except StopAsyncIteration:
-                break
-            except EventOrderError as exc:
-                raise ExchangeFaultError("invalid", str(exc)) from exc
-            for event in events:
-                if not started:
-                    started = True
-                    self._observe_first_event(exch, assignment)
-                if not exch.responder.started:
-                    headers = make_response_headers(open_answer.head.headers)
-                    await exch.responder.start(open_answer.facts.status, headers)
-                await exch.responder.write(event.data)
-                exch.observe_event(self._clock())
-                if event.event_id is not None:
-                    exch.last_event_id = event.event_id
+        async with SilenceLimit(max_event_silence(exch), may_abandon) as limit:
+            async for data in open_answer.conn.read_body():
+                limit.stop_waiting()
+                try:
+                    events = splitter.feed(data)
+                except EventOrderError as exc:
+                    raise ExchangeFaultError("invalid", str(exc)) from exc
+                for event in events:
+                    if not started:
+                        started = True
+                        self._observe_first_event(exch, assignment)
+                    await self._relay_event(exch, open_answer, event)
+                limit.start_waiting()
         if splitter.has_partial_event or not exch.responder.started:
             raise ExchangeFaultError("closed", "the stream ended inside an event")
         self._loads.get_view(assignment.server.server_id).observe_result(False, _now())
@@ -287,6 +302,16 @@
         await exch.responder.finish()
         return Outcome(open_answer.facts.status, "ok")
 
+    async def _relay_event(
+        self, exch: Exchange, open_answer: OpenAnswer, event: StreamEvent
+    ) -> None:
+        if not exch.responder.started:
+            headers = make_response_headers(open_answer.head.headers)
+            await exch.responder.start(open_answer.facts.status, headers)
+        await exch.responder.write(event.data)
+        exch.observe_event(self._clock())
+        exch.last_event_id = event.event_id
+
     def _observe_first_event(
         self, exch: Exchange, assignment: ServerAssignment
     ) -> None:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -125,6 +125,25 @@
             if it.service == service and not it.draining
         ]
 
+    def has_untried_server(self, exch: Exchange) -> bool:
+        """Return whether a usable server has not yet received the request.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Accepted request.
+
+        Returns
+        -------
+        bool
+            False if every server of the service was tried or is suspended.
+        """
+        return any(
+            it.server_id not in exch.tried_servers
+            and not self._loads.is_suspended(it.server_id, it.zone)
+            for it in self.list_usable_servers(exch.service.name)
+        )
+
     def count_waiting(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
         return {name: len(queue) for name, queue in self._queues.items()}
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+import logging
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -20,6 +21,9 @@
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._request_queue import ServerAssignment
+from ._silence import SilenceLimit
+
+log = logging.getLogger(__name__)
 
 # Time without data after which an attempt of a repeatable request is abandoned: an open
 # connection can stop delivering data permanently while new connections work. The limit
@@ -31,7 +35,10 @@
 MIN_PAUSE_SILENCE = 1.0  # seconds
 PAUSE_SILENCE_FACTOR = 2.0  # relative to the route's maximum pause
 MAX_MISMATCHED_ANSWERS = 3  # answers read per attempt, those to other requests included
-MAX_PLAIN_BYTES = 16_777_216
+# A server in trouble can send bytes without end. The limit keeps the answers that a
+# small VM buffers at the same time within its memory.
+MAX_PLAIN_BYTES = 4_194_304
+MAX_REFUSAL_BYTES = 65_536
 
 
 class AttemptError(Exception):
@@ -107,9 +114,14 @@
         self.head = head
         self.facts = facts
 
-    async def read_whole(self) -> Answer:
+    async def read_whole(self, *, max_bytes: int = MAX_PLAIN_BYTES) -> Answer:
         """Read the body of the answer.
 
+        Parameters
+        ----------
+        max_bytes : int, default=4194304
+            Maximum size of the body.
+
         Returns
         -------
         Answer
@@ -123,7 +135,7 @@
         body = bytearray()
         async for data in self.conn.read_body():
             body += data
-            if len(body) > MAX_PLAIN_BYTES:
+            if len(body) > max_bytes:
                 raise ExchangeFaultError("invalid", "the body exceeds the size limit")
         return Answer(self.head, self.facts, bytes(body))
 
@@ -145,7 +157,12 @@
 
     @asynccontextmanager
     async def open(
-        self, exch: Exchange, assignment: ServerAssignment, *, time_left: float
+        self,
+        exch: Exchange,
+        assignment: ServerAssignment,
+        *,
+        time_left: float,
+        may_abandon: Callable[[], bool],
     ) -> AsyncIterator[OpenAnswer]:
         """Send a request and wait for the head of its answer.
 
@@ -157,6 +174,8 @@
             Server assigned to the request.
         time_left : float
             Time until the request's deadline, in seconds.
+        may_abandon : callable
+            Returns whether a silent attempt may be abandoned.
 
         Yields
         ------
@@ -175,7 +194,7 @@
         released = False
         try:
             self._write(exch, conn, assignment, time_left)
-            answer = await self._read_head(exch, conn)
+            answer = await self._read_head(exch, conn, may_abandon)
             if answer.facts.load is not None:
                 self._loads.observe_report(server.server_id, answer.facts.load)
             await self._raise_if_not_run(answer)
@@ -237,9 +256,11 @@
         exch.n_sent += 1
         exch.tried_servers.add(server_id)
 
-    async def _read_head(self, exch: Exchange, conn: BackendConnection) -> OpenAnswer:
+    async def _read_head(
+        self, exch: Exchange, conn: BackendConnection, may_abandon: Callable[[], bool]
+    ) -> OpenAnswer:
         for _ in range(MAX_MISMATCHED_ANSWERS):
-            async with limit_silence(_max_head_silence(exch)):
+            async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
             facts = decode_response(head.status, head.headers)
             if not facts.request_id or facts.request_id == exch.facts.request_id:
@@ -252,7 +273,12 @@
     async def _raise_if_not_run(self, answer: OpenAnswer) -> None:
         if not answer.facts.not_run:
             return
-        await answer.read_whole()
+        try:
+            await answer.read_whole(max_bytes=MAX_REFUSAL_BYTES)
+        except ExchangeFaultError as exc:
+            # The head already states that the request was not run.
+            log.info("body of a refusal not readable", extra={"fault": str(exc)})
+            answer.conn.abort()
         kind = "misdirected" if answer.facts.misdirected else "refused"
         message = (
             f"the server answered {answer.facts.status} without running the request"
@@ -264,7 +290,19 @@
     return asyncio.get_running_loop().time()
 
 
-def _max_head_silence(exch: Exchange) -> float | None:
+def max_head_silence(exch: Exchange) -> float | None:
+    """Return the time without an answer after which an attempt may be abandoned.
+
+    Parameters
+    ----------
+    exch : Exchange
+        Request that was sent.
+
+    Returns
+    -------
+    float or None
+        Time in seconds; None if the request may not be repeated.
+    """
     if not exch.rule.repeatable:
         return None
     if exch.rule.streams:
@@ -290,22 +328,3 @@
     if not exch.rule.resumable:
         return None
     return max(MIN_PAUSE_SILENCE, PAUSE_SILENCE_FACTOR * exch.rule.max_pause)
-
-
-@asynccontextmanager
-async def limit_silence(seconds: float | None) -> AsyncIterator[None]:
-    """Raise an ``ExchangeFaultError`` if the enclosed block exceeds a time limit.
-
-    Parameters
-    ----------
-    seconds : float or None
-        Time limit in seconds; None for no limit.
-    """
-    timer = asyncio.timeout(seconds)
-    try:
-        async with timer:
-            yield
-    except TimeoutError as exc:
-        if not timer.expired():
-            raise
-        raise ExchangeFaultError("silent", f"no data received for {seconds} s") from exc
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_silence.py
@@ -0,0 +1,100 @@
+"""Tests of requests whose backend servers fall silent or send bytes without end."""
+
+import asyncio
+
+from .test_relay import RelayCase
+
+
+class SilenceTest(RelayCase):
+    """A silent attempt is given up only for another attempt."""
+
+    def slow_down(self, service, *, delay=0.0, pause=0.0, n_events=2):
+        for backend in self.world.backends.values():
+            if backend.service == service:
+                backend.delay, backend.pause = delay, pause
+                backend.n_events = n_events
+
+    async def test_last_attempt_of_a_stream_is_not_given_up(self):
+        self.slow_down("engine", pause=1.2)
+        reply = await self.world.call("/resume-stream/x", Deadline_Ms="2900")
+        self.assertTrue(reply.complete)
+
+    async def test_last_attempt_of_a_plain_request_is_not_given_up(self):
+        self.slow_down("plain", delay=1.2)
+        reply = await self.world.call("/read/x", Deadline_Ms="2900")
+        self.assertEqual(reply.status, 200)
+
+    async def test_only_server_of_a_stream_is_not_given_up(self):
+        self.slow_down("engine", pause=1.2)
+        self.world.unregister(self.world.backends["e2"])
+        await asyncio.sleep(0.2)
+        reply = await self.world.call("/resume-stream/x", Deadline_Ms="2900")
+        self.assertTrue(reply.complete)
+
+    async def test_stream_is_not_given_up_without_retry_budget(self):
+        budget = self.node._get_retry_budget("engine")
+        budget.ratio = budget.slack = 0.0
+        self.slow_down("engine", pause=1.2)
+        reply = await self.world.call("/resume-stream/x", Deadline_Ms="2900")
+        self.assertTrue(reply.complete)
+
+    async def test_stop_of_the_node_does_not_end_a_silent_stream(self):
+        self.slow_down("engine", pause=1.2)
+        call = asyncio.create_task(
+            self.world.call("/resume-stream/x", Deadline_Ms="2900")
+        )
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(self.node.stop())
+        self.assertTrue((await call).complete)
+        await stop
+
+
+class EndlessBytesTest(RelayCase):
+    """Bytes that are no answer end an attempt, and use little memory."""
+
+    MAX_RECEIVED = 6_000_000  # bytes that a node may take from one connection
+
+    async def call_with(self, service, behaviour, path, **headers):
+        self.set_behaviour(service, lambda _: behaviour)
+        reply = await self.world.call(path, **headers)
+        sent = [it.n_endless_bytes for it in self.world.backends.values()]
+        self.assertGreater(max(sent), 0)
+        self.assertLess(max(sent), self.MAX_RECEIVED)
+        return reply
+
+    async def test_endless_head_is_a_failure(self):
+        reply = await self.call_with("plain", "endless-head", "/book/x")
+        self.assertEqual(reply.status, 502)
+
+    async def test_endless_interim_responses_are_a_failure(self):
+        reply = await self.call_with("plain", "endless-interim", "/book/x")
+        self.assertEqual(reply.status, 502)
+
+    async def test_endless_body_is_a_failure(self):
+        reply = await self.call_with("plain", "endless-body", "/book/x")
+        self.assertEqual(reply.status, 502)
+
+    async def test_endless_body_of_a_refusal_does_not_hide_it(self):
+        reply = await self.call_with("plain", "endless-refusal", "/book/x")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(sum(len(it.runs) for it in self.world.backends.values()), 0)
+
+    async def test_endless_bytes_in_a_stream_are_not_relayed(self):
+        reply = await self.call_with("engine", "endless-body", "/once-stream/x")
+        self.assertNotEqual(reply.status, 200)
+        self.assertFalse(b"endless" in reply.body)
+
+    async def test_endless_bytes_after_an_answer_end_the_connection(self):
+        reply = await self.call_with("plain", "endless-tail", "/book/x")
+        self.assertEqual(reply.status, 200)
+        await asyncio.sleep(0.3)
+        n_disconnects = sum(it.n_disconnects for it in self.world.backends.values())
+        self.assertEqual(n_disconnects, 1)
+
+    async def test_slow_endless_body_is_retried_on_another_server(self):
+        self.world.backends["p1"].behaviour = lambda _: "trickle"
+        self.world.backends["p2"].behaviour = lambda _: "ok"
+        replies = await asyncio.gather(
+            *(self.world.call("/read/x", Deadline_Ms="2900") for _ in range(6))
+        )
+        self.assertEqual({it.status for it in replies}, {200})
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -15,6 +15,9 @@
 # Bytes received since the reader last had to wait; above this number, the socket is no
 # longer read.
 MAX_BUFFERED_BYTES = 262_144
+# Informational responses that may precede a response; a server in trouble can send them
+# without end.
+MAX_INTERIM_RESPONSES = 8
 DEFAULT_KEEP_ALIVE = 10.0  # seconds, for servers that send no Keep-Alive header
 
 
@@ -94,6 +97,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the server and wake the reader."""
+        if self._request is None:
+            # No request awaits an answer, so these bytes belong to none.
+            self._failure = ExchangeFaultError("invalid", "unexpected bytes")
+            self.abort()
+            return
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
@@ -181,9 +189,10 @@
         Raises
         ------
         ExchangeFaultError
-            If the connection ends or the received bytes are not valid HTTP.
+            If the connection ends, the received bytes are not valid HTTP, or more than
+            ``MAX_INTERIM_RESPONSES`` informational responses arrive.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = ResponseHead(event.status_code, tuple(event.headers))
@@ -193,6 +202,7 @@
                 raise ExchangeFaultError(
                     "closed", "the connection ended before a response"
                 )
+        raise ExchangeFaultError("invalid", "too many informational responses")
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the body of the response as it arrives.
@@ -279,6 +289,7 @@
             self.abort()
             return False
         self._h11.start_next_cycle()
+        self._request = None
         self._idle_since = now
         return True
 
