A restored store, leaving servers and servers that want a pause

A store that comes back from an older copy gives out revisions and leases again; a server that leaves says so in its answers; a server that answers 503 with Retry-After wants no requests for that time.

The store client combines revisions with the header Store-Era, so that they rise across a restore: conditions, watches and leases of an earlier era do not hold. The duty's holder stops at once; its successor waits longer than the old holder acts. A usage window whose seal may be lost is left out instead of being sent with other counts. Servers stay draining, and registrations of servers that had left are withheld until they are renewed. Nodes register again.

A server that announces Server-Leaving gets no further requests from the node until it is registered with another start time; one that asks for a pause gets none until its end, also if it is the only one.

--- a/packages/medlargate-standins/medlargate_standins/_memory_store.py
+++ b/packages/medlargate-standins/medlargate_standins/_memory_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import itertools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -39,6 +40,15 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Content of a store at one revision."""
+
+    revision: int
+    entries: SortedDict[str, Entry]
+    leases: dict[int, _Lease]
+
+
 class MemoryStore:
     """Content of a key-value store, with leases and a history of changes.
 
@@ -57,6 +67,8 @@
         revocation of a lease with keys adds 1.
     compacted_revision : int
         Revision up to which the history of changes has been discarded.
+    era : int
+        Number of times that the store was restored from a copy, plus 1.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -68,6 +80,26 @@
         self._history: list[Change] = []
         self.compacted_revision = 0
         self.revision = 1
+        self.era = 1
+
+    def snapshot(self) -> StoreCopy:
+        """Return a copy of the content, from which the store can be restored."""
+        return StoreCopy(
+            self.revision, SortedDict(self._entries), copy.deepcopy(self._leases)
+        )
+
+    def restore(self, content: StoreCopy) -> None:
+        """Replace the content by an earlier copy.
+
+        What was written since the copy is lost, leases included, and revisions are
+        given out again.
+        """
+        self.revision = self.compacted_revision = content.revision
+        self._entries = SortedDict(content.entries)
+        self._leases = copy.deepcopy(content.leases)
+        self._history.clear()
+        self.era += 1
+        self._notify()
 
     def expire_leases(self) -> None:
         """Revoke the expired leases."""
@@ -216,7 +248,7 @@
         the revision.
         """
         self.expire_leases()
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self.revision:
             return Changes(after, compacted=True)
         found = []
         for change in reversed(self._history):
--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -97,6 +97,10 @@
     n_disconnects : int
         Number of connections that the client closed, or that failed, before the
         response was complete.
+    extra_headers : dict of str to str
+        Headers added to each response, except those with status 421.
+    born : int
+        Start time that the registration states, in milliseconds since 1970.
     n_endless_bytes : int
         Largest number of bytes sent on one connection by an endless behaviour.
     port : int
@@ -115,6 +119,8 @@
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     n_connections: int = 0
     n_disconnects: int = 0
+    extra_headers: dict[str, str] = field(default_factory=dict)
+    born: int = 1
     n_endless_bytes: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
@@ -144,6 +150,7 @@
             "State": state,
             "ColdLeftMs": 0,
             "Sequence": 1,
+            "born": self.born,
         }
         return orjson.dumps(record)
 
@@ -178,7 +185,8 @@
             return True
         kind, _, event_number = self.behaviour(req).partition(":")
         if kind == "refuse":
-            writer.write(_encode_head(req, 503, 0, "Not-Executed: 1\r\n"))
+            extra = "Not-Executed: 1\r\n" + self._encode_extra_headers()
+            writer.write(_encode_head(req, 503, 0, extra))
             await writer.drain()
             return True
         if kind == "endless-refusal":
@@ -231,6 +239,9 @@
             await asyncio.sleep(pause)
         return False
 
+    def _encode_extra_headers(self) -> str:
+        return "".join(f"{name}: {it}\r\n" for name, it in self.extra_headers.items())
+
     async def _wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         await reader.read(1)
         self.n_disconnects += 1
@@ -245,9 +256,8 @@
             writer.write(head + body)
             await writer.drain()
             return False
-        response = (
-            _encode_head(req, status, len(body), f"Response-Seal: {SEAL}\r\n") + body
-        )
+        extra = f"Response-Seal: {SEAL}\r\n" + self._encode_extra_headers()
+        response = _encode_head(req, status, len(body), extra) + body
         if kind == "half":
             writer.write(response[:-5])
             await writer.drain()
--- a/packages/medlargate-standins/medlargate_standins/platform.py
+++ b/packages/medlargate-standins/medlargate_standins/platform.py
@@ -15,9 +15,11 @@
 
 from medlargate.platform import Change, Compare, Delete, Entry, Put, Vm
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from ._memory_store import MemoryStore, UnknownLeaseError
 
@@ -299,7 +301,20 @@
             }
         )
 
+    def add_store_era(app: ASGIApp) -> ASGIApp:
+        async def serve(scope: Scope, receive: Receive, send: Send) -> None:
+            async def send_with_era(message: Message) -> None:
+                if message["type"] == "http.response.start":
+                    era = str(platform.store.era).encode()
+                    message["headers"] = [*message["headers"], (b"store-era", era)]
+                await send(message)
+
+            await app(scope, receive, send_with_era)
+
+        return serve
+
     return Starlette(
+        middleware=[Middleware(add_store_era)],
         routes=[
             Route("/kv-key", kv_key, methods=["GET"]),
             Route("/kv-range", kv_range, methods=["GET"]),
@@ -318,5 +333,5 @@
             Route("/scale", post_scale, methods=["POST"]),
             Route("/standin/fault", fault, methods=["POST"]),
             Route("/standin/stats", stats, methods=["GET"]),
-        ]
+        ],
     )
--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -156,6 +156,9 @@
     usage_deadline: float = Field(
         10.0, gt=0, description="seconds after a window; accepted but not used"
     )
+    first_start: bool = Field(
+        True, description="whether the whole fleet starts for the first time"
+    )
     lease_ms: int = Field(3000, ge=1000, le=300_000, description="milliseconds")
     duties: str = Field("", description="names, joined by commas")
     duty_calls_per_second: float = Field(
--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -4,12 +4,12 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 from returns.result import Failure, Result
 
-from ..platform import Change, Entry
+from ..platform import Change, Entry, get_era
 from ..routing import Registration, RouteTable, RoutingConfig, make_route_table
 
 log = logging.getLogger(__name__)
@@ -23,6 +23,9 @@
 # expired instead of being deleted. The window is shorter than the time after which the
 # store counts as stable again.
 LAPSE_DETECTION_WINDOW = 2.5  # seconds
+# After a restore, the store's copy can name servers that have left since. The
+# registration of a live server is renewed in this time, and all others expire.
+RESTORE_GRACE_PERIOD = 5.0  # seconds
 MAX_TOMBSTONES = 4096
 MAX_RECENT_CHANGES = 2048
 
@@ -72,6 +75,9 @@
     lapsed : dict of str to float
         Servers kept in use although their registration disappeared, with the end of
         their grace period in seconds on the node's clock.
+    leaving : dict of str to int
+        Servers that have announced in an answer that they leave, with the start times
+        (``Registration.born``) of these processes.
     """
 
     decode_routing_config: DecodeRoutingConfig
@@ -84,6 +90,7 @@
     servers_revision: int = 0
     servers_confirmed_at: float = float("-inf")
     lapsed: dict[str, float] = field(default_factory=dict)
+    leaving: dict[str, int] = field(default_factory=dict)
     last_store_failure_at: float = float("-inf")
     recent_changes: list[Change] = field(default_factory=list)
     history_start_revision: int = 0
@@ -92,6 +99,7 @@
     _entries: dict[str, Entry] = field(default_factory=dict)
     _digest: str | None = None
     _tombstones: dict[str, int] = field(default_factory=dict)
+    _withheld: dict[str, tuple[Entry, float]] = field(default_factory=dict)
 
     # Configuration
 
@@ -158,12 +166,15 @@
         """
         if revision < self.servers_revision:
             return
+        restored = get_era(revision) > get_era(self.servers_revision)
         found = {entry.key: entry for entry in entries}
         for entry in found.values():
             self._put(entry)
         for key, known in list(self._entries.items()):
             if key not in found and known.mod_revision <= revision:
-                self._remove(key, revision)
+                self._remove(key, revision, may_return=restored)
+        for key in [key for key in self._withheld if key not in found]:
+            del self._withheld[key]
         self.servers_revision = revision
         # Entries written and deleted between two full reads are missing from the
         # recorded changes.
@@ -274,6 +285,26 @@
         gone_at = self._tombstones.get(entry.key, 0)
         if entry.mod_revision <= max(known.mod_revision if known else 0, gone_at):
             return
+        if gone_at and get_era(entry.mod_revision) > get_era(gone_at):
+            self._withhold(entry)
+            return
+        self._register(entry)
+
+    def _withhold(self, entry: Entry) -> None:
+        """Set a registration aside whose server was gone before the store's restore.
+
+        It is accepted when it changes or after ``RESTORE_GRACE_PERIOD``.
+        """
+        withheld = self._withheld.get(entry.key)
+        if withheld is None:
+            until = self.clock() + RESTORE_GRACE_PERIOD
+            self._withheld[entry.key] = (entry, until)
+            log.info("registration of a gone server withheld", extra={"key": entry.key})
+        elif entry.mod_revision > withheld[0].mod_revision:
+            del self._withheld[entry.key]
+            self._register(entry)
+
+    def _register(self, entry: Entry) -> None:
         self._entries[entry.key] = entry
         self._digest = None
         self._tombstones.pop(entry.key, None)
@@ -289,6 +320,9 @@
         registration = decoded.unwrap()
         self.lapsed.pop(registration.server_id, None)
         before = self.servers.get(registration.server_id)
+        registration = _keep_draining(registration, before)
+        if self.leaving.get(registration.server_id) != registration.born:
+            self.leaving.pop(registration.server_id, None)
         self.servers[registration.server_id] = registration
         if before is None or before.draining != registration.draining:
             log.info(
@@ -302,7 +336,8 @@
             )
         self._notify_server_listeners(registration.server_id)
 
-    def _remove(self, key: str, revision: int) -> None:
+    def _remove(self, key: str, revision: int, *, may_return: bool = False) -> None:
+        self._withheld.pop(key, None)
         known = self._entries.get(key)
         if known is not None and known.mod_revision > revision:
             return
@@ -319,10 +354,8 @@
         if registration is None:
             return
         now = self.clock()
-        if (
-            now - self.last_store_failure_at < LAPSE_DETECTION_WINDOW
-            and not registration.draining
-        ):
+        may_return |= now - self.last_store_failure_at < LAPSE_DETECTION_WINDOW
+        if may_return and not registration.draining:
             self.lapsed[server_id] = now + LAPSE_GRACE_PERIOD
             log.warning(
                 "registration lapsed around a store failure; server kept",
@@ -339,14 +372,37 @@
         self._notify_server_listeners(server_id)
 
     def drop_lapsed(self) -> None:
-        """Remove servers whose registrations were not renewed in the grace period."""
+        """End the grace periods that are over.
+
+        Servers whose registrations were not renewed are removed, and registrations that
+        were withheld after a restore of the store are accepted.
+        """
         now = self.clock()
+        for key, (entry, until) in list(self._withheld.items()):
+            if now >= until:
+                del self._withheld[key]
+                self._register(entry)
         for server_id, until in list(self.lapsed.items()):
             if now >= until:
                 del self.lapsed[server_id]
                 if server_id in self.servers:
                     self._drop(server_id, self.servers_revision)
 
+    def observe_leaving(self, server_id: str) -> None:
+        """Record that a server has announced in an answer that it leaves.
+
+        It gets no further requests, whatever its registration says, until it is
+        registered again after a restart.
+        """
+        registration = self.servers.get(server_id)
+        if registration is None or server_id in self.leaving:
+            return
+        self.leaving[server_id] = registration.born
+        while len(self.leaving) > MAX_TOMBSTONES:
+            self.leaving.pop(next(iter(self.leaving)))
+        log.info("backend server leaving", extra={"server": server_id})
+        self._notify_server_listeners(server_id)
+
     def _record_change(self, change: Change) -> None:
         self.recent_changes.append(change)
         while len(self.recent_changes) > MAX_RECENT_CHANGES:
@@ -358,3 +414,17 @@
     def _notify_server_listeners(self, server_id: str) -> None:
         for listener in self.server_listeners:
             listener(server_id)
+
+
+def _keep_draining(
+    registration: Registration, before: Registration | None
+) -> Registration:
+    """Keep a server draining although a restored store has lost that it drains."""
+    if (
+        before is not None
+        and before.draining
+        and before.born == registration.born
+        and get_era(registration.revision) > get_era(before.revision)
+    ):
+        return replace(registration, draining=True)
+    return registration
--- a/packages/medlargate/medlargate/fleet/_leases.py
+++ b/packages/medlargate/medlargate/fleet/_leases.py
@@ -71,6 +71,10 @@
     checks_fence : bool, default=True
         Whether the receivers refuse orders with an outdated fencing token. If not,
         a new holder waits longer, by another ``order_timeout``.
+    may_be_first : callable
+        Returns whether the absence of the duty's marker in the store proves that no
+        node has held the duty. This is not the case after a restore of the store from
+        an older copy.
 
     Notes
     -----
@@ -90,6 +94,7 @@
     lease_timeout: float = 6.0
     order_timeout: float = 2.0
     checks_fence: bool = True
+    may_be_first: Callable[[], bool] = lambda: True
     states: StateMachine = field(
         default_factory=lambda: StateMachine(load_chart("lease"))
     )
@@ -168,6 +173,15 @@
         self._valid_until = float("-inf")
         self.states.observe("lost")
 
+    def observe_restore(self) -> None:
+        """Stop acting as the holder, since a restored store may not know the lease.
+
+        A successor that acquires the duty at once waits for longer than this node's
+        last order can take.
+        """
+        if self.states.state != "follower":
+            self._mark_lost("the store was restored from a copy")
+
     @property
     def can_resume(self) -> bool:
         """Whether this node lost its last lease without releasing it.
@@ -240,7 +254,7 @@
             None if the duty's key or its marker exists, if the write failed, or if
             this node has already tried.
         """
-        if self._tried_first_acquisition:
+        if self._tried_first_acquisition or not self.may_be_first():
             return None
         marker = self.key + HELD_BEFORE_SUFFIX
         puts = [put, Put(marker, self.owner.encode())]
--- a/packages/medlargate/medlargate/fleet/_usage_reporter.py
+++ b/packages/medlargate/medlargate/fleet/_usage_reporter.py
@@ -24,6 +24,9 @@
 # A part is one node's counts of one window.
 PART_PREFIX = "medlargate/usage/"
 SEALED_PREFIX = "medlargate/sealed/"
+# Era of the store with the time at which a holder first found it.
+ERA_KEY = "medlargate/era"
+MAX_CLOCK_ERROR = 2.0  # seconds between the times of day of two nodes
 # A window is sealed between MIN_SEAL_DELAY and MAX_SEAL_DELAY after its end, as soon as
 # every recently heard node has sent its counts after the end. From MAX_SEAL_DELAY on it
 # is sealed in any case. MAX_SEAL_DELAY leaves a successor, which needs up to seven
@@ -67,6 +70,17 @@
     all_heard_since : callable
         Returns whether every recently heard node has sent its counts since a time of
         day.
+    get_era : callable
+        Returns the store's era, which rises when the store is restored from an older
+        copy; 0 if it is unknown.
+    may_be_first : callable
+        Returns whether a store without a record of its era has never been restored.
+
+    Notes
+    -----
+    A restored store has lost the newest seals. A window that ended before the restore
+    may have been sealed and sent by a holder that this node cannot ask, so it is
+    reported only with the counts that the store or this node still has.
     """
 
     store: Store
@@ -75,9 +89,13 @@
     send: SendUsage
     now: Callable[[], float]
     all_heard_since: Callable[[float], bool] = lambda _: True
+    get_era: Callable[[], int] = lambda: 0
+    may_be_first: Callable[[], bool] = lambda: False
     _sealed: dict[int, WindowCounts] = field(default_factory=dict)
     _reported: set[int] = field(default_factory=set)
     _first_window: int | None = None
+    _known_era: int = 0
+    _first_unsealed: int = 0
 
     async def step(self) -> None:
         """Seal and send the windows that are due.
@@ -85,6 +103,8 @@
         The first call begins with the last two windows that have ended; this node never
         sends older ones. Windows older than ``MAX_REPORT_DELAY`` are left out as well.
         """
+        if self.get_era() != self._known_era and not await self._observe_era():
+            return
         now = self.now()
         window_length = self.counts.window_length
         last = self.counts.window_at(now - MIN_SEAL_DELAY) - 1
@@ -103,9 +123,38 @@
         self._reported = {window for window in self._reported if window >= oldest}
         self._sealed = {w: c for w, c in self._sealed.items() if w >= oldest}
 
+    async def _observe_era(self) -> bool:
+        """Find the first window that no node can have sealed before a restore."""
+        era = self.get_era()
+        found = await self.store.read(ERA_KEY)
+        if isinstance(found, Failure):
+            return False
+        entries = found.unwrap().entries
+        record = orjson.loads(entries[0].value) if entries else {}
+        if record.get("era") != era:
+            is_first = not entries and self.may_be_first()
+            record = {"era": era, "time": 0.0 if is_first else self.now()}
+            expected = entries[0].mod_revision if entries else 0
+            written = await self.store.write(
+                [Compare(ERA_KEY, expected)], [Put(ERA_KEY, orjson.dumps(record))]
+            )
+            if isinstance(written, Failure) or not written.unwrap().succeeded:
+                return False
+        self._known_era = era
+        started_at = record["time"] + MAX_CLOCK_ERROR
+        self._first_unsealed = self.counts.window_at(started_at)
+        return True
+
     async def _report(self, window: int, *, age: float) -> None:
         if window not in self._sealed:
-            sealed = await self._seal(window)
+            sealed = await self._find_sealed(window)
+            if sealed is None:
+                self._reported.add(window)
+                log.warning(
+                    "usage window left out: its seal may be lost",
+                    extra={"window": window, "era": self._known_era},
+                )
+                return
             if isinstance(sealed, Failure):
                 log.warning(
                     "usage window not sealed",
@@ -133,6 +182,18 @@
         )
         await self._delete_old_records(window)
 
+    async def _find_sealed(
+        self, window: int
+    ) -> Result[WindowCounts, PlatformCallError] | None:
+        """Return a window's sealed counts; None if its seal may have been lost."""
+        if window >= self._first_unsealed:
+            return await self._seal(window)
+        found = await self.store.read(f"{SEALED_PREFIX}{window}")
+        if isinstance(found, Failure):
+            return found
+        entries = found.unwrap().entries
+        return Success(orjson.loads(entries[0].value)) if entries else None
+
     async def _seal(self, window: int) -> Result[WindowCounts, PlatformCallError]:
         """Write a window's counts if none are stored; return the stored ones."""
         parts = await self.store.read(f"{PART_PREFIX}{window}/", prefix=True)
@@ -230,6 +291,10 @@
         """
         await self._write(self.counts.window_at(self.now()))
 
+    def observe_restore(self) -> None:
+        """Write the parts again that a restored store may have lost."""
+        self._written_totals.clear()
+
     async def _write(self, last: int) -> None:
         parts = self.counts.snapshot(self.node, since=last - WINDOWS_REWRITTEN)
         for window, counts in parts.items():
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -7,6 +7,7 @@
 from .._lazy import make_lazy_getattr
 from ._calls import CallClient, PlatformCallError
 from ._decoding import decode_registration, decode_routing_config
+from ._eras import get_era
 from ._message_headers import (
     PromptPart,
     RequestInfo,
@@ -88,6 +89,7 @@
     "decode_request",
     "decode_response",
     "decode_routing_config",
+    "get_era",
     "make_forward_headers",
     "make_refusal_headers",
     "make_response_headers",
--- a/packages/medlargate/medlargate/platform/_calls.py
+++ b/packages/medlargate/medlargate/platform/_calls.py
@@ -25,6 +25,8 @@
     BackendConnection,
     ConnectFaultError,
     ExchangeFaultError,
+    Headers,
+    find_header,
     open_connection,
 )
 
@@ -62,10 +64,17 @@
         HTTP status.
     raw : bytes
         Undecoded body.
+    headers : tuple of (bytes, bytes)
+        Headers, with names in lower case.
     """
 
     status: int
     raw: bytes
+    headers: Headers = ()
+
+    def get(self, name: str) -> str | None:
+        """Return the first value of a header; None if the header is absent."""
+        return find_header(self.headers, name)
 
     @cached_property
     def body(self) -> dict[str, Any]:
@@ -203,7 +212,7 @@
                 conn.abort()
             else:
                 self._idle.append(conn)
-        return Reply(head.status, raw)
+        return Reply(head.status, raw, head.headers)
 
     async def close(self) -> None:
         """Close the idle connections. Calls in progress are not interrupted."""
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -18,7 +19,9 @@
     REQUEST_ID,
     REQUEST_PRIORITY,
     RESPONSE_SEAL,
+    RETRY_AFTER,
     ROUTER_HEADERS,
+    SERVER_LEAVING,
     SERVER_LOAD,
     TOKEN_COUNTS,
 )
@@ -39,6 +42,7 @@
     }
 )
 MISDIRECTED_STATUS = 421
+BUSY_STATUS = 503
 _ROUTER_HEADER_NAMES = frozenset(name.encode() for name in ROUTER_HEADERS)
 _PROTECTED_HEADER_NAMES = frozenset(name.encode() for name in PROTECTED_HEADERS)
 
@@ -129,6 +133,11 @@
         plain body.
     load : ServerLoad or None
         Load of the server; None if not reported.
+    leaving : bool
+        Whether the server announces that it leaves.
+    retry_after : float or None
+        Seconds for which a server that refused a request wants no others from this
+        node; None if it states no time.
     """
 
     status: int
@@ -138,6 +147,17 @@
     sealed: bool
     encoded: bool
     load: ServerLoad | None
+    leaving: bool = False
+    retry_after: float | None = None
+
+
+def _parse_seconds(text: str) -> float | None:
+    """Return a number of seconds; None for a date or an invalid value."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
 
 
 def _parse_int(text: str | None) -> int | None:
@@ -285,6 +305,10 @@
         sealed=RESPONSE_SEAL.lower() in rows,
         encoded=rows.get("content-encoding", "identity") != "identity",
         load=load,
+        leaving=rows.get(SERVER_LEAVING.lower()) == "1",
+        retry_after=_parse_seconds(rows.get(RETRY_AFTER.lower(), ""))
+        if status == BUSY_STATUS
+        else None,
     )
 
 
@@ -325,5 +349,5 @@
     if request_id:
         rows.append((REQUEST_ID.encode(), request_id.encode("latin-1", "replace")))
     if retry_after is not None:
-        rows.append((b"Retry-After", b"%.3f" % retry_after))
+        rows.append((RETRY_AFTER.encode(), b"%.3f" % retry_after))
     return rows
--- a/packages/medlargate/medlargate/platform/_names.py
+++ b/packages/medlargate/medlargate/platform/_names.py
@@ -18,6 +18,9 @@
 NOT_EXECUTED = "Not-Executed"
 DUTY_HOLDER = "Duty-Holder"
 FENCING_TOKEN = "Fencing-Token"
+STORE_ERA = "Store-Era"  # rises by one when the store was restored from a copy
+SERVER_LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 
 # Only the router sets these headers; values from callers are never forwarded.
 ROUTER_HEADERS = frozenset(
--- a/packages/medlargate/medlargate/platform/_store.py
+++ b/packages/medlargate/medlargate/platform/_store.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Sequence
+import logging
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -11,6 +12,10 @@
 
 from ..policy import Verdict
 from ._calls import CallClient, PlatformCallError, Reply
+from ._eras import REVISION_MASK, get_era, get_store_revision, make_revision
+from ._names import STORE_ERA
+
+log = logging.getLogger(__name__)
 
 # Statuses with which the store rejects a call without executing it.
 NOT_EXECUTED_STATUSES = frozenset({400, 403, 413, 429, 503})
@@ -192,19 +197,19 @@
     return f"{start[:-1]}{chr(ord(start[-1]) - 1)}~"
 
 
-def _decode_entry(item: dict[str, Any]) -> Entry:
+def _decode_entry(item: dict[str, Any], era: int) -> Entry:
     return Entry(
         key=item["Key"],
         value=base64.b64decode(item.get("Data") or ""),
-        mod_revision=int(item["Revision"]),
+        mod_revision=make_revision(era, int(item["Revision"])),
         # ``CreatedAt`` is a revision, not a time.
-        create_revision=int(item.get("CreatedAt") or 0),
+        create_revision=make_revision(era, int(item.get("CreatedAt") or 0)),
     )
 
 
-def _decode_change(item: dict[str, Any]) -> Change:
-    entry = None if item.get("Deleted") else _decode_entry(item)
-    return Change(item["Key"], int(item["Revision"]), entry)
+def _decode_change(item: dict[str, Any], era: int) -> Change:
+    entry = None if item.get("Deleted") else _decode_entry(item, era)
+    return Change(item["Key"], make_revision(era, int(item["Revision"])), entry)
 
 
 def _encode_put(put: Put) -> dict[str, Any]:
@@ -228,11 +233,25 @@
         HTTP client of the store.
     n_calls : dict of str to int
         Number of calls by the first segment of the path.
+    era : int
+        Highest era that the store has stated; 0 before the first answer. It rises when
+        the store is restored from a copy and loses what was written since.
+    restore_listeners : list of callable
+        Called after each answer that shows that the store was restored.
     """
 
     def __init__(self, url: str, *, timeout: float = 2.0) -> None:
         self.calls = CallClient(url, timeout=timeout)
         self.n_calls: dict[str, int] = {}
+        self.era = 0
+        self.restore_listeners: list[Callable[[], None]] = []
+        self._lease_eras: dict[int, int] = {}
+        self._n_restores = 0
+
+    @property
+    def was_restored(self) -> bool:
+        """Whether an answer has shown a restore of the store."""
+        return self._n_restores > 0
 
     async def close(self) -> None:
         """Close the connections to the store."""
@@ -256,6 +275,9 @@
         if isinstance(result, Failure):
             return result
         reply = result.unwrap()
+        if not self._observe_era(reply):
+            message = f"store answered {endpoint} before it was restored"
+            return Failure(PlatformCallError(Verdict.MAY_HAVE_RUN, message))
         if reply.status in accepted:
             return self._check_body(reply, endpoint)
         refused = reply.status in NOT_EXECUTED_STATUSES
@@ -263,6 +285,19 @@
         message = f"store answered {reply.status} to {endpoint}"
         return Failure(PlatformCallError(verdict, message))
 
+    def _observe_era(self, reply: Reply) -> bool:
+        """Update the era; return False for an answer from an earlier one."""
+        text = reply.get(STORE_ERA) or ""
+        era = int(text) if text.isdigit() else self.era
+        if era > self.era:
+            before, self.era = self.era, era
+            if before:
+                self._n_restores += 1
+                log.warning("store restored from a copy", extra={"era": era})
+                for listener in self.restore_listeners:
+                    listener()
+        return era == self.era
+
     def _check_body(
         self, reply: Reply, endpoint: str
     ) -> Result[Reply, PlatformCallError]:
@@ -310,9 +345,12 @@
             if isinstance(result, Failure):
                 return result
             body = result.unwrap().body
-            page = [_decode_entry(item) for item in body.get("Entries", [])]
+            page = [_decode_entry(item, self.era) for item in body.get("Entries", [])]
             entries.extend(page)
-            revision = revision or int(body["At"])
+            revision = revision or make_revision(self.era, int(body["At"]))
+            if get_era(revision) != self.era:
+                message = "store restored between two pages"
+                return Failure(PlatformCallError(Verdict.NOT_RUN, message))
             if not body.get("HasMore") or not page or 0 < limit <= len(entries):
                 break
             after = page[-1].key
@@ -326,8 +364,10 @@
         if isinstance(result, Failure):
             return result
         reply = result.unwrap()
-        entries = (_decode_entry(reply.body),) if reply.status == 200 else ()
-        return Success(StoreResponse(True, int(reply.body.get("At") or 0), entries))
+        era = self.era
+        entries = (_decode_entry(reply.body, era),) if reply.status == 200 else ()
+        revision = make_revision(era, int(reply.body.get("At") or 0))
+        return Success(StoreResponse(True, revision, entries))
 
     async def write(
         self,
@@ -353,10 +393,14 @@
         Result of StoreResponse or PlatformCallError
             ``succeeded`` is True if the operations were applied.
         """
+        if any(self._is_lease_lost(it.lease) for it in operations if _is_leased(it)):
+            message = "the lease was lost when the store was restored"
+            return Failure(PlatformCallError(Verdict.NOT_RUN, message))
+        era = self.era
         body = {
             "ExpectedRev": [
-                {"Key": compare.key, "Revision": compare.mod_revision}
-                for compare in compares
+                {"Key": it.key, "Revision": self._get_expected_revision(it)}
+                for it in compares
             ],
             "PutOp": [_encode_put(it) for it in operations if isinstance(it, Put)],
             "Delete": [it.key for it in operations if isinstance(it, Delete)],
@@ -370,11 +414,37 @@
             return Failure(
                 PlatformCallError(Verdict.NOT_RUN, "the lease does not exist")
             )
+        if (
+            reply.status == 200
+            and era != self.era
+            and any(it.mod_revision for it in compares)
+        ):
+            # The condition may have held for a revision that was given out again.
+            message = "the store was restored before the transaction"
+            return Failure(PlatformCallError(Verdict.MAY_HAVE_RUN, message))
+        era = self.era
         if reply.status == 200:
-            return Success(StoreResponse(True, int(reply.body["Revision"])))
+            revision = make_revision(era, int(reply.body["Revision"]))
+            return Success(StoreResponse(True, revision))
         items = [it for it in reply.body.get("Entries", []) if it.get("Revision")]
-        found = tuple(_decode_entry(item) for item in items if item["Key"] in reads)
-        return Success(StoreResponse(False, int(reply.body.get("At") or 0), found))
+        found = tuple(
+            _decode_entry(item, era) for item in items if item["Key"] in reads
+        )
+        revision = make_revision(era, int(reply.body.get("At") or 0))
+        return Success(StoreResponse(False, revision, found))
+
+    def _get_expected_revision(self, compare: Compare) -> int:
+        """Return a condition's revision as the store counts it.
+
+        A condition on a revision of an earlier era must not hold, although the store
+        may have given out the same number again.
+        """
+        if compare.mod_revision and get_era(compare.mod_revision) != self.era:
+            return REVISION_MASK
+        return get_store_revision(compare.mod_revision)
+
+    def _is_lease_lost(self, lease: int) -> bool:
+        return self._lease_eras.get(lease, self.era) != self.era
 
     async def grant(self, ttl: float) -> Result[int, PlatformCallError]:
         """Create a lease.
@@ -391,7 +461,11 @@
         """
         body = {"TtlMs": int(ttl * 1000)}
         result = await self._call("POST", "/kv-lease", body=body)
-        return result.map(lambda reply: int(reply.body["LeaseId"]))
+        if isinstance(result, Failure):
+            return result
+        lease = int(result.unwrap().body["LeaseId"])
+        self._lease_eras[lease] = self.era
+        return Success(lease)
 
     async def renew(self, lease: int) -> Result[float, PlatformCallError]:
         """Renew a lease.
@@ -404,12 +478,18 @@
         Returns
         -------
         Result of float or PlatformCallError
-            Time to live in seconds; 0 if the lease has ended.
+            Time to live in seconds; 0 if the lease has ended or the store has been
+            restored since it was granted.
         """
+        if self._is_lease_lost(lease):
+            return Success(0.0)
         result = await self._call("POST", f"/kv-keep/{lease}", accepted=(200, 404))
-        return result.map(
-            lambda reply: reply.body["TtlMs"] / 1000 if reply.status == 200 else 0.0
-        )
+        if isinstance(result, Failure):
+            return result
+        reply = result.unwrap()
+        if reply.status != 200 or self._is_lease_lost(lease):
+            return Success(0.0)
+        return Success(reply.body["TtlMs"] / 1000)
 
     async def revoke(self, lease: int) -> Result[int, PlatformCallError]:
         """Revoke a lease. A lease that has already ended is not an error.
@@ -424,6 +504,11 @@
         Result of int or PlatformCallError
             ID of the lease.
         """
+        if self._is_lease_lost(lease):
+            # The number may belong to another node's lease by now.
+            del self._lease_eras[lease]
+            return Success(lease)
+        self._lease_eras.pop(lease, None)
         path = f"/kv-lease-end/{lease}"
         result = await self._call("DELETE", path, accepted=(200, 404))
         return result.map(lambda _: lease)
@@ -448,22 +533,33 @@
         Result of Changes or PlatformCallError
             Changes of the keys; empty if none occurred in the time waited.
         """
+        era = self.era
+        if era and get_era(after) != era:
+            return Success(Changes(after, compacted=True))
         query = {
             "Prefix": prefix,
-            "After": str(after),
+            "After": str(get_store_revision(after)),
             "WaitMs": str(int(min(wait, MAX_WATCH_WAIT) * 1000)),
         }
         result = await self._call(
             "GET", "/kv-watch", query=query, accepted=(200, 410), extra_time=wait
         )
-        return result.map(lambda reply: _decode_changes(reply, after))
+        if isinstance(result, Failure):
+            return result
+        if self.era != era:
+            return Success(Changes(after, compacted=True))
+        return Success(_decode_changes(result.unwrap(), after, era))
+
+
+def _is_leased(operation: Put | Delete) -> bool:
+    return isinstance(operation, Put) and operation.lease != 0
 
 
-def _decode_changes(reply: Reply, after: int) -> Changes:
+def _decode_changes(reply: Reply, after: int, era: int) -> Changes:
     if reply.status == 410:
         return Changes(after, compacted=True)
     events = reply.body.get("events") or ()
     return Changes(
-        max(after, int(reply.body.get("At") or 0)),
-        tuple(_decode_change(item) for item in events),
+        max(after, make_revision(era, int(reply.body.get("At") or 0))),
+        tuple(_decode_change(item, era) for item in events),
     )
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -387,6 +387,11 @@
             if self._scale is not None and self.lease.is_holder():
                 await self._scale.step(self.lease.is_holder)
 
+    def observe_restore(self) -> None:
+        """Give up the lease and write the usage counts again after a restore."""
+        self.lease.observe_restore()
+        self._usage_parts.observe_restore()
+
     async def release(self) -> None:
         """Write the remaining usage counts and release the lease."""
         await self._usage_parts.flush()
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -26,7 +26,7 @@
     decode_node,
     encode_node,
 )
-from ..platform import Change, Entry, PromptPart, Put, Store
+from ..platform import Change, Entry, PromptPart, Put, Store, StoreResult
 from ..policy import CrashHistory
 from ..routing import IngressLimits
 from ..transport import (
@@ -54,6 +54,9 @@
 # Combines the changes of one response of the store into one broadcast.
 CHANGE_BATCH_DELAY = 0.02  # seconds
 REGISTRATION_RETRY_DELAY = 1.0  # seconds between attempts to write this node's entry
+# After a restore of the store, all nodes write their entries again, spread over this
+# time.
+REGISTRATION_SPREAD = 5.0  # seconds
 # Nodes of a failure domain that watch the store; the others get changes from them.
 N_WATCHERS_PER_DOMAIN = 1
 # Loads reported by another failure domain are used for at least this time.
@@ -136,6 +139,7 @@
         self._pull_server = IngressServer(self._answer_pull, IngressLimits)
         self._broadcast_pending = False
         self._pull_task: asyncio.Task[None] | None = None
+        self._restored = asyncio.Event()
 
     async def start(self) -> None:
         """Listen for status messages and pull requests of peers."""
@@ -159,12 +163,12 @@
                 self.table.observe_address(address, "", address)
 
     async def run_registration(self) -> None:
-        """Register this node in the store and read the other nodes, with retries."""
-        key = NODES_PREFIX + self.table.name
-        address = f"{self._host}:{self._port}"
-        value = encode_node(self.table.zone, address, self.incarnation)
+        """Register this node in the store and read the other nodes, with retries.
+
+        The node registers again after each restore of the store, until cancelled.
+        """
         while True:
-            write_result = await self._store.write([], [Put(key, value)])
+            write_result = await self._write_node()
             read_result = await self._store.read(NODES_PREFIX, prefix=True)
             if not isinstance(read_result, Failure):
                 self._observe_nodes(read_result.unwrap().entries)
@@ -174,6 +178,22 @@
                 break
             await asyncio.sleep(REGISTRATION_RETRY_DELAY)
         self.messenger.send_status_round()
+        while True:
+            await self._restored.wait()
+            self._restored.clear()
+            spread = self.table.random_state.uniform(0, REGISTRATION_SPREAD)
+            await asyncio.sleep(spread)
+            while isinstance(await self._write_node(), Failure):
+                await asyncio.sleep(REGISTRATION_RETRY_DELAY)
+
+    async def _write_node(self) -> StoreResult:
+        address = f"{self._host}:{self._port}"
+        value = encode_node(self.table.zone, address, self.incarnation)
+        return await self._store.write([], [Put(NODES_PREFIX + self.table.name, value)])
+
+    def observe_restore(self) -> None:
+        """Register this node again, since a restored store may have lost its entry."""
+        self._restored.set()
 
     def _observe_nodes(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -292,6 +292,23 @@
         view.cached_parts.clear()
         view.n_cached_tokens = 0
 
+    def observe_retry_after(self, server_id: str, seconds: float) -> None:
+        """Store for how long a server wants no requests from this node.
+
+        Parameters
+        ----------
+        server_id : str
+            Server that refused a request.
+        seconds : float
+            Time from now, in seconds.
+        """
+        view = self.get_view(server_id)
+        view.refuses_until = max(view.refuses_until, time.monotonic() + seconds)
+
+    def get_refusal_time(self, server_id: str) -> float:
+        """Return for how long a server still wants no requests, in seconds."""
+        return max(0.0, self.get_view(server_id).refuses_until - time.monotonic())
+
     def observe_report(self, server_id: str, load: ServerLoad) -> None:
         """Store the load that a server reported with an answer.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -134,7 +134,7 @@
                 self.ingress.config_bound_ms / 1000,
             ),
             self.request_queue,
-            Sender(self.pool, self.loads),
+            Sender(self.pool, self.loads, self.cluster_state.observe_leaving),
             self.loads,
             self.recorder,
             crashes=self.crashes,
@@ -261,6 +261,8 @@
         )
         self.fleet.store_up = lambda: self.watcher.store_up
         self.duties = self._make_duties(store)
+        store.restore_listeners.append(self.duties.observe_restore)
+        store.restore_listeners.append(self.fleet.observe_restore)
         self.fleet.is_holder = self.duties.is_holder
         self.fleet.get_demand = self._get_demand_rates
         self.fleet.get_sensitive_demand = lambda: self.demand.get_sensitive_rates(
@@ -331,6 +333,10 @@
 
     def _make_duties(self, store: HttpStore) -> Duties:
         name = self.settings.node.name
+
+        def may_be_first() -> bool:
+            return self.ingress.first_start and not store.was_restored
+
         lease = DutyLease(
             store,
             "platform",
@@ -339,6 +345,7 @@
             lease_timeout=self.ingress.lease_ms / 1000,
             order_timeout=ORDER_TIMEOUT,
             checks_fence=False,
+            may_be_first=may_be_first,
         )
         orders = OrdersClient(f"http://{self.ingress.orders}", timeout=ORDER_TIMEOUT)
         self._close_callbacks.append(orders.close)
@@ -353,6 +360,8 @@
                 send,
                 self.wall_clock.now,
                 self.fleet.has_heard_all,
+                lambda: store.era,
+                may_be_first,
             )
         if AUTOSCALE in names:
             scale = ScaleDuty(
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -118,11 +118,20 @@
         self._queues: dict[str, list[_QueuedRequest]] = {}
 
     def list_usable_servers(self, service: str) -> list[Registration]:
-        """Return the registered servers of a service that are not draining."""
+        """Return the registered servers of a service that are not leaving."""
+        leaving = self._cluster_state.leaving
         return [
             it
             for it in self._cluster_state.servers.values()
-            if it.service == service and not it.draining
+            if it.service == service and not it.draining and it.server_id not in leaving
+        ]
+
+    def _list_open_servers(self, service: str) -> list[Registration]:
+        """Return the usable servers that have not asked for a pause."""
+        return [
+            it
+            for it in self.list_usable_servers(service)
+            if not self._loads.get_refusal_time(it.server_id)
         ]
 
     def has_untried_server(self, exch: Exchange) -> bool:
@@ -141,7 +150,7 @@
         return any(
             it.server_id not in exch.tried_servers
             and not self._loads.is_suspended(it.server_id, it.zone)
-            for it in self.list_usable_servers(exch.service.name)
+            for it in self._list_open_servers(exch.service.name)
         )
 
     def count_waiting(self) -> dict[str, int]:
@@ -198,7 +207,7 @@
     def _try_place(self, exch: Exchange) -> ServerAssignment | None:
         """Return the best server, or None if the request should wait for it."""
         servers = {
-            it.server_id: it for it in self.list_usable_servers(exch.service.name)
+            it.server_id: it for it in self._list_open_servers(exch.service.name)
         }
         times = self._loads.get_service_times(exch.service)
         waited = self._clock() - exch.arrived_at
@@ -362,7 +371,9 @@
         times = self._loads.get_service_times(exch.service)
         decision = decide_wait(
             predicted_first_token=min(
-                _predict_earliest_answer(exch, state, times) for state in states
+                _predict_earliest_answer(exch, state, times)
+                + self._loads.get_refusal_time(state.name)
+                for state in states
             ),
             time_left=exch.deadline - now,
             time_to_target=exch.target_at - now,
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -149,11 +149,19 @@
         Pool of connections to backend servers.
     loads : LoadTracker
         Load estimates, updated with reported loads and failures.
+    observe_leaving : callable
+        Called with the id of a server that announces that it leaves.
     """
 
-    def __init__(self, pool: ConnectionPool, loads: LoadTracker) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        loads: LoadTracker,
+        observe_leaving: Callable[[str], None],
+    ) -> None:
         self._pool = pool
         self._loads = loads
+        self._observe_leaving = observe_leaving
 
     @asynccontextmanager
     async def open(
@@ -195,8 +203,7 @@
         try:
             self._write(exch, conn, assignment, time_left)
             answer = await self._read_head(exch, conn, may_abandon)
-            if answer.facts.load is not None:
-                self._loads.observe_report(server.server_id, answer.facts.load)
+            self._observe_headers(server.server_id, answer.facts)
             await self._raise_if_not_run(answer)
             yield answer
             self._pool.release(server.server_id, conn)
@@ -213,6 +220,17 @@
             if not released:
                 conn.abort()
 
+    def _observe_headers(self, server_id: str, facts: ResponseInfo) -> None:
+        if facts.misdirected:
+            # Another server answered.
+            return
+        if facts.load is not None:
+            self._loads.observe_report(server_id, facts.load)
+        if facts.leaving:
+            self._observe_leaving(server_id)
+        if facts.retry_after is not None:
+            self._loads.observe_retry_after(server_id, facts.retry_after)
+
     async def _connect(
         self, exch: Exchange, assignment: ServerAssignment
     ) -> BackendConnection:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -145,6 +145,8 @@
         Monotonic time until which the server gets no requests, in seconds.
     suspension : float
         Duration of the next suspension, in seconds.
+    refuses_until : float
+        Monotonic time until which the server has asked for no requests, in seconds.
     """
 
     running: dict[int, RunningRequest] = field(default_factory=dict)
@@ -160,6 +162,7 @@
     failure_updated_at: float = 0.0
     suspended_until: float = float("-inf")
     suspension: float = INITIAL_SUSPENSION
+    refuses_until: float = float("-inf")
 
     def count_running(self, now: float) -> int:
         """Return the estimated number of requests of all nodes on the server."""
--- a/packages/medlargate/medlargate/transport/__init__.py
+++ b/packages/medlargate/medlargate/transport/__init__.py
@@ -12,6 +12,7 @@
     ResponseHead,
     open_connection,
 )
+from ._headers import Headers, find_header
 from ._pool import CONNECT_TIMEOUT, ConnectionPool
 from ._server import CallerConnection, IncomingRequest, IngressServer, Responder
 
@@ -22,9 +23,11 @@
     "ConnectFaultError",
     "ConnectionPool",
     "ExchangeFaultError",
+    "Headers",
     "IncomingRequest",
     "IngressServer",
     "Responder",
     "ResponseHead",
+    "find_header",
     "open_connection",
 ]
