--- a/packages/medlargate-standins/medlargate_standins/demo.py
+++ b/packages/medlargate-standins/medlargate_standins/demo.py
@@ -28,6 +28,7 @@
 from .service import Service, make_service_app
 
 HOST = "127.0.0.1"
+LISTEN_PORTS = range(12_000, 30_000)  # below the ephemeral ports of the kernel
 
 
 class Servers:
@@ -134,18 +135,21 @@
 
 
 def find_free_port() -> int:
-    """Find a free TCP port.
+    """Find a free TCP port below those that the kernel gives to connections.
 
-    The port is not reserved: another process may take it before it is used.
+    The port is not reserved: another process that listens may take it before it is
+    used, but no outgoing connection does.
 
     Returns
     -------
     int
         Port number.
     """
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    while True:
+        port = secrets.choice(LISTEN_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
 
 
 async def run_demo(port: int) -> None:
--- a/packages/medlargate-standins/medlargate_standins/model/_engines.py
+++ b/packages/medlargate-standins/medlargate_standins/model/_engines.py
@@ -264,7 +264,9 @@
     def crash(self, downtime: float) -> None:
         """End all streams as failed and stop for ``downtime`` seconds."""
         self._advance()
-        failed = [(s, self._count_tokens_done(s)) for s in [*self.running, *self.queue]]
+        # The order of a set of objects differs between runs.
+        running = sorted(self.running, key=lambda stream: stream.job.request_id)
+        failed = [(s, self._count_tokens_done(s)) for s in [*running, *self.queue]]
         self.running.clear()
         self.queue.clear()
         self._finish_heap.clear()
--- a/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
@@ -5,9 +5,7 @@
 import asyncio
 import contextlib
 import random
-import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -22,7 +20,7 @@
 from medlargate.platform import Delete, Put
 
 from ..backend import Backend, ReceivedRequest
-from ..demo import HOST, Servers
+from ..demo import HOST, Servers, find_free_port
 from ..platform import Platform, make_platform_app
 from ..relay_testbed import KEY, make_config
 from ._link import Link
@@ -30,7 +28,6 @@
 DOMAINS = ("fd-a", "fd-b", "fd-c")
 SECOND_KEY = "key-beta"
 FAULTY_BEHAVIOURS = ("error", "reset", "half", "strange", "extra", "refuse")
-PORTS = range(12_000, 30_000)  # below the ephemeral ports of the kernel
 GRACE_PERIOD = 4.0  # seconds that a stopping node gives its open requests
 USAGE_WINDOW = 2.0  # seconds
 START_TIMEOUT = 15.0  # seconds until a started node must be ready
@@ -42,14 +39,10 @@
 
 def _assign_port() -> int:
     """Assign a free port that no outgoing connection can take while a node is down."""
-    while True:
-        port = secrets.choice(PORTS)
-        if port in _assigned_ports:
-            continue
-        _assigned_ports.add(port)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((HOST, port))
-            return port
+    while (port := find_free_port()) in _assigned_ports:
+        continue
+    _assigned_ports.add(port)
+    return port
 
 
 @dataclass
