Less processor time in large failure domains

Change: loads of a peer are replaced by an index of its servers in place of a scan of all views; remote peers are counted once a change; the time of day is compared only for a peer that differs; store polls draw their delay once they are due; nodes that do not watch check twice a second; the queue's recheck runs only while a request waits; statuses between six domains go once a second.

--- a/packages/medlargate/medlargate/fleet/_domains.py
+++ b/packages/medlargate/medlargate/fleet/_domains.py
@@ -20,7 +20,7 @@
 # An engine's load changes with each long prompt, whose prefill takes about this long.
 DOMAIN_INTERVAL = 0.3  # seconds
 # With many domains, statuses are sent less often to bound a representative's traffic.
-INTERVAL_PER_DOMAIN = 0.1  # seconds
+INTERVAL_PER_DOMAIN = 0.2  # seconds
 # Sending intervals after which a domain's last status counts as expired, if they take
 # longer than ALIVE_TIME.
 STATUS_LIFETIME_ROUNDS = 4
--- a/packages/medlargate/medlargate/fleet/_peer_checked_clock.py
+++ b/packages/medlargate/medlargate/fleet/_peer_checked_clock.py
@@ -69,7 +69,11 @@
             Correction applied to this clock in seconds; 0 if none was needed.
         """
         now = self.monotonic()
-        self._peer_differences[peer] = (peer_time - self.now(), now)
+        difference = peer_time - self.now()
+        self._peer_differences[peer] = (difference, now)
+        if abs(difference) < MAX_CLOCK_DIFFERENCE:
+            # Only a peer with another time of day can change the result.
+            return 0.0
         recent = [
             diff
             for diff, at in self._peer_differences.values()
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -95,6 +95,7 @@
     random_state: random.Random = field(default_factory=random.Random)
     peers: dict[str, KnownPeer] = field(default_factory=dict)
     _next_starts: dict[bool, int] = field(default_factory=lambda: {True: 0, False: 0})
+    _n_remote_peers: int | None = None  # None if it has to be counted again
 
     def observe_address(self, name: str, zone: str, address: str) -> None:
         """Record a node's address from the store or the settings.
@@ -112,6 +113,7 @@
             if known is not None and self.is_alive(known):
                 return
             self.peers[name] = KnownPeer(name, zone, address, self.clock())
+            self._n_remote_peers = None
 
     def observe_status(self, status: PeerStatus) -> None:
         """Record the status of another node."""
@@ -122,13 +124,19 @@
             known = KnownPeer(status.name, status.zone, status.address, self.clock())
             self.peers[status.name] = known
             self.peers.pop(status.address, None)
+            self._n_remote_peers = None
+        elif known.zone != status.zone:
+            self._n_remote_peers = None
         if not self.is_alive(known):
             log.info("peer heard", extra={"peer": status.name, "zone": status.zone})
         known.zone, known.address = status.zone, status.address
         known.heard_at, known.status = self.clock(), status
 
     def _count_remote_peers(self) -> int:
-        return sum(it.zone != self.zone for it in self.peers.values())
+        if self._n_remote_peers is None:
+            n_peers = sum(it.zone != self.zone for it in self.peers.values())
+            self._n_remote_peers = n_peers
+        return self._n_remote_peers
 
     def _liveness_cutoff(self, zone: str) -> float:
         """Return the clock time after which a live peer's last status arrived."""
@@ -216,6 +224,7 @@
         for key, peer in list(self.peers.items()):
             if now - max(peer.heard_at, peer.learned_at) > DROP_TIME:
                 del self.peers[key]
+                self._n_remote_peers = None
                 continue
             if (peer.zone == self.zone) != same_domain:
                 continue
@@ -284,6 +293,9 @@
         Called with each received load update.
     on_domain_status : callable
         Called with each received status of another failure domain.
+    is_holder : callable
+        Returns whether this node holds the duties, whose holder sends each status to
+        all peers.
     """
 
     def __init__(
@@ -293,9 +305,11 @@
         on_status: Callable[[PeerStatus], None],
         on_load_update: Callable[[LoadUpdate], None],
         on_domain_status: Callable[[DomainStatus], None],
+        is_holder: Callable[[], bool] = lambda: False,
     ) -> None:
         self._on_load_update = on_load_update
         self._on_domain_status = on_domain_status
+        self._is_holder = is_holder
         self._table = table
         self._make_status = make_status
         self._on_status = on_status
@@ -319,7 +333,7 @@
         """Send this node's status now, to all peers or to those whose turn it is."""
         if self._transport is None:
             return
-        all_peers = all_peers or self._make_status(self._table.zone, False).holder
+        all_peers = all_peers or self._is_holder()
         groups: dict[tuple[str, bool], list[str]] = {}
         for peer in self._table.decide_targets(
             same_domain=same_domain, all_peers=all_peers
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -29,7 +29,9 @@
 # Changes come in bursts, and each answered watch is a billed call; the delay merges
 # the changes of a burst into one answer.
 CHANGE_BATCH_DELAY = 0.2  # seconds
-POLL_CHECK_INTERVAL = 0.1  # seconds
+# Interval between two checks whether a poll is due, as a fraction of the same time.
+POLL_CHECK_FRACTION = 0.05
+WATCH_CHECK_INTERVAL = 0.5  # seconds between checks whether this node has to watch
 MIN_RETRY_DELAY = 0.15  # seconds after one failed call
 MAX_RETRY_DELAY = 1.0  # seconds, upper end of the random delay
 
@@ -90,7 +92,7 @@
                 revision = await self._read_config()
                 continue
             if not self.should_watch():
-                await asyncio.sleep(POLL_CHECK_INTERVAL)
+                await asyncio.sleep(WATCH_CHECK_INTERVAL)
                 continue
             got = await self.store.poll(self.config_key, revision, WATCH_TIMEOUT)
             if isinstance(got, Failure):
@@ -160,7 +162,7 @@
                     await self._wait_before_retry()
                 continue
             if not self.should_watch():
-                await asyncio.sleep(POLL_CHECK_INTERVAL)
+                await asyncio.sleep(WATCH_CHECK_INTERVAL)
                 continue
             revision = self.cluster_state.servers_revision
             got = await self.store.poll(self.servers_prefix, revision, WATCH_TIMEOUT)
@@ -196,19 +198,27 @@
 
     async def run_polls(self) -> None:
         """Poll the store for state with an old confirmation, until cancelled."""
-        delay = self.poll_delay()
+        interval = POLL_CHECK_FRACTION * min(self.config_bound, self.servers_bound)
+        delay: float | None = None
         while True:
-            await asyncio.sleep(POLL_CHECK_INTERVAL)
+            await asyncio.sleep(interval)
             now = self.clock()
             self.cluster_state.drop_lapsed()
-            config_age = now - self.cluster_state.config_confirmed_at
-            servers_age = now - self.cluster_state.servers_confirmed_at
+            # Seconds since the two confirmations became due.
+            config_lag = now - self.cluster_state.config_confirmed_at
+            config_lag -= POLL_AGE_FRACTION * self.config_bound
+            servers_lag = now - self.cluster_state.servers_confirmed_at
+            servers_lag -= POLL_AGE_FRACTION * self.servers_bound
+            if max(config_lag, servers_lag) <= 0:
+                delay = None
+                continue
+            if delay is None:
+                delay = self.poll_delay()
             polls = []
-            if config_age > POLL_AGE_FRACTION * self.config_bound + delay:
+            if config_lag > delay:
                 polls.append(self.refresh_config)
-            if servers_age > POLL_AGE_FRACTION * self.servers_bound + delay:
+            if servers_lag > delay:
                 polls.append(self._read_servers)
-            delay = self.poll_delay()
             answers = [await poll() for poll in polls]
             if not all(answers):
                 await self._wait_before_retry()
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -121,6 +121,7 @@
             self._receive_peer_status,
             self._receive_load_update,
             self._receive_domain_status,
+            lambda: self.is_holder(),
         )
         self.incarnation = incarnation
         self.is_holder: Callable[[], bool] = lambda: False
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from ..platform import PromptPart, ServerLoad
@@ -47,6 +47,7 @@
     def __init__(self, domain: str) -> None:
         self.domain = domain
         self._partitions: dict[str, DomainPartition] = {}
+        self._loaded_by_peer: dict[str, set[str]] = {}
         self.views: dict[str, ServerView] = {}
         self.estimators: dict[str, ServiceTimesEstimator] = {}
 
@@ -342,14 +343,15 @@
             Time for which the loads are used, in seconds.
         """
         now = time.monotonic()
-        for server_id, view in self.views.items():
-            if peer in view.peer_loads and server_id not in loads:
-                del view.peer_loads[peer]
+        for server_id in self._loaded_by_peer.get(peer, set()) - loads.keys():
+            if server_id in self.views:
+                self.views[server_id].peer_loads.pop(peer, None)
         for server_id, (n_running, prefill_time) in loads.items():
             load = PeerLoad(n_running, prefill_time, now, now + lifetime)
             self.get_view(server_id).peer_loads[peer] = load
+        self._loaded_by_peer[peer] = set(loads)
 
-    def observe_parts(self, server_id: str, parts: Iterable[PromptPart]) -> None:
+    def observe_parts(self, server_id: str, parts: Sequence[PromptPart]) -> None:
         """Add prompt parts that were sent to a server.
 
         The parts count as cached at once. Parts that the server did not have cached
@@ -359,12 +361,15 @@
         ----------
         server_id : str
             Server that got the prompt.
-        parts : iterable of PromptPart
+        parts : sequence of PromptPart
             Parts of the prompt.
         """
         view = self.get_view(server_id)
         now = time.monotonic()
-        view.observe_parts(parts, ready_at=now + view.total_prefill_time(now))
+        ready_at = now
+        if any(part.part_id not in view.cached_parts for part in parts):
+            ready_at += view.total_prefill_time(now)
+        view.observe_parts(parts, ready_at=ready_at)
 
     def observe_load_update(
         self,
@@ -394,6 +399,7 @@
         view.peer_loads[peer] = PeerLoad(
             n_running, prefill_time, now, now + PEER_LIFETIME
         )
+        self._loaded_by_peer.setdefault(peer, set()).add(server_id)
         view.observe_parts(parts, ready_at=now + prefill_time)
 
     def get_own_load(self, server_id: str) -> tuple[int, float]:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -116,6 +116,7 @@
         self._loads = loads
         self._clock = clock
         self._queues: dict[str, list[_QueuedRequest]] = {}
+        self._has_waiting = asyncio.Event()
 
     def list_usable_servers(self, service: str) -> list[Registration]:
         """Return the registered servers of a service that are not leaving."""
@@ -191,6 +192,7 @@
         queued = _QueuedRequest(exch, future, self._clock())
         exch.record("wait", n_waiting=len(queue), priority=exch.priority)
         queue.append(queued)
+        self._has_waiting.set()
         try:
             return await future
         except asyncio.CancelledError:
@@ -385,10 +387,13 @@
         )
 
     async def run(self) -> None:
-        """Process all queues periodically, until cancelled."""
+        """Process all queues periodically while requests wait, until cancelled."""
         while True:
+            await self._has_waiting.wait()
             await asyncio.sleep(RECHECK_INTERVAL)
             self.observe_change()
+            if not any(self._queues.values()):
+                self._has_waiting.clear()
 
 
 def _is_prefill_sensitive(exch: Exchange, times: ServiceTimes) -> bool:
