Liveness, loads and store calls in large failure domains and outages

In a domain of 33 nodes each peer is heard every 2.6 s, but counted as down after 3 s and its loads were used for 2.5 s, so that ranks, watchers and representatives changed all the time. During an outage of the store every node polled about twice a second, and every node wrote its usage counts whenever the holder of the duties was replaced.

Change: liveness and the use of loads follow the time of a round of statuses; failed polls back off up to half of the bound and stop at the first failure; a node without a holder waits 2.2 s before it writes its counts.

Tests: 6 new ones.

--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -33,9 +33,10 @@
 MAX_INTRA_DOMAIN_TARGETS = 10
 MAX_CROSS_DOMAIN_TARGETS = 2
 ALIVE_TIME = 3.0  # seconds without a status after which a peer counts as down
-# Sending rounds without a status after which a peer of another domain counts as down,
-# if they take longer than ALIVE_TIME, as in a large fleet.
-ALIVE_ROUNDS = 3
+# Sending rounds without a status after which a peer counts as down, if they take longer
+# than ALIVE_TIME, as in a large fleet: for peers of this and of other domains.
+INTRA_DOMAIN_ALIVE_ROUNDS = 2
+CROSS_DOMAIN_ALIVE_ROUNDS = 3
 # Seconds without a status after which a peer has no share of the fleet's budgets.
 FORGET_TIME = 60.0
 # Seconds without a status after which a peer is removed. Failure domains can be
@@ -138,17 +139,25 @@
             self._n_remote_peers = n_peers
         return self._n_remote_peers
 
+    def compute_intra_domain_interval(self) -> float:
+        """Return the seconds between two statuses that a node sends in its domain."""
+        n_peers = len(self.peers) - self._count_remote_peers()
+        return max(INTRA_DOMAIN_INTERVAL, INTRA_DOMAIN_INTERVAL_PER_PEER * n_peers)
+
+    def compute_intra_domain_round(self) -> float:
+        """Return the seconds in which each node of the domain gets a status of each."""
+        n_peers = len(self.peers) - self._count_remote_peers()
+        n_turns = max(1.0, n_peers / MAX_INTRA_DOMAIN_TARGETS)
+        return n_turns * self.compute_intra_domain_interval()
+
     def _liveness_cutoff(self, zone: str) -> float:
         """Return the clock time after which a live peer's last status arrived."""
-        silence = ALIVE_TIME
-        if zone != self.zone:
-            round_time = (
-                CROSS_DOMAIN_INTERVAL
-                * self._count_remote_peers()
-                / MAX_CROSS_DOMAIN_TARGETS
-            )
-            silence = max(silence, ALIVE_ROUNDS * round_time)
-        return self.clock() - silence
+        if zone == self.zone:
+            rounds = INTRA_DOMAIN_ALIVE_ROUNDS * self.compute_intra_domain_round()
+        else:
+            n_turns = self._count_remote_peers() / MAX_CROSS_DOMAIN_TARGETS
+            rounds = CROSS_DOMAIN_ALIVE_ROUNDS * n_turns * CROSS_DOMAIN_INTERVAL
+        return self.clock() - max(ALIVE_TIME, rounds)
 
     def is_alive(self, peer: KnownPeer) -> bool:
         """Return whether a peer counts as alive by the time of its last status."""
@@ -376,16 +385,12 @@
 
     async def run_intra_domain(self) -> None:
         """Send statuses within this failure domain until cancelled."""
-        await self._run(self._decide_intra_domain_interval, same_domain=True)
+        await self._run(self._table.compute_intra_domain_interval, same_domain=True)
 
     async def run_cross_domain(self) -> None:
         """Send statuses to the other failure domains until cancelled."""
         await self._run(lambda: CROSS_DOMAIN_INTERVAL, same_domain=False)
 
-    def _decide_intra_domain_interval(self) -> float:
-        n_peers = len(self._table.list_alive(zone=self._table.zone))
-        return max(INTRA_DOMAIN_INTERVAL, INTRA_DOMAIN_INTERVAL_PER_PEER * n_peers)
-
     async def _run(
         self, decide_interval: Callable[[], float], *, same_domain: bool
     ) -> None:
--- a/packages/medlargate/medlargate/fleet/_usage_reporter.py
+++ b/packages/medlargate/medlargate/fleet/_usage_reporter.py
@@ -39,6 +39,9 @@
 # Windows that ended earlier are not reported any more.
 MAX_REPORT_DELAY = 40.0  # seconds after the end
 PART_WRITE_DELAY = 0.7  # seconds after the end until an unheard node writes its part
+# The same while there is no holder: the next one is usually found in this time, and
+# hears most nodes directly.
+NO_HOLDER_WRITE_DELAY = 2.2  # seconds
 RETRY_DELAY = 1.2  # seconds until a failed write of a part is retried
 MAX_DELETES = 30  # keys per transaction
 CLEANUP_INTERVAL = 6  # windows; each cleanup costs three calls to the store
@@ -270,17 +273,20 @@
     _written_totals: dict[int, int] = field(default_factory=dict)
     _next_attempt_at: float = 0.0
 
-    async def step(self, *, heard_by_holder: bool) -> None:
+    async def step(self, *, heard_by_holder: bool, has_holder: bool = True) -> None:
         """Write this node's parts of ended windows, unless the holder hears it.
 
         Parameters
         ----------
         heard_by_holder : bool
             Whether the holder of the duty reports that it hears this node.
+        has_holder : bool, default=True
+            Whether this node knows a holder of the duty.
         """
         if heard_by_holder or self.now() < self._next_attempt_at:
             return
-        last = self.counts.window_at(self.now() - PART_WRITE_DELAY) - 1
+        delay = PART_WRITE_DELAY if has_holder else NO_HOLDER_WRITE_DELAY
+        last = self.counts.window_at(self.now() - delay) - 1
         await self._write(last)
 
     async def flush(self) -> None:
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -11,7 +11,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 
 from returns.result import Failure
@@ -34,6 +34,10 @@
 WATCH_CHECK_INTERVAL = 0.5  # seconds between checks whether this node has to watch
 MIN_RETRY_DELAY = 0.15  # seconds after one failed call
 MAX_RETRY_DELAY = 1.0  # seconds, upper end of the random delay
+# Every node polls while the store is away, and each failed call is billed. The delay
+# doubles after each failure, up to this fraction of the time within which a change has
+# to be in force; peers relay what the first of them reads.
+MAX_BACKOFF_FRACTION = 0.5
 
 
 @dataclass
@@ -200,6 +204,7 @@
         """Poll the store for state with an old confirmation, until cancelled."""
         interval = POLL_CHECK_FRACTION * min(self.config_bound, self.servers_bound)
         delay: float | None = None
+        n_failures = 0
         while True:
             await asyncio.sleep(interval)
             now = self.clock()
@@ -219,11 +224,19 @@
                 polls.append(self.refresh_config)
             if servers_lag > delay:
                 polls.append(self._read_servers)
-            answers = [await poll() for poll in polls]
-            if not all(answers):
-                await self._wait_before_retry()
-            elif answers:
+            if not polls:
+                continue
+            if await _call_until_failure(polls):
+                n_failures = 0
                 self.on_confirmed()
+            else:
+                n_failures += 1
+                await self._back_off(n_failures)
+
+    async def _back_off(self, n_failures: int) -> None:
+        max_delay = MAX_BACKOFF_FRACTION * min(self.config_bound, self.servers_bound)
+        delay = min(max_delay, MAX_RETRY_DELAY * 2.0 ** (n_failures - 1))
+        await asyncio.sleep(self.random_state.uniform(0.5 * delay, delay))
 
     async def _wait_before_retry(self) -> None:
         delay_range = MAX_RETRY_DELAY - MIN_RETRY_DELAY
@@ -238,3 +251,11 @@
                 log.warning("store regained")
             else:
                 log.warning("store lost", extra={"fault": message})
+
+
+async def _call_until_failure(calls: Sequence[Callable[[], Awaitable[bool]]]) -> bool:
+    """Make calls in turn until one fails; return whether all succeeded."""
+    for call in calls:
+        if not await call():
+            return False
+    return True
--- /dev/null
+++ b/packages/medlargate/medlargate/fleet/tests/test_watching.py
@@ -0,0 +1,123 @@
+"""Calls of the store by many nodes while it is away, and liveness in large domains."""
+
+import asyncio
+import random
+import unittest
+
+from medlargate_standins._memory_store import MemoryStore, MemoryStoreClient
+
+from medlargate.platform import Put, decode_registration, decode_routing_config
+
+from .. import ClusterState, PeerStatus, PeerTable, StoreWatcher, UsageCounts
+from .._usage_reporter import UsagePartWriter
+
+
+class PollsWhileStoreIsAwayTest(unittest.IsolatedAsyncioTestCase):
+    """A node that does not watch loses the store, as all others do at the same time."""
+
+    OUTAGE = 4.0  # seconds
+
+    async def asyncSetUp(self):
+        loop = asyncio.get_running_loop()
+        self.down = False
+        self.store = MemoryStore(loop.time)
+        self.store.write([], [Put("op/config", b'{"Version": 1}')])
+        self.client = MemoryStoreClient(self.store, self.raise_if_down)
+        self.watcher = StoreWatcher(
+            self.client,
+            ClusterState(decode_routing_config, decode_registration, loop.time),
+            "op/config",
+            "servers/",
+            loop.time,
+            should_watch=lambda: False,
+            config_bound=4.0,
+            servers_bound=4.0,
+            random_state=random.Random(1),
+        )
+        self.task = asyncio.create_task(self.watcher.run_polls())
+        await asyncio.sleep(0.5)
+
+    async def asyncTearDown(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def raise_if_down(self, name, moment):
+        if self.down:
+            raise ConnectionError("the store is away")
+
+    async def test_few_calls_are_made_and_the_return_is_noticed_in_time(self):
+        n_calls = sum(self.client.n_calls.values())
+        self.down = True
+        await asyncio.sleep(self.OUTAGE)
+        n_calls = sum(self.client.n_calls.values()) - n_calls
+        # One call a second and node is what the fleet may spend on an outage.
+        self.assertLessEqual(n_calls, self.OUTAGE)
+        self.assertGreaterEqual(n_calls, 1)
+        self.down = False
+        await asyncio.sleep(0.5 * 4.0 + 0.4)
+        loop = asyncio.get_running_loop()
+        age = loop.time() - self.watcher.cluster_state.config_confirmed_at
+        self.assertLess(age, 4.0)
+
+
+class LargeDomainTest(unittest.TestCase):
+    """Thirty-three nodes in a domain hear each other every two and a half seconds."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.table = PeerTable("n00", "a", lambda: self.now)
+        for number in range(1, 33):
+            self.receive_status(number)
+
+    def receive_status(self, number):
+        name = f"n{number:02}"
+        self.table.observe_status(
+            PeerStatus(
+                name=name,
+                zone="a",
+                address=f"{name}:1",
+                time=self.now,
+                incarnation=name,
+            )
+        )
+
+    def test_peer_whose_status_was_lost_once_counts_as_alive(self):
+        self.now += 2 * self.table.compute_intra_domain_round() - 0.1
+        self.assertEqual(len(self.table.list_alive(zone="a")), 32)
+
+    def test_silent_peer_counts_as_down_after_two_rounds(self):
+        self.now += 2 * self.table.compute_intra_domain_round() + 0.1
+        self.assertEqual(self.table.list_alive(zone="a"), [])
+
+    def test_small_domain_notices_a_silent_peer_within_three_seconds(self):
+        table = PeerTable("n00", "a", lambda: self.now)
+        self.table = table
+        self.receive_status(1)
+        self.now += 3.1
+        self.assertEqual(table.list_alive(zone="a"), [])
+
+
+class UsagePartsTest(unittest.IsolatedAsyncioTestCase):
+    """The holder of the duty is replaced; every node could write its counts."""
+
+    async def test_nodes_wait_for_the_next_holder_before_they_write(self):
+        now = 1000.0
+        counts = UsageCounts(5.0)
+        counts.count_request("n1", "alpha", 998.0)
+        client = MemoryStoreClient(MemoryStore(lambda: now))
+        parts = UsagePartWriter(client, counts, "n1", lambda: now)
+        now = 1001.5
+        await parts.step(heard_by_holder=False, has_holder=False)
+        self.assertFalse(client.n_calls)
+        await parts.step(heard_by_holder=False, has_holder=True)
+        self.assertEqual(client.n_calls, {"txn": 1})
+
+    async def test_counts_are_written_if_no_holder_is_found(self):
+        now = 1000.0
+        counts = UsageCounts(5.0)
+        counts.count_request("n1", "alpha", 998.0)
+        client = MemoryStoreClient(MemoryStore(lambda: now))
+        parts = UsagePartWriter(client, counts, "n1", lambda: now)
+        now = 1002.5
+        await parts.step(heard_by_holder=False, has_holder=False)
+        self.assertEqual(client.n_calls, {"txn": 1})
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -368,7 +368,10 @@
         """Write usage counts and, as lease holder, report usage until cancelled."""
         while True:
             await asyncio.sleep(STEP_INTERVAL)
-            await self._usage_parts.step(heard_by_holder=self._is_heard_by_holder())
+            await self._usage_parts.step(
+                heard_by_holder=self._is_heard_by_holder(),
+                has_holder=self._table.find_holder() is not None,
+            )
             if self._usage is not None and self.lease.is_holder():
                 await self._usage.step()
 
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -38,6 +38,7 @@
     open_connection,
 )
 from ._load_tracker import LoadTracker
+from ._server_view import PEER_LIFETIME
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +60,9 @@
 REGISTRATION_SPREAD = 5.0  # seconds
 # Nodes of a failure domain that watch the store; the others get changes from them.
 N_WATCHERS_PER_DOMAIN = 1
+# Rounds of statuses for which the load of a peer is used, if they take longer than
+# PEER_LIFETIME; the next status may be late or lost.
+LOAD_LIFETIME_ROUNDS = 1.5
 # Loads reported by another failure domain are used for at least this time.
 MIN_DOMAIN_LOAD_LIFETIME = 1.5  # seconds
 # Usage counts of a peer that has not been heard for this time are not waited for.
@@ -358,7 +362,11 @@
         self._usage.merge(status.incarnation, status.usage)
         self._crashes.merge(status.crashes)
         if status.zone == self.table.zone:
-            self._loads.observe_peer_loads(status.name, status.loads)
+            lifetime = max(
+                PEER_LIFETIME,
+                LOAD_LIFETIME_ROUNDS * self.table.compute_intra_domain_round(),
+            )
+            self._loads.observe_peer_loads(status.name, status.loads, lifetime=lifetime)
         self._compare_state(status)
 
     def _receive_domain_status(self, status: DomainStatus) -> None:
