The delay between answers of a watch follows the bound of a change

Cause: each failure domain's watcher gets an answer for each burst of changed registrations, five a second at most; in a fleet with 80 to 330 engines changes come all the time, and each answer is a billed call.

--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -26,9 +26,10 @@
 # which a change has to be in force. The rest of that time is left for the jitter, one
 # read, one retry and the relay to peers.
 POLL_AGE_FRACTION = 0.4
-# Changes come in bursts, and each answered watch is a billed call; the delay merges
-# the changes of a burst into one answer.
-CHANGE_BATCH_DELAY = 0.2  # seconds
+# Changes come in bursts, and each answered watch is a billed call; the delay merges the
+# changes of a burst into one answer. It is a fraction of the time within which a change
+# has to be in force: a larger fleet has more changes, and more time for each.
+CHANGE_BATCH_FRACTION = 0.125
 # Interval between two checks whether a poll is due, as a fraction of the same time.
 POLL_CHECK_FRACTION = 0.05
 WATCH_CHECK_INTERVAL = 0.5  # seconds between checks whether this node has to watch
@@ -185,7 +186,7 @@
                 found.changes, found.revision, confirmed_at=float("-inf")
             )
             if found.changes:
-                await asyncio.sleep(CHANGE_BATCH_DELAY)
+                await asyncio.sleep(CHANGE_BATCH_FRACTION * self.servers_bound)
 
     async def _read_servers(self) -> bool:
         sent_at = self.clock()
