Cheaper states of the candidates of a placement

Cause: with 156 engines a placement took two thirds of the processor time of a request (cProfile in one process: 8.5 of 13 ms). Views and suspensions are now looked up once a decision, and sums over idle servers are skipped; the decisions are the same.

--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -100,16 +100,21 @@
             their failure domain, or of all servers if every one is suspended.
         """
         now = time.monotonic()
-        candidates = list(servers)
+        # Runs for each engine of the service and each decision, so that views and
+        # suspensions are looked up once.
+        candidates = [(it, self.get_view(it.server_id)) for it in servers]
+        cut_off = {name for name in self._partitions if self._is_cut_off(name, now)}
         available = [
-            it for it in candidates if not self.is_suspended(it.server_id, it.zone)
+            (server, view)
+            for server, view in candidates
+            if view.suspended_until <= now and server.zone not in cut_off
         ] or candidates
-        preferred_ranks = _rank_preferred_servers(available, parts)
+        preferred_ranks = _rank_preferred_servers([it for it, _ in available], parts)
         source = self._find_prefix_source(spec, parts)
+        n_slots = spec.engine.n_slots if spec.engine else None
         states = []
-        for server in available:
-            view = self.get_view(server.server_id)
-            cached = view.count_cached(parts)
+        for server, view in available:
+            cached = view.count_cached(parts) if view.cached_parts else 0
             # Fewer tokens than MIN_FETCH_TOKENS are not fetched (`source` is None), but
             # they still count as fetchable: the predictions include the time of a
             # transfer instead of their prefill.
@@ -119,7 +124,7 @@
                     name=server.server_id,
                     domain=server.zone,
                     n_running=view.count_running(now),
-                    n_slots=spec.engine.n_slots if spec.engine else server.n_slots,
+                    n_slots=n_slots or server.n_slots,
                     backlog=view.total_prefill_time(now),
                     n_uncached=max(0, n_tokens - cached),
                     n_fetchable=n_fetchable,
@@ -261,11 +266,11 @@
             Whether the server or its whole failure domain is suspended.
         """
         now = time.monotonic()
-        return self.get_view(
-            server_id
-        ).suspended_until > now or self._is_domain_suspended(domain, now)
+        return self.get_view(server_id).suspended_until > now or self._is_cut_off(
+            domain, now
+        )
 
-    def _is_domain_suspended(self, domain: str, now: float) -> bool:
+    def _is_cut_off(self, domain: str, now: float) -> bool:
         partition = self._partitions.get(domain)
         return partition is not None and now < partition.suspended_until
 
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -166,9 +166,10 @@
 
     def count_running(self, now: float) -> int:
         """Return the estimated number of requests of all nodes on the server."""
-        known = len(self.running) + sum(
-            it.n_running for it in self.peer_loads.values() if now < it.valid_until
-        )
+        known = len(self.running)
+        for load in self.peer_loads.values():
+            if now < load.valid_until:
+                known += load.n_running
         if self.reported_load is not None and now - self.reported_at < REPORT_LIFETIME:
             return max(
                 known, self.reported_load.n_running + self.reported_load.n_waiting
@@ -181,6 +182,8 @@
         The result is at least the time by which the most overdue first token is late,
         since an overdue token indicates prefill work that this node does not know of.
         """
+        if not self.running:
+            return 0.0
         ahead = [it for it in self.running.values() if not it.has_started]
         if not ahead:
             return 0.0
@@ -211,13 +214,16 @@
 
     def total_prefill_time(self, now: float) -> float:
         """Return the prefill work of all nodes ahead of a new request, in seconds."""
-        own = self.own_prefill_time(now)
-        return own + sum(
-            it.remaining_prefill_time(now) for it in self.peer_loads.values()
-        )
+        total = self.own_prefill_time(now)
+        for load in self.peer_loads.values():
+            if load.prefill_time:
+                total += load.remaining_prefill_time(now)
+        return total
 
     def failure_share(self, now: float) -> float:
         """Return the moving average of failures, decayed to the given time."""
+        if not self.failure_average:
+            return 0.0
         return self.failure_average * 0.5 ** (
             (now - self.failure_updated_at) / FAILURE_HALF_LIFE
         )
