The first event of a stream has no pause to keep; backoff without a sleep

Reading the diff: the limit on a server's silence also counted before the first event of a resumable stream, which it did not do before; a head that comes long before the first event would have cost an attempt. And while a poll backs off, lapsed registrations have to end in time, so that the loop keeps running. One new test (a head 1.5 s before the first event).

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -71,7 +71,8 @@
         body; ``strange`` first sends a response with another request's id; ``extra``
         sends the response twice; ``unframed`` sends neither a length nor chunks.
 
-        For streams only: ``cut:N`` aborts the connection inside event N; ``end:N``
+        For streams only: ``late:S`` sends the head S seconds before the first event;
+        ``cut:N`` aborts the connection inside event N; ``end:N``
         closes it after event N, without the end of the body.
 
         Endless, until the client closes: ``endless-head`` sends a head without end,
@@ -216,7 +217,7 @@
             return False
         if "stream" in req.target:
             return await self._send_event_stream(
-                req, writer, kind, int(event_number or 0)
+                req, writer, kind, float(event_number or 0)
             )
         return await self._send_full_response(req, writer, kind)
 
@@ -277,11 +278,14 @@
         req: ReceivedRequest,
         writer: asyncio.StreamWriter,
         kind: str,
-        event_number: int,
+        event_number: float,
     ) -> bool:
         first_event = int(req.headers.get("last-event-id", 0)) + 1
         extra = f"Content-Type: text/event-stream\r\nResponse-Seal: {SEAL}\r\n"
         writer.write(_encode_head(req, 200, -1, extra))
+        if kind == "late":
+            await writer.drain()
+            await asyncio.sleep(event_number)
         for event in range(first_event, self.n_events + 1):
             text = f"id: {event}\ndata: {event}\n\n".encode()
             if kind == "cut" and event == event_number:
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -206,10 +206,13 @@
         interval = POLL_CHECK_FRACTION * min(self.config_bound, self.servers_bound)
         delay: float | None = None
         n_failures = 0
+        retry_at = float("-inf")
         while True:
             await asyncio.sleep(interval)
             now = self.clock()
             self.cluster_state.drop_lapsed()
+            if now < retry_at:
+                continue
             # Seconds since the two confirmations became due.
             config_lag = now - self.cluster_state.config_confirmed_at
             config_lag -= POLL_AGE_FRACTION * self.config_bound
@@ -232,12 +235,13 @@
                 self.on_confirmed()
             else:
                 n_failures += 1
-                await self._back_off(n_failures)
+                retry_at = self.clock() + self._decide_backoff(n_failures)
 
-    async def _back_off(self, n_failures: int) -> None:
+    def _decide_backoff(self, n_failures: int) -> float:
+        """Return the seconds until the next poll after some failed ones in a row."""
         max_delay = MAX_BACKOFF_FRACTION * min(self.config_bound, self.servers_bound)
         delay = min(max_delay, MAX_RETRY_DELAY * 2.0 ** (n_failures - 1))
-        await asyncio.sleep(self.random_state.uniform(0.5 * delay, delay))
+        return self.random_state.uniform(0.5 * delay, delay)
 
     async def _wait_before_retry(self) -> None:
         delay_range = MAX_RETRY_DELAY - MIN_RETRY_DELAY
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -283,6 +283,9 @@
         splitter = EventSplitter(exch.last_event_id)
         started = False
         async with SilenceLimit(max_event_silence(exch), may_abandon) as limit:
+            # The first event comes after the prefill, which may take longer than any
+            # pause between events.
+            limit.stop_waiting()
             async for data in open_answer.conn.read_body():
                 limit.stop_waiting()
                 try:
@@ -294,7 +297,8 @@
                         started = True
                         self._observe_first_event(exch, assignment)
                     await self._relay_event(exch, open_answer, event)
-                limit.start_waiting()
+                if started:
+                    limit.start_waiting()
         if splitter.has_partial_event or not exch.responder.started:
             raise ExchangeFaultError("closed", "the stream ended inside an event")
         self._loads.get_view(assignment.server.server_id).observe_result(False, _now())
--- a/packages/medlargate/medlargate/relay/tests/test_silence.py
+++ b/packages/medlargate/medlargate/relay/tests/test_silence.py
@@ -24,6 +24,12 @@
         reply = await self.world.call("/read/x", Deadline_Ms="2900")
         self.assertEqual(reply.status, 200)
 
+    async def test_slow_first_event_is_not_given_up(self):
+        self.set_behaviour("engine", lambda _: "late:1.5")
+        reply = await self.world.call("/resume-stream/x", Deadline_Ms="2900")
+        self.assertTrue(reply.complete)
+        self.assertEqual(len(self.list_received("engine")), 1)
+
     async def test_only_server_of_a_stream_is_not_given_up(self):
         self.slow_down("engine", pause=1.2)
         self.world.unregister(self.world.backends["e2"])
