--- a/packages/medlargate/medlargate/platform/_eras.py
+++ b/packages/medlargate/medlargate/platform/_eras.py
@@ -9,6 +9,22 @@
 
 REVISION_BITS = 40
 REVISION_MASK = (1 << REVISION_BITS) - 1
+# Combined revisions stay below 2**63, which all receivers of fencing tokens can read.
+MAX_ERA = (1 << 23) - 1
+
+
+def parse_era(text: str | None) -> int | None:
+    """Return the era that a header states; None if it is absent or invalid.
+
+    Examples
+    --------
+    >>> parse_era("7"), parse_era(None), parse_era("-1"), parse_era("9" * 30)
+    (7, None, None, None)
+    """
+    if text is None or not (text.isascii() and text.isdigit()):
+        return None
+    era = int(text) if len(text) < 10 else MAX_ERA + 1
+    return era if era <= MAX_ERA else None
 
 
 def make_revision(era: int, store_revision: int) -> int:
--- a/packages/medlargate/medlargate/platform/_store.py
+++ b/packages/medlargate/medlargate/platform/_store.py
@@ -12,7 +12,13 @@
 
 from ..policy import Verdict
 from ._calls import CallClient, PlatformCallError, Reply
-from ._eras import REVISION_MASK, get_era, get_store_revision, make_revision
+from ._eras import (
+    REVISION_MASK,
+    get_era,
+    get_store_revision,
+    make_revision,
+    parse_era,
+)
 from ._names import STORE_ERA
 
 log = logging.getLogger(__name__)
@@ -287,8 +293,12 @@
 
     def _observe_era(self, reply: Reply) -> bool:
         """Update the era; return False for an answer from an earlier one."""
-        text = reply.get(STORE_ERA) or ""
-        era = int(text) if text.isdigit() else self.era
+        text = reply.get(STORE_ERA)
+        era = parse_era(text)
+        if era is None:
+            if text is not None:
+                log.warning("era of the store not valid", extra={"era": text[:40]})
+            return True
         if era > self.era:
             before, self.era = self.era, era
             if before:
--- a/packages/medlargate/medlargate/platform/tests/test_store_era.py
+++ b/packages/medlargate/medlargate/platform/tests/test_store_era.py
@@ -59,6 +59,13 @@
         self.assertEqual(len(n_restores), 1)
         self.assertEqual(self.store.era, 2)
 
+    async def test_invalid_eras_are_ignored(self):
+        revision = await self.put("a", b"2")
+        for era in ("soon", "", "-3", "9" * 40):
+            self.platform.store.era = era
+            self.assertGreater(await self.put("a", b"3"), revision)
+        self.assertEqual((self.store.era, self.store.was_restored), (1, False))
+
 
 class WatchTest(RestoredStoreCase):
     async def test_watch_from_a_lost_revision_asks_for_a_full_read(self):
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -348,7 +348,9 @@
             self._loads.observe_unreachable(server_id)
             exch.states.observe("backend_refusal")
         elif fault.kind == "refused":
-            view.observe_result(True, _now())
+            # A server that asks for a pause is not a failing one.
+            if not self._loads.get_refusal_time(server_id):
+                view.observe_result(True, _now())
             exch.states.observe("backend_refusal")
         elif fault.kind in CONNECTION_LOSSES and not exch.n_events:
             self._spawn_crash_check(exch, assignment.server)
--- a/packages/medlargate/medlargate/relay/tests/test_leaving.py
+++ b/packages/medlargate/medlargate/relay/tests/test_leaving.py
@@ -54,6 +54,9 @@
         backend.behaviour = lambda _: "refuse"
         backend.extra_headers = {"Retry-After": seconds}
         self.assertEqual((await self.world.call("/book/x")).status, 503)
+        view = self.node.loads.get_view("p1")
+        paused = view.refuses_until > float("-inf")
+        self.assertEqual(view.failure_average > 0.0, not paused)
         backend.behaviour = lambda _: "ok"
         return backend
 
