--- a/packages/medlargate-standins/medlargate_standins/_memory_store.py
+++ b/packages/medlargate-standins/medlargate_standins/_memory_store.py
@@ -47,6 +47,7 @@
     revision: int
     entries: SortedDict[str, Entry]
     leases: dict[int, _Lease]
+    last_lease_id: int
 
 
 class MemoryStore:
@@ -75,7 +76,7 @@
         self._clock = clock
         self._entries: SortedDict[str, Entry] = SortedDict()
         self._leases: dict[int, _Lease] = {}
-        self._lease_ids = itertools.count(1)
+        self._last_lease_id = 0
         self._change_event = asyncio.Event()
         self._history: list[Change] = []
         self.compacted_revision = 0
@@ -85,18 +86,22 @@
     def snapshot(self) -> StoreCopy:
         """Return a copy of the content, from which the store can be restored."""
         return StoreCopy(
-            self.revision, SortedDict(self._entries), copy.deepcopy(self._leases)
+            self.revision,
+            SortedDict(self._entries),
+            copy.deepcopy(self._leases),
+            self._last_lease_id,
         )
 
     def restore(self, content: StoreCopy) -> None:
         """Replace the content by an earlier copy.
 
-        What was written since the copy is lost, leases included, and revisions are
-        given out again.
+        What was written since the copy is lost, leases included, and revisions and
+        lease ids are given out again.
         """
         self.revision = self.compacted_revision = content.revision
         self._entries = SortedDict(content.entries)
         self._leases = copy.deepcopy(content.leases)
+        self._last_lease_id = content.last_lease_id
         self._history.clear()
         self.era += 1
         self._notify()
@@ -212,9 +217,9 @@
 
     def grant(self, ttl: float) -> int:
         """Create a lease with a time to live in seconds and return its id."""
-        lease_id = next(self._lease_ids)
-        self._leases[lease_id] = _Lease(ttl, self._clock() + ttl)
-        return lease_id
+        self._last_lease_id += 1
+        self._leases[self._last_lease_id] = _Lease(ttl, self._clock() + ttl)
+        return self._last_lease_id
 
     def renew(self, lease_id: int) -> float:
         """Renew a lease and return its time to live; 0 if it does not exist."""
--- a/packages/medlargate/medlargate/relay/tests/test_silence.py
+++ b/packages/medlargate/medlargate/relay/tests/test_silence.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from medlargate_standins.backend import Backend
+
 from .test_relay import RelayCase
 
 
@@ -15,6 +17,7 @@
                 backend.n_events = n_events
 
     async def test_last_attempt_of_a_stream_is_not_given_up(self):
+        await self.world.add_backend(Backend("e3", "engine", slots=8))
         self.slow_down("engine", pause=1.2)
         reply = await self.world.call("/resume-stream/x", Deadline_Ms="2900")
         self.assertTrue(reply.complete)
