Software versions of servers, and streams that callers take up, appear in the log

Change: registrations are decoded with their software version; lines 'backend server registered' and 'place' name it, 'accept' names 'resumed' and 'last_event_id'. No decision depends on them yet.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -104,6 +104,8 @@
         response was complete.
     extra_headers : dict of str to str
         Headers added to each response, except those with status 421.
+    version : str
+        Version of the software that the registration states.
     born : int
         Start time that the registration states, in milliseconds since 1970.
     n_endless_bytes : int
@@ -125,6 +127,7 @@
     n_connections: int = 0
     n_disconnects: int = 0
     extra_headers: dict[str, str] = field(default_factory=dict)
+    version: str = "v1"
     born: int = 1
     n_endless_bytes: int = 0
     port: int = 0
@@ -155,7 +158,7 @@
             "Service": self.service,
             "Address": f"{host}:{self.port}",
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self.slots,
             "State": state,
             "ColdLeftMs": 0,
--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -331,6 +331,7 @@
                     "server": registration.server_id,
                     "service": registration.service,
                     "draining": registration.draining,
+                    "software_version": registration.software_version,
                     "revision": entry.mod_revision,
                 },
             )
--- a/packages/medlargate/medlargate/platform/_decoding.py
+++ b/packages/medlargate/medlargate/platform/_decoding.py
@@ -107,11 +107,11 @@
     Service: str
     Address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
     Zone: str
+    Version: str = ""  # of the server's software, not of the model's weights
     Slots: int = Field(1, ge=1)
     State: str = Field(pattern="^(ready|draining)$")
     Spot: bool = False
     leaves_ms: float | None = None
-    # ``Version`` can't be used instead: that is the server's software version.
     born: int = 0
 
 
@@ -249,6 +249,7 @@
             spot=server.Spot,
             revision=revision,
             born=server.born,
+            software_version=server.Version,
         )
 
     return _parse_model(data, _Server).map(make_registration)
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -19,6 +19,7 @@
     REQUEST_ID,
     REQUEST_PRIORITY,
     RESPONSE_SEAL,
+    RESUMES,
     RETRY_AFTER,
     ROUTER_HEADERS,
     SERVER_LEAVING,
@@ -84,6 +85,9 @@
         Parts of the prompt in order. The last part is specific to the request.
     last_event_id : int or None
         ID of the last event that the caller has received; None for a new stream.
+    resumed_id : str
+        Identity of the caller's earlier attempt that received the first event of the
+        stream; empty for a new stream.
     """
 
     request_id: str
@@ -92,6 +96,7 @@
     n_prompt_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    resumed_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,6 +220,7 @@
         n_prompt_tokens=_parse_int(prompt) or 0,
         parts=_parse_prompt_parts(get(PROMPT_PARTS)),
         last_event_id=_parse_int(get(LAST_EVENT_ID)),
+        resumed_id=get(RESUMES),
     )
 
 
--- a/packages/medlargate/medlargate/platform/_names.py
+++ b/packages/medlargate/medlargate/platform/_names.py
@@ -8,6 +8,7 @@
 PROMPT_PARTS = "Prompt-Prefix"
 TOKEN_COUNTS = "Token-Usage"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"  # id of the caller's attempt that brought the stream's first event
 RESPONSE_SEAL = "Response-Seal"
 CUSTOMER = "Tenant"
 CUSTOMER_KEY = "Key"
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -307,6 +307,7 @@
         exch.record(
             "place",
             server=placement.name,
+            software_version=assignment.server.software_version,
             predicted=round(placement.predicted, 3),
             cost=round(placement.cost, 3),
             n_candidates=placement.n_candidates,
--- a/packages/medlargate/medlargate/relay/_request_recorder.py
+++ b/packages/medlargate/medlargate/relay/_request_recorder.py
@@ -53,6 +53,8 @@
             config_version=exch.config_version,
             time_left=round(exch.deadline - exch.arrived_at, 3),
             n_tokens=exch.n_tokens,
+            resumed=exch.facts.resumed_id or None,
+            last_event_id=exch.last_event_id,
         )
 
     def observe_rejected(self, request_id: str, refusal: Refusal) -> None:
--- a/packages/medlargate/medlargate/routing/_model.py
+++ b/packages/medlargate/medlargate/routing/_model.py
@@ -267,6 +267,8 @@
         Revision of the registration in the store.
     born : int
         Unix time of the server's start in milliseconds; 0 if not given.
+    software_version : str
+        Version of the server's software; empty if not given.
     """
 
     server_id: str
@@ -281,3 +283,4 @@
     spot: bool = False
     revision: int = 0
     born: int = 0
+    software_version: str = ""
