Streams go on only at the software version that began them

Callers saw streams whose events came from two versions of a server, which do not fit together, within one answer and after they had taken a stream up at another node. Cause: no decision knew the version of a server, and nothing about a stream outlived the node that began it. Change: the origin of a stream is kept by several nodes while several versions serve, and in the store for the case that all nodes stop; unknown origins are refused as not run. Why it works: an event reaches the caller after its origin is recorded, and servers of other versions are no candidates afterwards.

--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -17,6 +17,8 @@
     LoadUpdate,
     PeerStatus,
     StatusMessage,
+    StreamNotes,
+    StreamQuery,
     decode_node,
     encode_node,
 )
@@ -142,6 +144,8 @@
     "StateFreshness",
     "StatusMessage",
     "StoreWatcher",
+    "StreamNotes",
+    "StreamQuery",
     "UsageCounts",
     "UsageLedger",
     "UsagePart",
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -37,6 +37,9 @@
         server.
     sound_parts : dict of str to float
         Seconds since a completed answer cleared a suspected prompt part, by part.
+    versions : dict of str to dict of str to float
+        Seconds since servers of a software version served, by service and version, for
+        services with several versions.
     limits : dict of str to (float or None, float)
         Requests a second that servers accept from all nodes together, None if a limit
         was lifted, and seconds since a node learned it, by server.
@@ -57,6 +60,7 @@
     crashes: dict[str, list[str]] = Field(default_factory=dict)
     part_crashes: dict[str, dict[str, float]] = Field(default_factory=dict)
     sound_parts: dict[str, float] = Field(default_factory=dict)
+    versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
 
 
@@ -136,6 +140,33 @@
     parts: list[tuple[str, int]] = Field(default_factory=list)
 
 
+class StreamNotes(BaseModel):
+    """Origins of streams, for the nodes that keep copies of them.
+
+    Attributes
+    ----------
+    origins : dict of str to (str, str)
+        Services and software versions, by the identity of the caller's attempt.
+    """
+
+    origins: dict[str, tuple[str, str]]
+
+
+class StreamQuery(BaseModel):
+    """Question for the origins of streams.
+
+    Attributes
+    ----------
+    wanted : list of str
+        Identities of callers' attempts.
+    reply_to : str
+        ``IP:PORT`` for the answer, a ``StreamNotes``.
+    """
+
+    wanted: list[str]
+    reply_to: str
+
+
 def encode_node(zone: str, address: str, incarnation: str) -> bytes:
     """Encode a node's entry in the store."""
     return orjson.dumps({"zone": zone, "address": address, "incarnation": incarnation})
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -12,14 +12,20 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 from pydantic import BaseModel, ValidationError
 
-from ._peer_messages import DomainStatus, LoadUpdate, PeerStatus
+from ._peer_messages import (
+    DomainStatus,
+    LoadUpdate,
+    PeerStatus,
+    StreamNotes,
+    StreamQuery,
+)
 
 log = logging.getLogger(__name__)
 
@@ -258,20 +264,25 @@
         on_status: Callable[[PeerStatus], None],
         on_load_update: Callable[[LoadUpdate], None],
         on_domain_status: Callable[[DomainStatus], None],
+        on_stream_notes: Callable[[StreamNotes], None],
+        on_stream_query: Callable[[StreamQuery], None],
     ) -> None:
         self._on_status = on_status
-        self._on_load_update = on_load_update
-        self._on_domain_status = on_domain_status
+        # Each kind of message but a node's status is recognized by a field.
+        self._handlers: dict[str, tuple[type[BaseModel], Callable[[Any], None]]] = {
+            "sender": (LoadUpdate, on_load_update),
+            "n_nodes": (DomainStatus, on_domain_status),
+            "origins": (StreamNotes, on_stream_notes),
+            "wanted": (StreamQuery, on_stream_query),
+        }
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         try:
             row = orjson.loads(data)
-            if isinstance(row, dict) and "sender" in row:
-                self._on_load_update(LoadUpdate.model_validate(row))
-                return
-            if isinstance(row, dict) and "n_nodes" in row:
-                self._on_domain_status(DomainStatus.model_validate(row))
-                return
+            for field_name, (model, handle) in self._handlers.items():
+                if isinstance(row, dict) and field_name in row:
+                    handle(model.model_validate(row))
+                    return
             status = PeerStatus.model_validate(row)
         except (orjson.JSONDecodeError, ValidationError) as exc:
             log.warning(
@@ -302,6 +313,10 @@
         Called with each received load update.
     on_domain_status : callable
         Called with each received status of another failure domain.
+    on_stream_notes : callable
+        Called with the origins of streams that another node sends.
+    on_stream_query : callable
+        Called with each question for the origins of streams.
     is_holder : callable
         Returns whether this node holds the duties, whose holder sends each status to
         all peers.
@@ -314,10 +329,14 @@
         on_status: Callable[[PeerStatus], None],
         on_load_update: Callable[[LoadUpdate], None],
         on_domain_status: Callable[[DomainStatus], None],
+        on_stream_notes: Callable[[StreamNotes], None],
+        on_stream_query: Callable[[StreamQuery], None],
         is_holder: Callable[[], bool] = lambda: False,
     ) -> None:
         self._on_load_update = on_load_update
         self._on_domain_status = on_domain_status
+        self._on_stream_notes = on_stream_notes
+        self._on_stream_query = on_stream_query
         self._is_holder = is_holder
         self._table = table
         self._make_status = make_status
@@ -329,7 +348,11 @@
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Endpoint(
-                self._receive_status, self._on_load_update, self._on_domain_status
+                self._receive_status,
+                self._on_load_update,
+                self._on_domain_status,
+                self._on_stream_notes,
+                self._on_stream_query,
             ),
             local_addr=(host, port),
         )
@@ -361,6 +384,12 @@
         """Send this failure domain's status to other domains."""
         self._send(status, addresses)
 
+    def send(
+        self, message: StreamNotes | StreamQuery, addresses: Iterable[str]
+    ) -> None:
+        """Send origins of streams, or a question for them, to some nodes."""
+        self._send(message, list(addresses))
+
     def _send(self, message: BaseModel, addresses: list[str]) -> None:
         if self._transport is None or not addresses:
             return
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -32,6 +32,12 @@
 )
 from ._rate_limits import TokenBucket, decide_rate
 from ._shares import decide_quotas, decide_share, rank_by_hash
+from ._stream_versions import (
+    VERSION_LIFETIME,
+    StreamOrigin,
+    VersionHistory,
+    choose_origin_keepers,
+)
 from ._verdict import Refusal, RequestStates, Verdict
 from ._waiting import (
     WaitDecision,
@@ -90,6 +96,7 @@
     "BLOCK_TIME",
     "LONG_PREFILL_TIME",
     "SHORT_PROMPT_JITTER",
+    "VERSION_LIFETIME",
     "Assignment",
     "BackendView",
     "Candidate",
@@ -118,11 +125,14 @@
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "StreamOrigin",
     "TokenBucket",
     "Verdict",
+    "VersionHistory",
     "WaitDecision",
     "ZoneEngines",
     "accepts_any_server",
+    "choose_origin_keepers",
     "choose_short_prompt_engines",
     "compute_max_demand",
     "compute_work",
--- a/packages/medlargate/medlargate/relay/_accept.py
+++ b/packages/medlargate/medlargate/relay/_accept.py
@@ -96,7 +96,8 @@
             message = f"the key is not valid in configuration version {version}"
             raise Refusal(401, "unknown_key", message)
         service = table.routing_config.services.get(
-            choose_service(rule, facts.request_id)
+            # A stream that is taken up goes on at the service that began it.
+            choose_service(rule, facts.resumed_id or facts.request_id)
         )
         if service is None:
             raise Refusal(
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from ..platform import RequestInfo
-from ..policy import RequestStates, Verdict, make_request_digest
-from ..routing import CustomerSpec, RouteRule, ServiceSpec
+from ..policy import RequestStates, StreamOrigin, Verdict, make_request_digest
+from ..routing import CustomerSpec, Registration, RouteRule, ServiceSpec
 from ..transport import IncomingRequest, Responder
 
 RecordWriter = Callable[..., None]
@@ -80,6 +80,9 @@
         Longest time between two stream events, in seconds.
     attempt : AttemptProgress
         Progress of the answer to the current attempt.
+    origin : StreamOrigin or None
+        Where the stream began that the caller has; None if it has no event, or if
+        any server may go on.
     """
 
     req: IncomingRequest
@@ -103,6 +106,7 @@
     last_event_at: float | None = None
     longest_pause: float = 0.0
     attempt: AttemptProgress = field(default_factory=AttemptProgress)
+    origin: StreamOrigin | None = None
 
     @property
     def priority(self) -> int:
@@ -129,6 +133,22 @@
         """Ids of the prompt parts that other requests may have too."""
         return tuple(part.part_id for part in self.facts.parts[:-1])
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller takes up a stream of which it has events."""
+        return self.rule.resumable and bool(
+            self.facts.last_event_id or self.facts.resumed_id
+        )
+
+    def can_run_at(self, server: Registration) -> bool:
+        """Return whether a server may begin the stream, or go on with it."""
+        origin = self.origin
+        return (
+            origin is None
+            or origin.service != server.service
+            or origin.version == server.software_version
+        )
+
     @property
     def n_tokens(self) -> int:
         """Length of the prompt in tokens."""
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -16,17 +16,21 @@
     ClusterState,
     DomainStatus,
     DomainTable,
+    KnownPeer,
     LoadUpdate,
     PeerCheckedClock,
     PeerMessenger,
     PeerStatus,
     PeerTable,
     StatusMessage,
+    StreamNotes,
+    StreamQuery,
     UsageCounts,
     decode_node,
     encode_node,
 )
 from ..platform import Change, Entry, PromptPart, Put, Store, StoreResult
+from ..policy import StreamOrigin, choose_origin_keepers
 from ..routing import IngressLimits
 from ..transport import (
     ConnectFaultError,
@@ -40,6 +44,7 @@
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
 from ._server_view import PEER_LIFETIME
+from ._stream_origins import MAX_NOTES, StreamOrigins
 
 log = logging.getLogger(__name__)
 
@@ -102,6 +107,8 @@
         Requests and prompt parts that crashed servers, exchanged with peers.
     limits : ServerLimits
         Limits stated by servers, exchanged with peers.
+    origins : StreamOrigins
+        Origins of streams, of which peers keep copies.
     """
 
     def __init__(
@@ -120,6 +127,7 @@
         usage: UsageCounts,
         crash_guard: CrashGuard,
         limits: ServerLimits,
+        origins: StreamOrigins,
     ) -> None:
         self.table = PeerTable(name, zone, clock)
         self.domains = DomainTable(self.table, clock)
@@ -129,6 +137,8 @@
             self._receive_peer_status,
             self._receive_load_update,
             self._receive_domain_status,
+            lambda notes: origins.merge(notes.origins),
+            self._answer_stream_query,
             lambda: self.is_holder(),
         )
         self.incarnation = incarnation
@@ -146,6 +156,7 @@
         self._usage = usage
         self._crash_guard = crash_guard
         self._limits = limits
+        self._origins = origins
         self._pull_server = IngressServer(self._answer_pull, IngressLimits)
         self._broadcast_pending = False
         self._pull_task: asyncio.Task[None] | None = None
@@ -252,6 +263,7 @@
             "config_age": round(min(1e6, now - freshness.config_confirmed_at), 3),
             "servers_age": round(min(1e6, now - freshness.servers_confirmed_at), 3),
             **self._crash_guard.make_status_fields(),
+            "versions": self._origins.snapshot_versions(),
             "limits": self._limits.snapshot(),
         }
 
@@ -360,6 +372,76 @@
         self._broadcast_pending = False
         self.messenger.send_status(same_domain=True, all_peers=True)
 
+    # Origins of streams
+
+    def _choose_keepers(self, request_id: str) -> list[KnownPeer]:
+        # A node that has just started has not heard its peers yet.
+        alive = self.table.list_alive() or self.table.peers.values()
+        peers = {peer.name: peer for peer in alive}
+        zone = self.table.zone
+        near = [name for name, peer in peers.items() if peer.zone == zone]
+        representative = max(near, default="")
+        chosen = choose_origin_keepers(
+            request_id,
+            own_domain=near,
+            other_domains=[name for name in peers if name not in near],
+            representative=representative if representative > self.table.name else None,
+        )
+        return [peers[name] for name in chosen]
+
+    def send_origins(self, origins: Mapping[str, StreamOrigin]) -> None:
+        """Send origins of streams to the nodes that keep copies of them.
+
+        Parameters
+        ----------
+        origins : mapping of str to StreamOrigin
+            Origins by the identity of the caller's attempt.
+        """
+        rows_by_address: dict[str, dict[str, tuple[str, str]]] = {}
+        for request_id, origin in origins.items():
+            for peer in self._choose_keepers(request_id):
+                rows = rows_by_address.setdefault(peer.address, {})
+                rows[request_id] = (origin.service, origin.version)
+        for address, rows in rows_by_address.items():
+            items = list(rows.items())
+            for start in range(0, len(items), MAX_NOTES):
+                notes = StreamNotes(origins=dict(items[start : start + MAX_NOTES]))
+                self.messenger.send(notes, [address])
+
+    def ask_origin(self, request_id: str, *, all_nodes: bool) -> int:
+        """Ask peers for the origin of a stream.
+
+        Parameters
+        ----------
+        request_id : str
+            Identity of the caller's attempt that began the stream.
+        all_nodes : bool
+            Whether to ask all nodes, those that were not heard lately included,
+            instead of those that keep a copy by the hash of the identity.
+
+        Returns
+        -------
+        int
+            Number of nodes that were asked.
+        """
+        peers = (
+            list(self.table.peers.values())
+            if all_nodes
+            else self._choose_keepers(request_id)
+        )
+        query = StreamQuery(wanted=[request_id], reply_to=f"{self._host}:{self._port}")
+        self.messenger.send(query, [peer.address for peer in peers])
+        return len(peers)
+
+    def _answer_stream_query(self, query: StreamQuery) -> None:
+        rows = {}
+        for request_id in query.wanted[:MAX_NOTES]:
+            origin = self._origins.get(request_id)
+            if origin is not None:
+                rows[request_id] = (origin.service, origin.version)
+        if rows:
+            self.messenger.send(StreamNotes(origins=rows), [query.reply_to])
+
     # Incoming messages
 
     def _receive_peer_status(self, status: PeerStatus) -> None:
@@ -371,6 +453,7 @@
         self._usage.merge(status.incarnation, status.usage)
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
+        self._origins.merge_versions(status.versions)
         if status.zone == self.table.zone:
             lifetime = max(
                 PEER_LIFETIME,
@@ -388,6 +471,7 @@
             )
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
+        self._origins.merge_versions(status.versions)
         lifetime = max(
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
         )
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -57,12 +57,14 @@
 from ._exchange import Exchange
 from ._fleet_side import FleetSync
 from ._load_tracker import LoadTracker
+from ._origin_store import OriginStore
 from ._reload import decide_reload
 from ._request_handler import RequestHandler
 from ._request_queue import RequestQueue
 from ._request_recorder import RequestRecorder
 from ._sender import Sender
 from ._server_limits import ServerLimits
+from ._stream_origins import StreamOrigins
 
 log = logging.getLogger(__name__)
 
@@ -131,6 +133,7 @@
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.wall_clock = PeerCheckedClock(self.clock, time.time)
         self.crash_guard = CrashGuard(self.clock)
+        self.origins = StreamOrigins(self.cluster_state, self.clock)
         self.usage = UsageCounts(self.ingress.usage_window)
         self.recorder = RequestRecorder(
             self.metrics, self._observe_usage, self.clock, self.write_record
@@ -153,6 +156,7 @@
             self.loads,
             self.recorder,
             crash_guard=self.crash_guard,
+            origins=self.origins,
             can_reach=_can_reach,
             get_budget=self._get_retry_budget,
             count_nodes=self._count_nodes,
@@ -280,6 +284,16 @@
         store.restore_listeners.append(self.duties.observe_restore)
         store.restore_listeners.append(self.fleet.observe_restore)
         block_store = self._make_block_store(store)
+        origin_store = OriginStore(
+            store,
+            self.origins,
+            self.incarnation,
+            self.clock,
+            self.wall_clock.now,
+            self.fleet.domains.is_domain_representative,
+        )
+        self.origins.peers = self.fleet
+        self.origins.read_stored = origin_store.read
         self.fleet.is_holder = self.duties.is_holder
         self.fleet.get_demand = self._get_demand_rates
         self.fleet.get_sensitive_demand = lambda: self.demand.get_sensitive_rates(
@@ -297,6 +311,7 @@
             self.fleet.run_domains,
             block_store.run_reads,
             block_store.run_writes,
+            origin_store.run_writes,
             self.duties.run_lease,
             self.duties.run_usage,
             self.duties.run_scale,
@@ -347,6 +362,7 @@
             usage=self.usage,
             crash_guard=self.crash_guard,
             limits=self.limits,
+            origins=self.origins,
         )
         fleet.observe_seeds(self.ingress.seeds)
         return fleet
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -10,7 +10,7 @@
 import orjson
 
 from ..platform import decode_request, make_refusal_headers, make_response_headers
-from ..policy import FleetRetryBudget, Refusal, Verdict
+from ..policy import FleetRetryBudget, Refusal, StreamOrigin, Verdict
 from ..routing import Registration
 from ..transport import ExchangeFaultError, IncomingRequest, Responder
 from ._accept import Acceptor
@@ -29,6 +29,7 @@
     max_head_silence,
 )
 from ._silence import SilenceLimit
+from ._stream_origins import StreamOrigins
 
 log = logging.getLogger(__name__)
 
@@ -82,6 +83,8 @@
         Records usage, outcomes and metrics.
     crash_guard : CrashGuard
         Requests and prompt parts that crash servers.
+    origins : StreamOrigins
+        Software versions at which streams began.
     can_reach : callable
         Returns whether a server still accepts connections.
     get_budget : callable
@@ -101,6 +104,7 @@
         recorder: RequestRecorder,
         *,
         crash_guard: CrashGuard,
+        origins: StreamOrigins,
         can_reach: Callable[[Registration], Awaitable[bool]],
         get_budget: Callable[[str], FleetRetryBudget],
         count_nodes: Callable[[], int],
@@ -112,6 +116,7 @@
         self._loads = loads
         self._recorder = recorder
         self._crash_guard = crash_guard
+        self._origins = origins
         self._can_reach = can_reach
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._get_budget = get_budget
@@ -186,6 +191,8 @@
 
     async def _serve(self, exch: Exchange) -> Outcome:
         n_unreachable = 0
+        if exch.is_resumed:
+            exch.origin = await self._origins.find(exch)
         while True:
             self._raise_if_blocked(exch)
             assignment = await self._queue.acquire(exch)
@@ -311,6 +318,7 @@
                     if not started:
                         started = True
                         self._observe_first_event(exch, assignment)
+                        self._observe_origin(exch, assignment.server)
                     await self._relay_event(exch, open_answer, event)
                 if started:
                     limit.start_waiting()
@@ -347,6 +355,12 @@
         exch.states.observe("first_byte")
         self._queue.observe_change()
 
+    def _observe_origin(self, exch: Exchange, server: Registration) -> None:
+        """Record the version that begins a stream, before the caller has an event."""
+        if exch.origin is None and exch.rule.resumable:
+            exch.origin = StreamOrigin(exch.service.name, server.software_version)
+            self._origins.observe_begin(exch, exch.origin)
+
     # After a failed attempt
 
     def _observe_fault(
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -164,6 +164,7 @@
         """
         return any(
             it.server_id not in exch.tried_servers
+            and exch.can_run_at(it)
             and not self._loads.is_suspended(it.server_id, it.zone)
             for it in self._list_open_servers(exch.service.name)
         )
@@ -263,14 +264,18 @@
     ) -> list[ServerState]:
         """Return the states of the candidate servers of a request.
 
-        Servers that the request has already been sent to are candidates only if no
+        A stream goes on only at servers of the version that began it. Servers that the
+        request has already been sent to are candidates only if no
         other server is left. Engines reserved for short prompts are excluded for long
         prompts unless no other engine remains.
         """
-        untried = [it for name, it in servers.items() if name not in exch.tried_servers]
+        allowed_servers = [it for it in servers.values() if exch.can_run_at(it)]
+        untried = [
+            it for it in allowed_servers if it.server_id not in exch.tried_servers
+        ]
         states = self._loads.make_states(
             exch.service,
-            untried or list(servers.values()),
+            untried or allowed_servers,
             exch.facts.parts,
             exch.n_tokens,
         )
@@ -376,14 +381,18 @@
     def _decide_refusal(self, queued: _QueuedRequest, n_ahead: int) -> Refusal | None:
         exch = queued.exch
         now = self._clock()
-        servers = self.list_usable_servers(exch.service.name)
+        servers = [
+            it
+            for it in self.list_usable_servers(exch.service.name)
+            if exch.can_run_at(it)
+        ]
         if not servers:
             if now - queued.queued_at < NO_SERVER_WAIT:
                 return None
             return Refusal(
                 503,
                 "no_server",
-                f"service {exch.service.name} has no available server",
+                _describe_missing_server(exch),
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
         states = self._loads.make_states(
@@ -424,6 +433,13 @@
                 self._has_waiting.clear()
 
 
+def _describe_missing_server(exch: Exchange) -> str:
+    message = f"service {exch.service.name} has no available server"
+    if exch.origin is not None:
+        message += f" of version {exch.origin.version or '(none)'}"
+    return message
+
+
 def _is_prefill_sensitive(exch: Exchange, times: ServiceTimes) -> bool:
     """Return whether prefill of long prompts would delay events of a stream."""
     engine = exch.service.engine
