Nodes say when they reach no server of a service

Cause: a node that is partitioned from all servers could not be told from one whose servers fail, in its own log. Change: after a failed connection the node tries other servers of the service and logs whether none can be reached, and when one can be reached again. No decision depends on it yet.

--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -58,6 +58,7 @@
 from ._fleet_side import FleetSync
 from ._load_tracker import LoadTracker
 from ._origin_store import OriginStore
+from ._reach import ReachMonitor
 from ._reload import decide_reload
 from ._request_handler import RequestHandler
 from ._request_queue import RequestQueue
@@ -133,6 +134,12 @@
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.wall_clock = PeerCheckedClock(self.clock, time.time)
         self.crash_guard = CrashGuard(self.clock)
+        self.reach = ReachMonitor(
+            self.request_queue.list_usable_servers,
+            _can_reach,
+            self.clock,
+            random_state=self.random_state,
+        )
         self.origins = StreamOrigins(self.cluster_state, self.clock)
         self.usage = UsageCounts(self.ingress.usage_window)
         self.recorder = RequestRecorder(
@@ -157,6 +164,7 @@
             self.recorder,
             crash_guard=self.crash_guard,
             origins=self.origins,
+            reach=self.reach,
             can_reach=_can_reach,
             get_budget=self._get_retry_budget,
             count_nodes=self._count_nodes,
@@ -305,6 +313,7 @@
             self.watcher.run_servers,
             self.watcher.run_polls,
             self.request_queue.run,
+            self.reach.run,
             self.fleet.run_registration,
             self.fleet.messenger.run_intra_domain,
             self.fleet.messenger.run_cross_domain,
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -18,6 +18,7 @@
 from ._events import EventOrderError, EventSplitter, StreamEvent
 from ._exchange import AttemptProgress, Exchange
 from ._load_tracker import LoadTracker
+from ._reach import ReachMonitor
 from ._request_queue import RequestQueue, ServerAssignment
 from ._request_recorder import RequestRecorder
 from ._sender import (
@@ -85,6 +86,8 @@
         Requests and prompt parts that crash servers.
     origins : StreamOrigins
         Software versions at which streams began.
+    reach : ReachMonitor
+        Services of which this node reaches no server.
     can_reach : callable
         Returns whether a server still accepts connections.
     get_budget : callable
@@ -105,6 +108,7 @@
         *,
         crash_guard: CrashGuard,
         origins: StreamOrigins,
+        reach: ReachMonitor,
         can_reach: Callable[[Registration], Awaitable[bool]],
         get_budget: Callable[[str], FleetRetryBudget],
         count_nodes: Callable[[], int],
@@ -117,6 +121,7 @@
         self._recorder = recorder
         self._crash_guard = crash_guard
         self._origins = origins
+        self._reach = reach
         self._can_reach = can_reach
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._get_budget = get_budget
@@ -203,6 +208,8 @@
             except AttemptError as fault:
                 n_unreachable += fault.kind == "connect"
                 self._observe_fault(exch, assignment, fault)
+                if fault.kind == "connect":
+                    await self._reach.check(exch.service.name)
                 reason = self._find_stop_reason(exch, fault, n_unreachable)
                 if reason is None:
                     exch.record("retry", fault=fault.kind, n_sent=exch.n_sent)
