Nodes that reach no server serve their callers through other nodes

Callers of nodes that were partitioned from all servers got 503 after a second, while the other nodes served theirs with the same servers. Cause: a node used only servers that it reached itself, and tried four of them for each request anew. Change: a node that reaches no server of a service forwards requests to a node that does, in its own failure domain while half of it does, else anywhere. The other node serves them as if the caller had sent them there and doesn't forward them again; refusals that hold only there lead to a further node. A stream goes on at the version that began it.

--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -73,6 +73,10 @@
         Identifier of this start of the process.
     store_up : bool
         Whether the store answers the sender.
+    unreachable : list of str
+        Services of which the sender reaches no server.
+    stopping : bool
+        Whether the sender is about to stop.
     usage : dict of int to dict
         Usage counts of the sender, by window and customer.
     hears : list of str
@@ -84,6 +88,8 @@
 
     incarnation: str
     store_up: bool = True
+    unreachable: list[str] = Field(default_factory=list)
+    stopping: bool = False
     usage: dict[int, dict[str, int]] = Field(default_factory=dict)
     hears: list[str] = Field(default_factory=list)
     holder: bool = False
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -16,6 +16,7 @@
     decode_request,
     decode_response,
     make_forward_headers,
+    make_forwarded_headers,
     make_refusal_headers,
     make_response_headers,
 )
@@ -91,6 +92,7 @@
     "decode_routing_config",
     "get_era",
     "make_forward_headers",
+    "make_forwarded_headers",
     "make_refusal_headers",
     "make_response_headers",
 ]
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -286,6 +286,37 @@
     return forwarded
 
 
+def make_forwarded_headers(
+    headers: Headers, *, time_left: float, last_event_id: int | None = None
+) -> list[tuple[bytes, bytes]]:
+    """Make the headers of a caller's request that another node serves.
+
+    Parameters
+    ----------
+    headers : iterable of (bytes, bytes)
+        Headers of the caller's request, with names in lower case.
+    time_left : float
+        Seconds until the deadline of the request.
+    last_event_id : int or None
+        ID of the event after which the stream continues, in place of the caller's
+        value; None to keep the caller's value.
+
+    Returns
+    -------
+    list of (bytes, bytes)
+        Headers as the caller sent them, the key included, without those that concern
+        only its connection.
+    """
+    dropped = HOP_BY_HOP_HEADERS | {DEADLINE.lower().encode()}
+    if last_event_id is not None:
+        dropped |= {LAST_EVENT_ID.lower().encode()}
+    forwarded = [(name, value) for name, value in headers if name not in dropped]
+    forwarded.append((DEADLINE.encode(), b"%d" % max(1, int(time_left * 1000))))
+    if last_event_id is not None:
+        forwarded.append((LAST_EVENT_ID.encode(), b"%d" % last_event_id))
+    return forwarded
+
+
 def decode_response(status: int, headers: Headers) -> ResponseInfo:
     """Decode the status and the headers of a backend server's response.
 
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -16,6 +16,7 @@
 from ._crash_history import CrashHistory, make_request_digest
 from ._demand import DecayingRate
 from ._fleet_budget import FleetRetryBudget
+from ._forwarding import ForwardPeer, choose_forward_peer
 from ._part_crashes import BLOCK_TIME, PartCrashes
 from ._placement import (
     SHORT_PROMPT_JITTER,
@@ -108,6 +109,7 @@
     "DecayingRate",
     "FairQueue",
     "FleetRetryBudget",
+    "ForwardPeer",
     "Job",
     "OutputEstimator",
     "PartCrashes",
@@ -132,6 +134,7 @@
     "WaitDecision",
     "ZoneEngines",
     "accepts_any_server",
+    "choose_forward_peer",
     "choose_origin_keepers",
     "choose_short_prompt_engines",
     "compute_max_demand",
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -6,18 +6,38 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..platform import RequestInfo
 from ..policy import RequestStates, StreamOrigin, Verdict, make_request_digest
 from ..routing import CustomerSpec, Registration, RouteRule, ServiceSpec
 from ..transport import IncomingRequest, Responder
 
+if TYPE_CHECKING:
+    from ._forwarding import ForwardedRequest
+
 RecordWriter = Callable[..., None]
 
 _numbers = itertools.count(1)
 
 
+@dataclass
+class Outcome:
+    """Outcome of a request.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status of the answer; 499 if the caller has gone, 0 if a started answer
+        was broken off.
+    code : str
+        Reason in the records and metrics.
+    """
+
+    status: int
+    code: str
+
+
 @dataclass(slots=True)
 class AttemptProgress:
     """Progress of the answer to one attempt.
@@ -83,6 +103,10 @@
     origin : StreamOrigin or None
         Where the stream began that the caller has; None if it has no event, or if
         any server may go on.
+    forwarded : ForwardedRequest or None
+        What the node says that forwarded the request; None if a caller sent it.
+    tried_peers : set of str
+        Names of the nodes that the request was forwarded to.
     """
 
     req: IncomingRequest
@@ -107,6 +131,8 @@
     longest_pause: float = 0.0
     attempt: AttemptProgress = field(default_factory=AttemptProgress)
     origin: StreamOrigin | None = None
+    forwarded: ForwardedRequest | None = None
+    tried_peers: set[str] = field(default_factory=set)
 
     @property
     def priority(self) -> int:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -5,7 +5,8 @@
 import asyncio
 import base64
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -30,7 +31,7 @@
     encode_node,
 )
 from ..platform import Change, Entry, PromptPart, Put, Store, StoreResult
-from ..policy import StreamOrigin, choose_origin_keepers
+from ..policy import ForwardPeer, StreamOrigin, choose_origin_keepers
 from ..routing import IngressLimits
 from ..transport import (
     ConnectFaultError,
@@ -73,6 +74,7 @@
 MIN_DOMAIN_LOAD_LIFETIME = 1.5  # seconds
 # Usage counts of a peer that has not been heard for this time are not waited for.
 USAGE_PEER_TIMEOUT = 10.0  # seconds
+PEER_HEADER_BYTES = 2048  # headers that a peer adds to a request that it forwards
 USAGE_WINDOWS_SENT = 2  # usage windows in a status message, the current one included
 
 
@@ -146,6 +148,12 @@
         self.get_demand: Callable[[], dict[str, float]] = dict
         self.get_sensitive_demand: Callable[[], dict[str, float]] = dict
         self.store_up: Callable[[], bool] = lambda: True
+        self.list_unreachable: Callable[[], list[str]] = list
+        self.is_stopping: Callable[[], bool] = lambda: False
+        self.get_limits: Callable[[], IngressLimits] = IngressLimits
+        self.handle_forwarded: Callable[
+            [IncomingRequest, Responder], Awaitable[bool]
+        ] = _handle_nothing
         self._host = host
         self._port = port
         self._cluster_state = cluster_state
@@ -157,7 +165,7 @@
         self._crash_guard = crash_guard
         self._limits = limits
         self._origins = origins
-        self._pull_server = IngressServer(self._answer_pull, IngressLimits)
+        self._pull_server = IngressServer(self._answer_peer, self._get_peer_limits)
         self._broadcast_pending = False
         self._pull_task: asyncio.Task[None] | None = None
         self._restored = asyncio.Event()
@@ -281,6 +289,8 @@
             **self._make_common_fields(),
             incarnation=self.incarnation,
             store_up=self.store_up(),
+            unreachable=self.list_unreachable(),
+            stopping=self.is_stopping(),
             loads=self._loads.list_own_loads() if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
@@ -372,6 +382,30 @@
         self._broadcast_pending = False
         self.messenger.send_status(same_domain=True, all_peers=True)
 
+    def list_forward_peers(self, service: str) -> list[ForwardPeer]:
+        """Return the live nodes to which requests for a service may be forwarded.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        list of ForwardPeer
+            Nodes that are not about to stop.
+        """
+        return [
+            ForwardPeer(
+                peer.name,
+                peer.zone,
+                peer.address,
+                reaches_service=service not in peer.status.unreachable,
+            )
+            for peer in self.table.list_alive()
+            if peer.status is not None and not peer.status.stopping
+        ]
+
     # Origins of streams
 
     def _choose_keepers(self, request_id: str) -> list[KnownPeer]:
@@ -618,6 +652,17 @@
             extra={"peer": peer, "servers_revision": servers["revision"]},
         )
 
+    def _get_peer_limits(self) -> IngressLimits:
+        limits = self.get_limits()
+        return replace(
+            limits, max_header_bytes=limits.max_header_bytes + PEER_HEADER_BYTES
+        )
+
+    async def _answer_peer(self, req: IncomingRequest, responder: Responder) -> None:
+        """Answer a pull request, or a caller's request that a peer forwards."""
+        if not await self.handle_forwarded(req, responder):
+            await self._answer_pull(req, responder)
+
     async def _answer_pull(self, req: IncomingRequest, responder: Responder) -> None:
         query = dict(
             item.partition("=")[::2] for item in req.target.partition("?")[2].split("&")
@@ -664,6 +709,11 @@
         await self._pull_server.close()
 
 
+async def _handle_nothing(req: IncomingRequest, responder: Responder) -> bool:
+    del req, responder
+    return False
+
+
 def _encode_entry(entry: Entry) -> list[Any]:
     return [entry.key, base64.b64encode(entry.value).decode(), entry.mod_revision]
 
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -0,0 +1,352 @@
+"""Forwarding of requests to a node that reaches servers which this one does not.
+
+The other node accepts the request as if the caller had sent it there, except that it
+does not forward it again. The answer passes through this node.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from typing import NoReturn
+
+from ..platform import (
+    ResponseInfo,
+    decode_response,
+    make_forwarded_headers,
+    make_response_headers,
+)
+from ..policy import (
+    ForwardPeer,
+    Refusal,
+    StreamOrigin,
+    Verdict,
+    choose_forward_peer,
+)
+from ..transport import (
+    BackendConnection,
+    ConnectFaultError,
+    ConnectionPool,
+    ExchangeFaultError,
+    Headers,
+    IncomingRequest,
+)
+from ._event_relay import relay_events
+from ._exchange import Exchange, Outcome
+from ._reach import ReachMonitor
+from ._sender import (
+    AttemptError,
+    OpenAnswer,
+    max_event_silence,
+    max_head_silence,
+)
+from ._silence import SilenceLimit
+
+# Headers between nodes; they reach neither callers nor servers.
+HEADER_PREFIX = b"medlargate-"
+FORWARDED_BY = "medlargate-forwarded-by"
+N_SENT = "medlargate-n-sent"
+ORIGIN_SERVICE = "medlargate-origin-service"
+ORIGIN_VERSION = "medlargate-origin-version"
+REFUSAL_CODE = "medlargate-refusal"
+REFUSAL_VERDICT = "medlargate-verdict"
+
+# The other node answers before this node's own deadline for the request.
+DEADLINE_RESERVE = 0.05  # seconds
+# The other node gives up a silent server after the usual time, and this node a silent
+# node only later.
+PEER_SILENCE_MARGIN = 0.5  # seconds
+SUCCESS_STATUSES = range(200, 300)
+# Reasons for which another node would refuse the request as well.
+FINAL_REFUSALS = frozenset({"too_late", "crashes_servers", "timeout_not_run"})
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRequest:
+    """What a node says of a request that it forwards.
+
+    Attributes
+    ----------
+    sender : str
+        Name of the node.
+    n_sent : int
+        Number of servers to which it has sent the request.
+    origin : StreamOrigin or None
+        Where the stream began of which the caller has events; None if unknown.
+    """
+
+    sender: str
+    n_sent: int
+    origin: StreamOrigin | None
+
+
+def decode_forwarded(
+    req: IncomingRequest,
+) -> tuple[IncomingRequest, ForwardedRequest] | None:
+    """Decode a request that another node forwards.
+
+    Parameters
+    ----------
+    req : IncomingRequest
+        Request on the port for messages between nodes.
+
+    Returns
+    -------
+    tuple of (IncomingRequest, ForwardedRequest) or None
+        Request as the caller sent it, and what the node says of it; None if it is no
+        forwarded request.
+    """
+    sender = req.get(FORWARDED_BY)
+    if not sender:
+        return None
+    service = req.get(ORIGIN_SERVICE)
+    origin = StreamOrigin(service, req.get(ORIGIN_VERSION) or "") if service else None
+    n_sent = req.get(N_SENT) or "0"
+    forwarded = ForwardedRequest(sender, int(n_sent) if n_sent.isdigit() else 0, origin)
+    return replace(req, headers=tuple(_strip_headers(req.headers))), forwarded
+
+
+def make_origin_headers(origin: StreamOrigin | None) -> list[tuple[bytes, bytes]]:
+    """Make the headers that name where a stream began."""
+    if origin is None:
+        return []
+    return [
+        (ORIGIN_SERVICE.encode(), origin.service.encode()),
+        (ORIGIN_VERSION.encode(), origin.version.encode()),
+    ]
+
+
+def make_refusal_notice(exc: Refusal) -> list[tuple[bytes, bytes]]:
+    """Make the headers by which the forwarding node recognizes a refusal."""
+    return [
+        (REFUSAL_CODE.encode(), exc.code.encode()),
+        (REFUSAL_VERDICT.encode(), str(exc.verdict).encode()),
+    ]
+
+
+def _strip_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    return [row for row in headers if not row[0].startswith(HEADER_PREFIX)]
+
+
+class Forwarder:
+    """Sender of requests to other nodes while this node reaches no server.
+
+    Parameters
+    ----------
+    name, domain : str
+        Name and failure domain of this node.
+    reach : ReachMonitor
+        Services of which this node reaches no server.
+    list_peers : callable
+        Returns the live nodes, given the name of a service.
+    clock : callable
+        Returns the node's monotonic time in seconds.
+    random_state : random.Random
+        Source of the choice among equal nodes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        reach: ReachMonitor,
+        list_peers: Callable[[str], Sequence[ForwardPeer]],
+        clock: Callable[[], float],
+        *,
+        random_state: random.Random,
+    ) -> None:
+        self._name = name
+        self._domain = domain
+        self._reach = reach
+        self._list_peers = list_peers
+        self._clock = clock
+        self._random_state = random_state
+        self._pool = ConnectionPool()
+
+    def close(self) -> None:
+        """Close the connections to other nodes."""
+        self._pool.close()
+
+    def choose_peer(self, exch: Exchange) -> ForwardPeer | None:
+        """Choose the node that serves a request instead of this one.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Accepted request.
+
+        Returns
+        -------
+        ForwardPeer or None
+            None if this node has to serve the request itself: it reaches the service,
+            or no other node is live.
+
+        Raises
+        ------
+        Refusal
+            If every node has failed to reach the service.
+        """
+        service = exch.service.name
+        if not self._reach.is_unreachable(service):
+            return None
+        peer = None
+        if exch.forwarded is None:
+            peer = choose_forward_peer(
+                self._list_peers(service),
+                domain=self._domain,
+                tried=exch.tried_peers,
+                random_state=self._random_state,
+            )
+        if peer is None and (exch.tried_peers or exch.forwarded is not None):
+            self._raise_cut_off(exch)
+        return peer
+
+    def _raise_cut_off(self, exch: Exchange) -> NoReturn:
+        is_not_run = exch.verdict is Verdict.NOT_RUN
+        raise Refusal(
+            503 if is_not_run else 502,
+            "cut_off",
+            f"no server of service {exch.service.name} can be reached",
+            exch.verdict,
+            retry_after=self._reach.recheck_interval if is_not_run else None,
+        )
+
+    async def forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
+        """Let another node serve a request, and relay its answer.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Accepted request.
+        peer : ForwardPeer
+            Node that serves it.
+
+        Returns
+        -------
+        Outcome
+            Outcome of the request.
+
+        Raises
+        ------
+        AttemptError
+            If the node can't serve the request, or its answer is incomplete.
+        Refusal
+            If the node refused the request for a reason that holds on every node.
+        """
+        exch.tried_peers.add(peer.name)
+        exch.placed_at = self._clock()
+        exch.record("forward", peer=peer.name, domain=peer.domain, n_sent=exch.n_sent)
+        conn = await self._send(exch, peer)
+        released = False
+        try:
+            outcome = await self._relay_answer(exch, conn)
+            self._pool.release(peer.name, conn)
+            released = True
+            return outcome
+        except ExchangeFaultError as exc:
+            message = f"node {peer.name}: {exc}"
+            raise AttemptError(exc.kind, message, Verdict.MAY_HAVE_RUN) from exc
+        finally:
+            if not released:
+                conn.abort()
+
+    async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
+        if exch.states.state == "received":
+            exch.states.observe("enqueue")
+        if exch.states.state == "queued":
+            exch.states.observe("assign")
+        exch.states.observe("write")
+        host, _, port = peer.address.rpartition(":")
+        headers = make_forwarded_headers(
+            _strip_headers(exch.req.headers),
+            time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
+            last_event_id=exch.last_event_id if exch.rule.resumable else None,
+        )
+        headers.append((FORWARDED_BY.encode(), self._name.encode()))
+        headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
+        headers += make_origin_headers(exch.origin)
+        try:
+            conn = await self._pool.acquire(
+                peer.name, host, int(port), recent_only=not exch.rule.repeatable
+            )
+            conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
+        except ConnectFaultError as exc:
+            exch.states.observe("connect_failure")
+            message = f"node {peer.name}: {exc}"
+            raise AttemptError("connect", message, Verdict.NOT_RUN) from exc
+        exch.n_sent += 1
+        return conn
+
+    async def _relay_answer(self, exch: Exchange, conn: BackendConnection) -> Outcome:
+        def may_abandon() -> bool:
+            return (
+                exch.rule.repeatable
+                and exch.n_sent < exch.rule.max_attempts
+                and self._has_other_peer(exch)
+            )
+
+        async with SilenceLimit(_with_margin(max_head_silence(exch)), may_abandon):
+            head = await conn.read_head()
+        facts = decode_response(head.status, head.headers)
+        answer = OpenAnswer(
+            conn, replace(head, headers=tuple(_strip_headers(head.headers))), facts
+        )
+        if facts.request_id and facts.request_id != exch.facts.request_id:
+            raise ExchangeFaultError("invalid", "an answer to another request")
+        code = head.get(REFUSAL_CODE)
+        if code is not None:
+            await answer.read_whole()
+            self._raise_refusal(exch, code, head.get(REFUSAL_VERDICT), facts)
+        service = head.get(ORIGIN_SERVICE)
+        if service is not None and exch.origin is None:
+            exch.origin = StreamOrigin(service, head.get(ORIGIN_VERSION) or "")
+        if exch.rule.streams and facts.status in SUCCESS_STATUSES:
+            silence = _with_margin(max_event_silence(exch))
+            async with SilenceLimit(silence, may_abandon) as limit:
+                await relay_events(
+                    exch,
+                    answer,
+                    limit,
+                    on_first_event=lambda: self._observe_first_event(exch),
+                    clock=self._clock,
+                )
+            exch.states.observe("finish")
+            await exch.responder.finish()
+            return Outcome(facts.status, "ok")
+        whole = await answer.read_whole()
+        exch.states.observe("finish")
+        headers = make_response_headers(answer.head.headers)
+        await exch.responder.send(facts.status, headers, whole.body)
+        return Outcome(
+            facts.status, "ok" if facts.status in SUCCESS_STATUSES else "backend"
+        )
+
+    def _has_other_peer(self, exch: Exchange) -> bool:
+        peers = self._list_peers(exch.service.name)
+        return any(
+            it.reaches_service and it.name not in exch.tried_peers for it in peers
+        )
+
+    def _observe_first_event(self, exch: Exchange) -> None:
+        if exch.first_event_at is None:
+            exch.first_event_at = self._clock()
+        exch.states.observe("first_byte")
+
+    def _raise_refusal(
+        self, exch: Exchange, code: str, verdict: str | None, facts: ResponseInfo
+    ) -> NoReturn:
+        message = f"the node that the request was forwarded to answered {code}"
+        if verdict != Verdict.NOT_RUN:
+            raise Refusal(facts.status, code, message, Verdict.MAY_HAVE_RUN)
+        exch.n_sent -= 1
+        exch.states.observe("backend_refusal")
+        if code not in FINAL_REFUSALS:
+            raise AttemptError("connect", message, Verdict.NOT_RUN)
+        raise Refusal(
+            facts.status, code, message, exch.verdict, retry_after=facts.retry_after
+        )
+
+
+def _with_margin(silence: float | None) -> float | None:
+    return silence + PEER_SILENCE_MARGIN if silence is not None else None
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -56,6 +56,7 @@
 )
 from ._exchange import Exchange
 from ._fleet_side import FleetSync
+from ._forwarding import Forwarder, decode_forwarded
 from ._load_tracker import LoadTracker
 from ._origin_store import OriginStore
 from ._reach import ReachMonitor
@@ -140,6 +141,14 @@
             self.clock,
             random_state=self.random_state,
         )
+        self.forwarder = Forwarder(
+            settings.node.name,
+            settings.node.failure_domain,
+            self.reach,
+            lambda service: self.fleet.list_forward_peers(service),
+            self.clock,
+            random_state=self.random_state,
+        )
         self.origins = StreamOrigins(self.cluster_state, self.clock)
         self.usage = UsageCounts(self.ingress.usage_window)
         self.recorder = RequestRecorder(
@@ -165,6 +174,7 @@
             crash_guard=self.crash_guard,
             origins=self.origins,
             reach=self.reach,
+            forwarder=self.forwarder,
             can_reach=_can_reach,
             get_budget=self._get_retry_budget,
             count_nodes=self._count_nodes,
@@ -247,6 +257,21 @@
             self.limits.forget(server_id)
         self.request_queue.observe_change()
 
+    def _observe_reach_change(self, service: str) -> None:
+        del service
+        self.fleet.messenger.broadcast_status()
+
+    async def _handle_forwarded(
+        self, req: IncomingRequest, responder: Responder
+    ) -> bool:
+        """Serve a request that another node forwards; return whether it is one."""
+        decoded = decode_forwarded(req)
+        if decoded is None:
+            return False
+        original, forwarded = decoded
+        await self.request_handler.handle(original, responder, forwarded=forwarded)
+        return True
+
     @property
     def is_ready(self) -> bool:
         """Whether the node can serve new requests."""
@@ -287,6 +312,11 @@
             config_bound=self.ingress.config_bound_ms / 1000,
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
+        self.fleet.get_limits = self._get_limits
+        self.fleet.handle_forwarded = self._handle_forwarded
+        self.fleet.is_stopping = lambda: self.stopping
+        self.fleet.list_unreachable = self.reach.list_unreachable
+        self.reach.listeners.append(self._observe_reach_change)
         self.fleet.store_up = lambda: self.watcher.store_up
         self.duties = self._make_duties(store)
         store.restore_listeners.append(self.duties.observe_restore)
@@ -516,6 +546,7 @@
         for server in (self.ingress_server, self.readiness_server, self.metrics_server):
             await server.close()
         self.pool.close()
+        self.forwarder.close()
         for close in self._close_callbacks:
             await close()
         self.writer.flush()
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -5,18 +5,24 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import replace
 
 import orjson
 
 from ..platform import decode_request, make_refusal_headers, make_response_headers
-from ..policy import FleetRetryBudget, Refusal, StreamOrigin, Verdict
+from ..policy import FleetRetryBudget, ForwardPeer, Refusal, StreamOrigin, Verdict
 from ..routing import Registration
-from ..transport import ExchangeFaultError, IncomingRequest, Responder
+from ..transport import IncomingRequest, Responder
 from ._accept import Acceptor
 from ._crash_guard import MAX_BLAMED_EVENTS, CrashGuard
-from ._events import EventOrderError, EventSplitter, StreamEvent
-from ._exchange import AttemptProgress, Exchange
+from ._event_relay import relay_events
+from ._exchange import AttemptProgress, Exchange, Outcome
+from ._forwarding import (
+    ForwardedRequest,
+    Forwarder,
+    make_origin_headers,
+    make_refusal_notice,
+)
 from ._load_tracker import LoadTracker
 from ._reach import ReachMonitor
 from ._request_queue import RequestQueue, ServerAssignment
@@ -50,23 +56,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-@dataclass
-class Outcome:
-    """Outcome of a request.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status of the answer; 499 if the caller has gone, 0 if a started answer
-        was broken off.
-    code : str
-        Reason in the records and metrics.
-    """
-
-    status: int
-    code: str
-
-
 class RequestHandler:
     """Handler of requests from the listener to their final answers.
 
@@ -88,6 +77,8 @@
         Software versions at which streams began.
     reach : ReachMonitor
         Services of which this node reaches no server.
+    forwarder : Forwarder
+        Forwards requests to other nodes while this node reaches no server.
     can_reach : callable
         Returns whether a server still accepts connections.
     get_budget : callable
@@ -109,6 +100,7 @@
         crash_guard: CrashGuard,
         origins: StreamOrigins,
         reach: ReachMonitor,
+        forwarder: Forwarder,
         can_reach: Callable[[Registration], Awaitable[bool]],
         get_budget: Callable[[str], FleetRetryBudget],
         count_nodes: Callable[[], int],
@@ -122,6 +114,7 @@
         self._crash_guard = crash_guard
         self._origins = origins
         self._reach = reach
+        self._forwarder = forwarder
         self._can_reach = can_reach
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._get_budget = get_budget
@@ -129,7 +122,13 @@
         self._clock = clock
         self.n_active = 0
 
-    async def handle(self, req: IncomingRequest, responder: Responder) -> None:
+    async def handle(
+        self,
+        req: IncomingRequest,
+        responder: Responder,
+        *,
+        forwarded: ForwardedRequest | None = None,
+    ) -> None:
         """Answer one request.
 
         Parameters
@@ -138,21 +137,30 @@
             Request with its complete body.
         responder : Responder
             Sends the answer to the caller.
+        forwarded : ForwardedRequest or None
+            What the node says that forwarded the request; None if a caller sent it.
         """
         self.n_active += 1
         try:
-            await self._handle(req, responder)
+            await self._handle(req, responder, forwarded)
         finally:
             self.n_active -= 1
 
-    async def _handle(self, req: IncomingRequest, responder: Responder) -> None:
+    async def _handle(
+        self,
+        req: IncomingRequest,
+        responder: Responder,
+        forwarded: ForwardedRequest | None,
+    ) -> None:
         try:
             exch = await self._acceptor.accept(req, responder)
         except Refusal as exc:
             request_id = decode_request(req.headers).request_id
             self._recorder.observe_rejected(request_id, exc)
-            await _send_refusal(responder, request_id, exc)
+            await _send_refusal(responder, request_id, exc, forwarded)
             return
+        if forwarded is not None:
+            _apply_forwarded(exch, forwarded)
         self._recorder.observe_arrival(exch)
         if exch.rule.streams or exch.rule.repeatable:
             task = asyncio.current_task()
@@ -179,7 +187,9 @@
         if exch.responder.started:
             exch.responder.abort()
             return Outcome(0, f"broken_off:{refusal.code}")
-        await _send_refusal(exch.responder, exch.facts.request_id, refusal)
+        await _send_refusal(
+            exch.responder, exch.facts.request_id, refusal, exch.forwarded
+        )
         return Outcome(refusal.status, refusal.code)
 
     def _make_timeout(self, exch: Exchange) -> Refusal:
@@ -196,28 +206,53 @@
 
     async def _serve(self, exch: Exchange) -> Outcome:
         n_unreachable = 0
-        if exch.is_resumed:
+        if exch.is_resumed and exch.origin is None:
             exch.origin = await self._origins.find(exch)
         while True:
             self._raise_if_blocked(exch)
-            assignment = await self._queue.acquire(exch)
             try:
-                # The block may have come while the request waited.
-                self._raise_if_blocked(exch)
-                return await self._attempt(exch, assignment)
+                peer = self._forwarder.choose_peer(exch)
+                if peer is not None:
+                    return await self._forward(exch, peer)
+                return await self._serve_here(exch)
             except AttemptError as fault:
                 n_unreachable += fault.kind == "connect"
-                self._observe_fault(exch, assignment, fault)
-                if fault.kind == "connect":
-                    await self._reach.check(exch.service.name)
                 reason = self._find_stop_reason(exch, fault, n_unreachable)
                 if reason is None:
                     exch.record("retry", fault=fault.kind, n_sent=exch.n_sent)
                     continue
                 return await self._finish_failed(exch, fault, reason)
-            finally:
-                self._loads.observe_end(exch.exchange_id, assignment.server.server_id)
-                self._queue.observe_change()
+
+    async def _serve_here(self, exch: Exchange) -> Outcome:
+        """Send a request to one of the servers that this node reaches."""
+        assignment = await self._queue.acquire(exch)
+        try:
+            # The block may have come while the request waited.
+            self._raise_if_blocked(exch)
+            return await self._attempt(exch, assignment)
+        except AttemptError as fault:
+            self._observe_fault(exch, assignment, fault)
+            if fault.kind == "connect":
+                await self._reach.check(exch.service.name)
+            raise
+        finally:
+            self._loads.observe_end(exch.exchange_id, assignment.server.server_id)
+            self._queue.observe_change()
+
+    async def _forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
+        """Let another node serve a request."""
+        exch.attempt = AttemptProgress()
+        try:
+            return await self._forwarder.forward(exch, peer)
+        except AttemptError as fault:
+            exch.record(
+                "fault",
+                peer=peer.name,
+                fault=fault.kind,
+                verdict=str(fault.verdict),
+                detail=str(fault),
+            )
+            raise
 
     def _raise_if_blocked(self, exch: Exchange) -> None:
         blocked = self._crash_guard.find_blocked(exch)
@@ -241,7 +276,7 @@
         if time_left < MIN_TIME_LEFT:
             raise self._make_timeout(exch)
         exch.attempt = AttemptProgress()
-        if exch.n_sent == 0:
+        if exch.n_sent == 0 and not (exch.forwarded and exch.forwarded.n_sent):
             self._get_budget(exch.service.name).observe_request(self._clock())
 
         def may_abandon() -> bool:
@@ -308,49 +343,30 @@
         if not open_answer.facts.sealed or open_answer.facts.encoded:
             message = "stream without a valid seal or with an encoded body"
             raise AttemptError("invalid", message, Verdict.MAY_HAVE_RUN)
-        splitter = EventSplitter(exch.last_event_id)
-        started = False
+        server = assignment.server
+
+        def observe_first_event() -> None:
+            self._observe_first_event(exch, assignment)
+            self._observe_origin(exch, server)
+
         async with SilenceLimit(max_event_silence(exch), may_abandon) as limit:
-            # The first event comes after the prefill, which may take longer than any
-            # pause between events.
-            limit.stop_waiting()
-            async for data in open_answer.conn.read_body():
-                limit.stop_waiting()
-                try:
-                    events = splitter.feed(data)
-                except EventOrderError as exc:
-                    raise ExchangeFaultError("invalid", str(exc)) from exc
-                for event in events:
-                    exch.attempt.n_events += 1
-                    if not started:
-                        started = True
-                        self._observe_first_event(exch, assignment)
-                        self._observe_origin(exch, assignment.server)
-                    await self._relay_event(exch, open_answer, event)
-                if started:
-                    limit.start_waiting()
+            await relay_events(
+                exch,
+                open_answer,
+                limit,
+                on_first_event=observe_first_event,
+                make_extra_headers=lambda: _make_origin_headers(exch),
+                clock=self._clock,
+            )
         is_delimited = open_answer.head.is_delimited
-        is_cut = not started and not (is_delimited and exch.responder.started)
-        if splitter.has_partial_event or is_cut:
-            raise ExchangeFaultError("closed", "the stream ended inside an event")
         if is_delimited or exch.attempt.n_events > MAX_BLAMED_EVENTS:
             # A shorter stream may have ended because its server crashed.
             self._crash_guard.observe_completed(exch)
-        self._loads.get_view(assignment.server.server_id).observe_result(False, _now())
+        self._loads.get_view(server.server_id).observe_result(False, _now())
         exch.states.observe("finish")
         await exch.responder.finish()
         return Outcome(open_answer.facts.status, "ok")
 
-    async def _relay_event(
-        self, exch: Exchange, open_answer: OpenAnswer, event: StreamEvent
-    ) -> None:
-        if not exch.responder.started:
-            headers = make_response_headers(open_answer.head.headers)
-            await exch.responder.start(open_answer.facts.status, headers)
-        await exch.responder.write(event.data)
-        exch.observe_event(self._clock())
-        exch.last_event_id = event.event_id
-
     def _observe_first_event(
         self, exch: Exchange, assignment: ServerAssignment
     ) -> None:
@@ -469,8 +485,26 @@
     return asyncio.get_running_loop().time()
 
 
-async def _send_refusal(responder: Responder, request_id: str, exc: Refusal) -> None:
+def _apply_forwarded(exch: Exchange, forwarded: ForwardedRequest) -> None:
+    """Let a request go on from where the node that forwarded it has left it."""
+    exch.forwarded, exch.origin = forwarded, forwarded.origin
+    max_attempts = max(1, exch.rule.max_attempts - forwarded.n_sent)
+    exch.rule = replace(exch.rule, max_attempts=max_attempts)
+
+
+def _make_origin_headers(exch: Exchange) -> list[tuple[bytes, bytes]]:
+    return make_origin_headers(exch.origin) if exch.forwarded is not None else []
+
+
+async def _send_refusal(
+    responder: Responder,
+    request_id: str,
+    exc: Refusal,
+    forwarded: ForwardedRequest | None,
+) -> None:
     headers = make_refusal_headers(request_id, exc.retry_after)
+    if forwarded is not None:
+        headers += make_refusal_notice(exc)
     body = orjson.dumps(
         {"error": {"code": exc.code, "message": exc.message, "run": str(exc.verdict)}}
     )
--- a/packages/medlargate/medlargate/relay/_request_recorder.py
+++ b/packages/medlargate/medlargate/relay/_request_recorder.py
@@ -4,14 +4,10 @@
 
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ..policy import Refusal
 from ..telemetry import DeferredMetrics
-from ._exchange import Exchange, RecordWriter
-
-if TYPE_CHECKING:
-    from ._request_handler import Outcome
+from ._exchange import Exchange, Outcome, RecordWriter
 
 log = logging.getLogger(__name__)
 
