A partition of a node is no crash of the servers

Requests and prompt parts of callers could be blocked on the whole fleet after a node had lost its links to the servers. Cause: a connection that broke off as an answer began, followed by a refused connection, counted as a crash; on a partitioned node all servers look so. Change: a crash counts only if the node reaches another server, of any service.

--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -137,6 +137,7 @@
         self.crash_guard = CrashGuard(self.clock)
         self.reach = ReachMonitor(
             self.request_queue.list_usable_servers,
+            self._list_services,
             _can_reach,
             self.clock,
             random_state=self.random_state,
@@ -257,6 +258,9 @@
             self.limits.forget(server_id)
         self.request_queue.observe_change()
 
+    def _list_services(self) -> set[str]:
+        return {it.service for it in self.cluster_state.servers.values()}
+
     def _observe_reach_change(self, service: str) -> None:
         del service
         self.fleet.messenger.broadcast_status()
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 
 from ..routing import Registration
 
@@ -27,6 +27,8 @@
     ----------
     list_servers : callable
         Returns the usable servers of a service.
+    list_services : callable
+        Returns the names of the services with registered servers.
     can_reach : callable
         Returns whether a server accepts a new connection.
     clock : callable
@@ -43,12 +45,14 @@
     def __init__(
         self,
         list_servers: Callable[[str], Sequence[Registration]],
+        list_services: Callable[[], Collection[str]],
         can_reach: Callable[[Registration], Awaitable[bool]],
         clock: Callable[[], float],
         *,
         random_state: random.Random | None = None,
     ) -> None:
         self._list_servers = list_servers
+        self._list_services = list_services
         self._can_reach = can_reach
         self._clock = clock
         self._random_state = random_state or random.Random()
@@ -93,6 +97,19 @@
             task.add_done_callback(lambda _: self._checks.pop(service, None))
         return await asyncio.shield(task)
 
+    async def reaches_any_server(self, service: str) -> bool:
+        """Return whether this node reaches a server, of this service or another one.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service of which a server has failed, tried first.
+        """
+        if await self.check(service):
+            return True
+        others = [name for name in self._list_services() if name != service]
+        return any([await self.check(name) for name in others])
+
     async def _check(self, service: str) -> bool:
         servers = list(self._list_servers(service))
         self._random_state.shuffle(servers)
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -434,9 +434,14 @@
         attempt: AttemptProgress,
         broken_at: float,
     ) -> None:
-        """Record a crash if a server that broke the connection is unreachable."""
+        """Record a crash if a server that broke the connection is unreachable.
+
+        It is no crash if this node reaches no server at all.
+        """
         await asyncio.sleep(CRASH_CHECK_DELAY)
-        if not await self._can_reach(server):
+        if await self._can_reach(server):
+            return
+        if await self._reach.reaches_any_server(exch.service.name):
             self._crash_guard.observe_crash(exch, server, attempt, broken_at)
 
     def _find_stop_reason(
