Hung requests of a partitioned node go on through another node

Callers of a partitioned node whose connections hang waited for up to 2.5 times the target of their route before another attempt began; long prompts not before their callers had left. Cause: an open connection to an unreachable server gives no error, and the node tried no other until the limit for silence had passed. Change: if an answer is far overdue the node checks whether it reaches a server at all; if none, silent attempts that may be repeated are abandoned at once. Connections with recent data are kept.

--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -155,6 +155,9 @@
         self.recorder = RequestRecorder(
             self.metrics, self._observe_usage, self.clock, self.write_record
         )
+        self.sender = Sender(
+            self.pool, self.loads, self.limits, self.cluster_state.observe_leaving
+        )
         self.request_handler = RequestHandler(
             Acceptor(
                 self.cluster_state,
@@ -164,12 +167,7 @@
                 self.ingress.config_bound_ms / 1000,
             ),
             self.request_queue,
-            Sender(
-                self.pool,
-                self.loads,
-                self.limits,
-                self.cluster_state.observe_leaving,
-            ),
+            self.sender,
             self.loads,
             self.recorder,
             crash_guard=self.crash_guard,
@@ -261,8 +259,17 @@
     def _list_services(self) -> set[str]:
         return {it.service for it in self.cluster_state.servers.values()}
 
+    def _list_overdue_services(self) -> set[str]:
+        servers = self.cluster_state.servers
+        return {
+            servers[server_id].service
+            for server_id in self.loads.list_overdue_servers()
+            if server_id in servers
+        }
+
     def _observe_reach_change(self, service: str) -> None:
-        del service
+        if self.reach.is_unreachable(service):
+            self.sender.abandon_silent(service)
         self.fleet.messenger.broadcast_status()
 
     async def _handle_forwarded(
@@ -348,6 +355,7 @@
             self.watcher.run_polls,
             self.request_queue.run,
             self.reach.run,
+            lambda: self.reach.run_checks(self._list_overdue_services),
             self.fleet.run_registration,
             self.fleet.messenger.run_intra_domain,
             self.fleet.messenger.run_cross_domain,
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -17,6 +17,9 @@
 # The first connections go to few servers, since most checks follow the loss of one.
 N_FIRST_CHECKED = 2
 MIN_CHECK_INTERVAL = 0.5  # seconds for which a reached service is not checked again
+SILENCE_CHECK_INTERVAL = 0.2  # seconds between looks at overdue answers
+# Answers of overloaded servers are overdue for long, and each check opens connections.
+MIN_SILENCE_CHECK_INTERVAL = 2.0  # seconds
 RECHECK_INTERVAL = 0.5  # seconds between attempts to reach an unreachable service
 
 
@@ -142,6 +145,26 @@
         for listener in self.listeners:
             listener(service)
 
+    async def run_checks(self, list_overdue: Callable[[], Collection[str]]) -> None:
+        """Check services whose servers are silent, until cancelled.
+
+        Open connections of a partitioned node may hang without an error.
+
+        Parameters
+        ----------
+        list_overdue : callable
+            Returns the services with answers that take far longer than predicted.
+        """
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_INTERVAL)
+            for service in list_overdue():
+                if len(self._list_servers(service)) < 2:
+                    # A single server may just be silent for a while.
+                    continue
+                reached_at = self._reached_at.get(service, float("-inf"))
+                if self._clock() - reached_at > MIN_SILENCE_CHECK_INTERVAL:
+                    await self.check(service)
+
     async def run(self) -> None:
         """Try to reach the servers of unreachable services again, until cancelled."""
         while True:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -35,6 +35,8 @@
 FIRST_EVENT_SILENCE_FACTOR = 2.5  # relative to the route's target
 MIN_PAUSE_SILENCE = 1.0  # seconds
 PAUSE_SILENCE_FACTOR = 2.0  # relative to the route's maximum pause
+# Open connections may live on while new ones fail; those with recent data are kept.
+MIN_ABANDONED_SILENCE = 0.4  # seconds
 MAX_MISMATCHED_ANSWERS = 3  # answers read per attempt, those to other requests included
 # A server in trouble can send bytes without end. The limit keeps the answers that a
 # small VM buffers at the same time within its memory.
@@ -168,6 +170,26 @@
         self._loads = loads
         self._limits = limits
         self._observe_leaving = observe_leaving
+        self._open: dict[int, tuple[Exchange, BackendConnection]] = {}
+
+    def abandon_silent(self, service: str) -> None:
+        """Abandon silent attempts at a service of which no server can be reached.
+
+        Requests that may not be repeated wait on.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        """
+        now = _now()
+        for exch, conn in list(self._open.values()):
+            if (
+                exch.service.name == service
+                and exch.rule.repeatable
+                and now - conn.active_at > MIN_ABANDONED_SILENCE
+            ):
+                conn.abandon("no server of the service can be reached")
 
     @asynccontextmanager
     async def open(
@@ -205,6 +227,7 @@
         """
         server = assignment.server
         conn = await self._connect(exch, assignment)
+        self._open[exch.exchange_id] = exch, conn
         released = False
         try:
             self._write(exch, conn, assignment, time_left)
@@ -223,6 +246,7 @@
                 released = True
             raise
         finally:
+            self._open.pop(exch.exchange_id, None)
             if not released:
                 conn.abort()
 
--- a/packages/medlargate/medlargate/relay/tests/test_partitioned_nodes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_partitioned_nodes.py
@@ -151,6 +151,38 @@
         versions = {it.version for it in self.world.backends.values() if it.runs}
         self.assertEqual(len(versions), 1)
 
+    async def hang(self, path):
+        """Send a request whose server is silent because the node is cut off."""
+
+        def hang_and_cut(req):
+            if req.headers.get("hung") and not self.hung:
+                self.hung = True
+                cut_off(self.world.nodes[0])
+                return "silent"
+            return "ok"
+
+        self.hung = False
+        for backend in self.world.backends.values():
+            backend.behaviour = hang_and_cut
+        return await self.world.call(path, Hung="1", Deadline_Ms="3000")
+
+    async def test_hung_request_goes_on_through_another_node(self):
+        reply = await self.hang("/read/x")
+        self.assertTrue(reply.complete)
+        self.assertLess(reply.elapsed, 1.8)
+
+    async def test_hung_stream_goes_on_through_another_node(self):
+        reply = await self.hang("/stream/x")
+        self.assertTrue(reply.complete)
+        self.assertLess(reply.elapsed, 1.8)
+
+    async def test_silent_server_of_a_reached_service_keeps_its_request(self):
+        for backend in self.world.backends.values():
+            backend.delay = 1.5
+        reply = await self.world.call("/once-stream/x", Deadline_Ms="3000")
+        self.assertTrue(reply.complete)
+        self.assertEqual(self.world.nodes[0].reach.list_unreachable(), [])
+
     async def test_partition_is_no_crash_of_a_server(self):
         node = self.world.nodes[0]
 
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -83,6 +83,9 @@
     ----------
     n_requests : int
         Number of requests sent on the connection so far.
+    active_at : float
+        Time of the last request or of the last data from the server, in seconds on the
+        event loop's clock.
     """
 
     def __init__(self) -> None:
@@ -97,6 +100,7 @@
         self._keep_alive = DEFAULT_KEEP_ALIVE
         self._idle_since = 0.0
         self.n_requests = 0
+        self.active_at = 0.0
 
     # Callbacks of asyncio.Protocol
 
@@ -107,6 +111,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the server and wake the reader."""
+        self.active_at = asyncio.get_running_loop().time()
         if self._request is None:
             # No request awaits an answer, so these bytes belong to none.
             self._failure = ExchangeFaultError("invalid", "unexpected bytes")
@@ -185,6 +190,7 @@
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         assert self._transport is not None
         self.n_requests += 1
+        self.active_at = asyncio.get_running_loop().time()
         self._transport.write(b"".join(parts))
 
     async def read_head(self) -> ResponseHead:
@@ -341,6 +347,18 @@
             sock = self._transport.get_extra_info("socket")
             sock.setsockopt(level, name, value)
 
+    def abandon(self, message: str) -> None:
+        """Close the connection and let the reader fail as if the server were silent.
+
+        Parameters
+        ----------
+        message : str
+            Reason, for the error.
+        """
+        if self._failure is None:
+            self._failure = ExchangeFaultError("silent", message)
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
         if self._transport is not None:
