One lost keep-alive probe does not end an idle connection

Callers' open connections, and those to servers, could be closed after one lost packet on a lossy link. Cause: the user timeout of 2 s, which is set for unacknowledged data, also decides when probes give up: after the first one (idle 2 s, interval 1 s) in place of the second. Change: the user timeout is the time of the idle phase and both probes, 4 s. Before: test_one_lost_probe_does_not_end_an_idle_connection failed (1 probe, 2 required). After: 3 tests pass.

--- a/packages/medlargate/medlargate/transport/_sockets.py
+++ b/packages/medlargate/medlargate/transport/_sockets.py
@@ -5,10 +5,12 @@
 import asyncio
 import socket
 
-USER_TIMEOUT_MS = 2000  # maximum time that sent bytes stay unacknowledged
 KEEPALIVE_IDLE = 2  # seconds without traffic before the first keep-alive probe
 KEEPALIVE_INTERVAL = 1  # seconds between probes
 N_KEEPALIVE_PROBES = 2
+# Maximum time that sent bytes stay unacknowledged. On Linux it also decides when
+# unanswered probes end a connection, in place of their number.
+USER_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE + KEEPALIVE_INTERVAL * N_KEEPALIVE_PROBES)
 
 
 def set_liveness_options(transport: asyncio.BaseTransport) -> None:
