Brittle servers get no more requests than they can reject

Callers lost their requests when servers that bear only a few rejections a second fell over. Cause: no node read Server-Brittle. Each node sent as long as it saw room, and every one of them learned from its own rejections only. Change: a brittle server gets no request beyond its slots, and from a node no more than its share once half of them are taken. A rejection is told to all nodes, which send nothing for a second or more and then one request at a time until one is accepted.

--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -173,6 +173,18 @@
     reply_to: str
 
 
+class RejectionNotice(BaseModel):
+    """Rejections by servers that fall over if they have to reject too many requests.
+
+    Attributes
+    ----------
+    rejecting : dict of str to float
+        Rejections a second that the servers bear, by server.
+    """
+
+    rejecting: dict[str, float]
+
+
 def encode_node(zone: str, address: str, incarnation: str) -> bytes:
     """Encode a node's entry in the store."""
     return orjson.dumps({"zone": zone, "address": address, "incarnation": incarnation})
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -23,6 +23,7 @@
     DomainStatus,
     LoadUpdate,
     PeerStatus,
+    RejectionNotice,
     StreamNotes,
     StreamQuery,
 )
@@ -266,6 +267,7 @@
         on_domain_status: Callable[[DomainStatus], None],
         on_stream_notes: Callable[[StreamNotes], None],
         on_stream_query: Callable[[StreamQuery], None],
+        on_rejection: Callable[[RejectionNotice], None],
     ) -> None:
         self._on_status = on_status
         # Each kind of message but a node's status is recognized by a field.
@@ -274,6 +276,7 @@
             "n_nodes": (DomainStatus, on_domain_status),
             "origins": (StreamNotes, on_stream_notes),
             "wanted": (StreamQuery, on_stream_query),
+            "rejecting": (RejectionNotice, on_rejection),
         }
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
@@ -317,6 +320,8 @@
         Called with the origins of streams that another node sends.
     on_stream_query : callable
         Called with each question for the origins of streams.
+    on_rejection : callable
+        Called with the rejections of servers that other nodes report.
     is_holder : callable
         Returns whether this node holds the duties, whose holder sends each status to
         all peers.
@@ -331,12 +336,14 @@
         on_domain_status: Callable[[DomainStatus], None],
         on_stream_notes: Callable[[StreamNotes], None],
         on_stream_query: Callable[[StreamQuery], None],
+        on_rejection: Callable[[RejectionNotice], None],
         is_holder: Callable[[], bool] = lambda: False,
     ) -> None:
         self._on_load_update = on_load_update
         self._on_domain_status = on_domain_status
         self._on_stream_notes = on_stream_notes
         self._on_stream_query = on_stream_query
+        self._on_rejection = on_rejection
         self._is_holder = is_holder
         self._table = table
         self._make_status = make_status
@@ -353,6 +360,7 @@
                 self._on_domain_status,
                 self._on_stream_notes,
                 self._on_stream_query,
+                self._on_rejection,
             ),
             local_addr=(host, port),
         )
@@ -385,9 +393,11 @@
         self._send(status, addresses)
 
     def send(
-        self, message: StreamNotes | StreamQuery, addresses: Iterable[str]
+        self,
+        message: StreamNotes | StreamQuery | RejectionNotice,
+        addresses: Iterable[str],
     ) -> None:
-        """Send origins of streams, or a question for them, to some nodes."""
+        """Send a message to some nodes."""
         self._send(message, list(addresses))
 
     def _send(self, message: BaseModel, addresses: list[str]) -> None:
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -22,6 +22,7 @@
     RESUMES,
     RETRY_AFTER,
     ROUTER_HEADERS,
+    SERVER_BRITTLE,
     SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
@@ -147,6 +148,9 @@
     max_request_rate : float or None
         Requests a second that the server accepts from all nodes together; None if it
         states no limit.
+    max_rejections : float or None
+        Requests that the server can reject in a second without falling over; None if
+        it states no such limit.
     """
 
     status: int
@@ -159,6 +163,7 @@
     leaving: bool = False
     retry_after: float | None = None
     max_request_rate: float | None = None
+    max_rejections: float | None = None
 
 
 def _parse_decimal(text: str) -> float | None:
@@ -352,6 +357,7 @@
         if status == BUSY_STATUS
         else None,
         max_request_rate=_parse_decimal(rows.get(SERVER_LIMIT.lower(), "")),
+        max_rejections=_parse_decimal(rows.get(SERVER_BRITTLE.lower(), "")),
     )
 
 
--- a/packages/medlargate/medlargate/platform/_names.py
+++ b/packages/medlargate/medlargate/platform/_names.py
@@ -22,6 +22,8 @@
 STORE_ERA = "Store-Era"  # rises by one when the store was restored from a copy
 SERVER_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+# Requests that a server can turn away in a second; with more it falls over.
+SERVER_BRITTLE = "Server-Brittle"
 SERVER_LIMIT = "Server-Limit"  # requests a second that all nodes together may send
 
 # Only the router sets these headers; values from callers are never forwarded.
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .._lazy import make_lazy_getattr
+from ._brittle import draw_rejection_pause, has_brittle_room
 from ._capacity import (
     CapacityOrder,
     ZoneEngines,
@@ -148,6 +149,8 @@
     "decide_share",
     "decide_suspect_placement",
     "decide_wait",
+    "draw_rejection_pause",
+    "has_brittle_room",
     "has_capacity",
     "is_prefill_sensitive",
     "make_fingerprint",
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -75,6 +75,8 @@
     risks_pauses : bool
         Whether the server may run prefill of long prompts that would delay the
         request's stream beyond its longest tolerated pause.
+    has_room : bool
+        False for a server that must not reject requests and may be full.
     """
 
     name: str
@@ -89,6 +91,7 @@
     failure_share: float = 0.0
     home_rank: int | None = None
     risks_pauses: bool = False
+    has_room: bool = True
 
     @property
     def n_prefill_tokens(self) -> int:
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -61,6 +61,8 @@
     bool
         False if the request should rather wait at the node.
     """
+    if not state.has_room:
+        return False
     if not is_engine:
         limit = state.n_slots * (1 + PLAIN_QUEUE_FRACTION)
         return state.n_running < limit
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -23,6 +23,7 @@
     PeerMessenger,
     PeerStatus,
     PeerTable,
+    RejectionNotice,
     StatusMessage,
     StreamNotes,
     StreamQuery,
@@ -141,6 +142,7 @@
             self._receive_domain_status,
             lambda notes: origins.merge(notes.origins),
             self._answer_stream_query,
+            self._receive_rejection,
             lambda: self.is_holder(),
         )
         self.incarnation = incarnation
@@ -406,6 +408,33 @@
             if peer.status is not None and not peer.status.stopping
         ]
 
+    # Brittle servers
+
+    def observe_rejection(self, server_id: str, max_rejections: float) -> None:
+        """Let all nodes pause after a server has rejected a request of this node.
+
+        Parameters
+        ----------
+        server_id : str
+            Server that rejected a request.
+        max_rejections : float
+            Rejections a second that the server bears.
+        """
+        notice = RejectionNotice(rejecting={server_id: max_rejections})
+        self._receive_rejection(notice)
+        peers = self.table.list_alive()
+        self.messenger.send(notice, [peer.address for peer in peers])
+
+    def _receive_rejection(self, notice: RejectionNotice) -> None:
+        for server_id, max_rejections in notice.rejecting.items():
+            if server_id in self._cluster_state.servers:
+                self._loads.observe_rejection(
+                    server_id,
+                    max_rejections,
+                    n_nodes=self.count_nodes(),
+                    random_state=self.table.random_state,
+                )
+
     # Origins of streams
 
     def _choose_keepers(self, request_id: str) -> list[KnownPeer]:
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import logging
+import random
 import time
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from ..platform import PromptPart, ServerLoad
-from ..policy import ServerState, ServiceTimes, rank_by_hash
+from ..policy import (
+    ServerState,
+    ServiceTimes,
+    draw_rejection_pause,
+    has_brittle_room,
+    rank_by_hash,
+)
 from ..routing import Registration, ServiceSpec
 from ._server_view import (
     INITIAL_SUSPENSION,
@@ -23,8 +31,11 @@
     ServiceTimesEstimator,
 )
 
+log = logging.getLogger(__name__)
+
 # Number of servers to which all nodes prefer to send prompts with the same prefix.
 N_PREFERRED_SERVERS = 2
+TRIAL_WAIT = 0.05  # seconds until a server on trial is looked at again
 # A first token or answer that takes longer than this is a reason to find out whether
 # the servers can still be reached.
 MIN_OVERDUE = 0.7  # seconds
@@ -46,6 +57,8 @@
         Estimated states by server id.
     estimators : dict of str to ServiceTimesEstimator
         Estimators of response times by service.
+    count_nodes : callable
+        Returns the number of nodes of the fleet; set when the node starts.
     """
 
     def __init__(self, domain: str) -> None:
@@ -54,6 +67,7 @@
         self._loaded_by_peer: dict[str, set[str]] = {}
         self.views: dict[str, ServerView] = {}
         self.estimators: dict[str, ServiceTimesEstimator] = {}
+        self.count_nodes: Callable[[], int] = lambda: 1
 
     def get_view(self, server_id: str) -> ServerView:
         """Return the view of a server, creating it if the server is new."""
@@ -138,10 +152,19 @@
                     slowness=view.slowness,
                     failure_share=view.failure_share(now),
                     home_rank=preferred_ranks.get(server.server_id),
+                    has_room=self._has_room(view, n_slots or server.n_slots, now),
                 )
             )
         return states
 
+    def _has_room(self, view: ServerView, n_slots: int, now: float) -> bool:
+        return view.max_rejections is None or has_brittle_room(
+            n_running=view.count_running(now),
+            n_own=len(view.running),
+            n_slots=n_slots,
+            n_nodes=self.count_nodes(),
+        )
+
     def _find_prefix_source(
         self, spec: ServiceSpec, parts: tuple[PromptPart, ...]
     ) -> tuple[str, int] | None:
@@ -228,6 +251,7 @@
         request.has_started = True
         now = time.monotonic()
         elapsed = now - request.sent_at
+        view.on_trial = False
         view.observe_prefill_done(request.parts, now)
         view.observe_prediction_error(elapsed - request.predicted, now)
         view.suspension = INITIAL_SUSPENSION
@@ -336,7 +360,56 @@
 
     def get_refusal_time(self, server_id: str) -> float:
         """Return for how long a server still wants no requests, in seconds."""
-        return max(0.0, self.get_view(server_id).refuses_until - time.monotonic())
+        view = self.get_view(server_id)
+        if view.on_trial and view.running:
+            return TRIAL_WAIT
+        return max(0.0, view.refuses_until - time.monotonic())
+
+    def observe_brittle(self, server_id: str, max_rejections: float | None) -> None:
+        """Store how many rejections a second a server bears, by its last answer.
+
+        Parameters
+        ----------
+        server_id : str
+            Server that answered.
+        max_rejections : float or None
+            Rejections a second; None if the server does not limit them.
+        """
+        view = self.get_view(server_id)
+        if view.max_rejections != max_rejections:
+            log.warning(
+                "rejections that a backend server bears changed",
+                extra={"server": server_id, "max_rejections": max_rejections},
+            )
+        view.max_rejections = max_rejections
+
+    def observe_rejection(
+        self,
+        server_id: str,
+        max_rejections: float,
+        *,
+        n_nodes: int,
+        random_state: random.Random,
+    ) -> None:
+        """Send nothing to a brittle server for a while after it rejected a request.
+
+        Parameters
+        ----------
+        server_id : str
+            Server that rejected a request of any node.
+        max_rejections : float
+            Rejections a second that the server bears.
+        n_nodes : int
+            Number of nodes of the fleet.
+        random_state : random.Random
+            Source of the variation between nodes.
+        """
+        pause = draw_rejection_pause(
+            max_rejections, n_nodes=n_nodes, random_state=random_state
+        )
+        self.observe_brittle(server_id, max_rejections)
+        self.observe_retry_after(server_id, pause)
+        self.get_view(server_id).on_trial = True
 
     def observe_report(self, server_id: str, load: ServerLoad) -> None:
         """Store the load that a server reported with an answer.
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -156,7 +156,11 @@
             self.metrics, self._observe_usage, self.clock, self.write_record
         )
         self.sender = Sender(
-            self.pool, self.loads, self.limits, self.cluster_state.observe_leaving
+            self.pool,
+            self.loads,
+            self.limits,
+            self.cluster_state.observe_leaving,
+            lambda server_id, limit: self.fleet.observe_rejection(server_id, limit),
         )
         self.request_handler = RequestHandler(
             Acceptor(
@@ -323,6 +327,7 @@
             config_bound=self.ingress.config_bound_ms / 1000,
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
+        self.loads.count_nodes = self._count_nodes
         self.fleet.get_limits = self._get_limits
         self.fleet.handle_forwarded = self._handle_forwarded
         self.fleet.is_stopping = lambda: self.stopping
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -159,6 +159,9 @@
         Limits of the servers, updated with those stated in answers.
     observe_leaving : callable
         Called with the id of a server that announces that it leaves.
+    observe_rejection : callable
+        Called with the id of a brittle server that has rejected a request, and the
+        number of rejections a second that it bears.
     """
 
     def __init__(
@@ -167,11 +170,13 @@
         loads: LoadTracker,
         limits: ServerLimits,
         observe_leaving: Callable[[str], None],
+        observe_rejection: Callable[[str, float], None],
     ) -> None:
         self._pool = pool
         self._loads = loads
         self._limits = limits
         self._observe_leaving = observe_leaving
+        self._observe_rejection = observe_rejection
         self._open: dict[int, tuple[Exchange, BackendConnection]] = {}
 
     def abandon_silent(self, service: str) -> None:
@@ -260,6 +265,9 @@
             return
         if facts.load is not None:
             self._loads.observe_report(server_id, facts.load)
+        self._loads.observe_brittle(server_id, facts.max_rejections)
+        if facts.not_run and facts.max_rejections is not None:
+            self._observe_rejection(server_id, facts.max_rejections)
         if facts.leaving:
             self._observe_leaving(server_id)
         if facts.retry_after is not None:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -147,6 +147,11 @@
         Duration of the next suspension, in seconds.
     refuses_until : float
         Monotonic time until which the server has asked for no requests, in seconds.
+    max_rejections : float or None
+        Rejections a second that the server bears; None if it is not brittle.
+    on_trial : bool
+        Whether a brittle server has rejected a request and accepted none since. It
+        gets one request of this node at a time.
     """
 
     running: dict[int, RunningRequest] = field(default_factory=dict)
@@ -163,6 +168,8 @@
     suspended_until: float = float("-inf")
     suspension: float = INITIAL_SUSPENSION
     refuses_until: float = float("-inf")
+    max_rejections: float | None = None
+    on_trial: bool = False
 
     def count_running(self, now: float) -> int:
         """Return the estimated number of requests of all nodes on the server."""
