--- a/packages/medlargate-standins/medlargate_standins/soak/_callers.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_callers.py
@@ -33,6 +33,8 @@
         Whether the soak ended during the call.
     crashes : bool
         Whether the request has the prompt part on which engines crash.
+    n_held : int
+        Events that the caller had from an earlier request for the same stream.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     reply: Reply
     is_interrupted: bool = False
     crashes: bool = False
+    n_held: int = 0
 
 
 class Caller:
@@ -114,6 +117,41 @@
             self.calls.append(call)
         if not reply.complete or reply.headers.get("connection") == "close":
             self._close_connection()
+        n_events = reply.body.count(b"\n\n")
+        if kind == "resume-stream" and n_events and not reply.complete:
+            await self._take_up(request_id, n_events, key)
+
+    async def _take_up(self, stream_id: str, n_events: int, key: str) -> None:
+        """Take a broken stream up at any node."""
+        node = self._random.choice(self._fleet.nodes)
+        request_id = f"{node.name}c-{stream_id}"
+        sent_at, reply = time.monotonic(), Reply()
+        headers = {"Last-Event-Id": str(n_events), "Resumes": stream_id, "Key": key}
+        request = make_request("POST", "/resume-stream/x", request_id, **headers)
+        is_interrupted = True
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                reader, writer = await asyncio.open_connection(HOST, node.port)
+                try:
+                    writer.write(request)
+                    reply = await read_reply(reader)
+                finally:
+                    writer.close()
+            is_interrupted = False
+        except (OSError, TimeoutError):
+            is_interrupted = False
+        finally:
+            call = Call(
+                request_id,
+                "resume-stream",
+                node.name,
+                sent_at,
+                time.monotonic(),
+                reply,
+                is_interrupted,
+                n_held=n_events,
+            )
+            self.calls.append(call)
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         if self._connection is None:
--- a/packages/medlargate/medlargate/relay/tests/test_stream_versions.py
+++ b/packages/medlargate/medlargate/relay/tests/test_stream_versions.py
@@ -148,5 +148,30 @@
         await self.assert_resumed(request_ids, node=1, n_served=0)
 
 
+class TakenUpShareTest(VersionsCase):
+    """Two of four nodes stop while two servers of the streams' version serve."""
+
+    n_nodes = 4
+
+    async def test_streams_taken_up_go_on_half_as_often_as_new_ones_begin(self):
+        await self.add_engines("v2", "e3", "e4", "e5", "e6")
+        self.break_streams(self.engines)
+        begun = [await self.begin_and_break(node=number % 2) for number in range(16)]
+        for node in self.world.nodes[:2]:
+            await node.close()
+        replies = await asyncio.gather(
+            *(self.resume(it, node=2 + number % 2) for number, it in enumerate(begun))
+        )
+        for engine in self.engines:
+            engine.behaviour = lambda _: "ok"
+        new = await asyncio.gather(
+            *(self.world.call("/stream/x", node=2 + number % 2) for number in range(16))
+        )
+        n_resumed = sum(reply.complete and reply.status == 200 for reply, _ in replies)
+        n_new = sum(reply.complete and reply.status == 200 for reply in new)
+        self.assertEqual(n_new, 16)
+        self.assertGreaterEqual(n_resumed, n_new / 2)
+
+
 if __name__ == "__main__":
     unittest.main()
