--- a/packages/medlargate/medlargate/telemetry/_explain_logs.py
+++ b/packages/medlargate/medlargate/telemetry/_explain_logs.py
@@ -19,6 +19,8 @@
     "no_service": "the route names a service that is not configured",
     "crashes_servers": "such requests crashed several servers and are not run",
     "failed:crashes_servers": "such requests crashed several servers; not repeated",
+    "unknown_origin": "no node knew which software version began the stream",
+    "cut_off": "neither this node nor the others it tried reached a backend server",
     "no_server": "no backend server of the service was known",
     "too_late": "no engine could produce the first token before the deadline",
     "timeout_not_run": "the request timed out while it was queued on the node",
