--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -118,13 +118,25 @@
         self._random_state.shuffle(servers)
         groups = servers[:N_FIRST_CHECKED], servers[N_FIRST_CHECKED:MAX_CHECKED_SERVERS]
         for group in groups:
-            if group and any(await asyncio.gather(*map(self._can_reach, group))):
+            if group and await self._reaches_one(group):
                 self._reached_at[service] = self._clock()
                 return True
         if servers:
             self._observe_unreachable(service, len(servers))
         return False
 
+    async def _reaches_one(self, servers: Sequence[Registration]) -> bool:
+        """Return whether one of the servers accepts a connection, once it does."""
+        tasks = [asyncio.create_task(self._can_reach(it)) for it in servers]
+        try:
+            for result in asyncio.as_completed(tasks):
+                if await result:
+                    return True
+        finally:
+            for task in tasks:
+                task.cancel()
+        return False
+
     def _observe_unreachable(self, service: str, n_servers: int) -> None:
         self._unreachable[service] = self._clock()
         log.warning(
