Forwarded requests carry no headers of the caller's connection

Servers got headers that the caller's Connection header named, if the request had passed another node. The key and Resumes are kept even if Connection names them, since the other node reads them. Before: test_servers_get_the_request_as_the_caller_sent_it failed with X-Hop added (the header reached the server). After: passes.

--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -265,20 +265,9 @@
         Headers for the backend server, without the caller's hop-by-hop headers and
         without the caller's values of headers that only the router sets.
     """
-    rows = list(headers)
-    connection_options: set[bytes] = set()
-    for name, value in rows:
-        if name == b"connection":
-            connection_options |= {item.strip().lower() for item in value.split(b",")}
-    dropped = (
-        HOP_BY_HOP_HEADERS
-        | _ROUTER_HEADER_NAMES
-        | (connection_options - _PROTECTED_HEADER_NAMES)
+    forwarded = _copy_request_headers(
+        headers, _ROUTER_HEADER_NAMES, time_left=time_left, last_event_id=last_event_id
     )
-    if last_event_id is not None:
-        dropped |= {LAST_EVENT_ID.lower().encode()}
-    forwarded = [(name, value) for name, value in rows if name not in dropped]
-    forwarded.append((DEADLINE.encode(), b"%d" % max(1, int(time_left * 1000))))
     forwarded.append((EXPECT_INSTANCE.encode(), server_id.encode()))
     if customer is not None:
         forwarded.append((CUSTOMER.encode(), customer.encode()))
@@ -286,8 +275,6 @@
         forwarded.append((REQUEST_PRIORITY.encode(), b"%d" % min(9, max(0, priority))))
     if fetch_from is not None:
         forwarded.append((FETCH_FROM.encode(), fetch_from.encode()))
-    if last_event_id is not None:
-        forwarded.append((LAST_EVENT_ID.encode(), b"%d" % last_event_id))
     return forwarded
 
 
@@ -312,14 +299,33 @@
         Headers as the caller sent them, the key included, without those that concern
         only its connection.
     """
-    dropped = HOP_BY_HOP_HEADERS | {DEADLINE.lower().encode()}
+    return _copy_request_headers(
+        headers, frozenset(), time_left=time_left, last_event_id=last_event_id
+    )
+
+
+def _copy_request_headers(
+    headers: Headers,
+    dropped: frozenset[bytes],
+    *,
+    time_left: float,
+    last_event_id: int | None,
+) -> list[tuple[bytes, bytes]]:
+    """Copy a caller's headers without ``dropped`` and those of its connection only."""
+    rows = list(headers)
+    connection_options: set[bytes] = set()
+    for name, value in rows:
+        if name == b"connection":
+            connection_options |= {item.strip().lower() for item in value.split(b",")}
+    dropped |= HOP_BY_HOP_HEADERS | {DEADLINE.lower().encode()}
+    dropped |= connection_options - _PROTECTED_HEADER_NAMES
     if last_event_id is not None:
         dropped |= {LAST_EVENT_ID.lower().encode()}
-    forwarded = [(name, value) for name, value in headers if name not in dropped]
-    forwarded.append((DEADLINE.encode(), b"%d" % max(1, int(time_left * 1000))))
+    copied = [(name, value) for name, value in rows if name not in dropped]
+    copied.append((DEADLINE.encode(), b"%d" % max(1, int(time_left * 1000))))
     if last_event_id is not None:
-        forwarded.append((LAST_EVENT_ID.encode(), b"%d" % last_event_id))
-    return forwarded
+        copied.append((LAST_EVENT_ID.encode(), b"%d" % last_event_id))
+    return copied
 
 
 def decode_response(status: int, headers: Headers) -> ResponseInfo:
--- a/packages/medlargate/medlargate/platform/_names.py
+++ b/packages/medlargate/medlargate/platform/_names.py
@@ -49,7 +49,16 @@
 # These headers are forwarded even if the caller's Connection header names them.
 PROTECTED_HEADERS = frozenset(
     name.lower()
-    for name in (REQUEST_ID, "Model", TOKEN_COUNTS, PROMPT_PARTS, LAST_EVENT_ID, "Host")
+    for name in (
+        REQUEST_ID,
+        "Model",
+        TOKEN_COUNTS,
+        PROMPT_PARTS,
+        LAST_EVENT_ID,
+        RESUMES,
+        CUSTOMER_KEY,  # read by another node that serves the request
+        "Host",
+    )
 )
 
 CONFIG_KEY = "op/config"
--- a/packages/medlargate/medlargate/relay/tests/test_partitioned_nodes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_partitioned_nodes.py
@@ -81,7 +81,13 @@
 class ForwardedRequestsTest(PartitionCase):
     async def test_servers_get_the_request_as_the_caller_sent_it(self):
         cut_off(self.world.nodes[0])
-        reply = await self.world.call("/book/x?q=1", body=b"hello", X_Other="kept")
+        reply = await self.world.call(
+            "/book/x?q=1",
+            body=b"hello",
+            X_Other="kept",
+            Connection="x-hop, key",
+            X_Hop="dropped",
+        )
         self.assertEqual(reply.status, 200)
         names = {name for name in reply.headers if name.startswith("medlargate")}
         self.assertEqual(names, set())
@@ -92,6 +98,7 @@
         self.assertEqual((req.body, req.headers["x-other"]), (b"hello", "kept"))
         self.assertEqual(req.headers["tenant"], "alpha")
         self.assertLessEqual(int(req.headers["deadline-ms"]), 2000)
+        self.assertNotIn("x-hop", req.headers)
         names = {name for name in req.headers if name == "key" or "medlargate" in name}
         self.assertEqual(names, set())
 
