Origins in one table, one way to send a message, shared constants of exchanges

Cause: the ids of the streams that began at a node stood in a second table with its own expiry; send and send_to_domains were the same; the states before a write, the statuses of success and the interval of rechecks were written twice. Change: a flag in the table of origins, one method, one place each.

--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -12,7 +12,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -388,17 +388,13 @@
         domain_peers = self._table.list_alive(zone=self._table.zone)
         self._send(message, [peer.address for peer in domain_peers])
 
-    def send_to_domains(self, status: DomainStatus, addresses: list[str]) -> None:
-        """Send this failure domain's status to other domains."""
-        self._send(status, addresses)
-
     def send(
         self,
-        message: StreamNotes | StreamQuery | RejectionNotice,
-        addresses: Iterable[str],
+        message: DomainStatus | StreamNotes | StreamQuery | RejectionNotice,
+        addresses: list[str],
     ) -> None:
-        """Send a message to some nodes."""
-        self._send(message, list(addresses))
+        """Send a message to some nodes, of any failure domain."""
+        self._send(message, addresses)
 
     def _send(self, message: BaseModel, addresses: list[str]) -> None:
         if self._transport is None or not addresses:
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -18,6 +18,8 @@
 
 RecordWriter = Callable[..., None]
 
+SUCCESS_STATUSES = range(200, 300)
+
 _numbers = itertools.count(1)
 
 
@@ -186,6 +188,14 @@
         """Target time of the answer or first event on the node's clock, in seconds."""
         return self.arrived_at + self.rule.target
 
+    def observe_write(self) -> None:
+        """Record that the request is about to be written to a server or a node."""
+        if self.states.state == "received":
+            self.states.observe("enqueue")
+        if self.states.state == "queued":
+            self.states.observe("assign")
+        self.states.observe("write")
+
     def observe_event(self, now: float) -> None:
         """Count a stream event that was passed on to the caller.
 
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -325,7 +325,7 @@
     def _send_domain_status(self) -> None:
         if self.domains.is_domain_representative():
             targets = self.domains.decide_targets()
-            self.messenger.send_to_domains(self._make_domain_status(), targets)
+            self.messenger.send(self._make_domain_status(), targets)
 
     def broadcast_state(self) -> None:
         """Send a status message to all peers of the failure domain.
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -33,8 +33,8 @@
     IncomingRequest,
 )
 from ._event_relay import relay_events
-from ._exchange import Exchange, Outcome
-from ._reach import ReachMonitor
+from ._exchange import SUCCESS_STATUSES, Exchange, Outcome
+from ._reach import RECHECK_INTERVAL, ReachMonitor
 from ._sender import (
     AttemptError,
     OpenAnswer,
@@ -57,7 +57,6 @@
 # The other node gives up a silent server after the usual time, and this node a silent
 # node only later.
 PEER_SILENCE_MARGIN = 0.5  # seconds
-SUCCESS_STATUSES = range(200, 300)
 # Reasons for which another node would refuse the request as well.
 FINAL_REFUSALS = frozenset({"too_late", "crashes_servers", "timeout_not_run"})
 
@@ -209,7 +208,7 @@
             "cut_off",
             f"no server of service {exch.service.name} can be reached",
             exch.verdict,
-            retry_after=self._reach.recheck_interval if is_not_run else None,
+            retry_after=RECHECK_INTERVAL if is_not_run else None,
         )
 
     async def forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
@@ -252,11 +251,7 @@
                 conn.abort()
 
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
-        if exch.states.state == "received":
-            exch.states.observe("enqueue")
-        if exch.states.state == "queued":
-            exch.states.observe("assign")
-        exch.states.observe("write")
+        exch.observe_write()
         host, _, port = peer.address.rpartition(":")
         headers = make_forwarded_headers(
             _strip_headers(exch.req.headers),
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -63,7 +63,6 @@
         self._reached_at: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._has_unreachable = asyncio.Event()
-        self.recheck_interval = RECHECK_INTERVAL
         self.listeners: list[Callable[[str], None]] = []
 
     def is_unreachable(self, service: str) -> bool:
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -16,7 +16,7 @@
 from ._accept import Acceptor
 from ._crash_guard import MAX_BLAMED_EVENTS, CrashGuard
 from ._event_relay import relay_events
-from ._exchange import AttemptProgress, Exchange, Outcome
+from ._exchange import SUCCESS_STATUSES, AttemptProgress, Exchange, Outcome
 from ._forwarding import (
     ForwardedRequest,
     Forwarder,
@@ -49,7 +49,6 @@
 # server has crashed, and succeeds if only the answer was lost.
 CRASH_CHECK_DELAY = 0.1  # seconds
 CONNECTION_LOSSES = ("reset", "closed")
-SUCCESS_STATUSES = range(200, 300)
 # By the API's contract these statuses tell the caller that the request did not run. A
 # server states that with a header instead, so its own answers with these statuses are
 # not relayed.
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -281,9 +281,7 @@
         self, exch: Exchange, assignment: ServerAssignment
     ) -> BackendConnection:
         server = assignment.server
-        if exch.states.state == "queued":
-            exch.states.observe("assign")
-        exch.states.observe("write")
+        exch.observe_write()
         fresh = exch.rule.request_type is RequestType.ONCE or (
             exch.rule.streams and not exch.rule.resumable
         )
--- a/packages/medlargate/medlargate/relay/_stream_origins.py
+++ b/packages/medlargate/medlargate/relay/_stream_origins.py
@@ -6,6 +6,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from ..fleet import ClusterState
@@ -25,6 +26,15 @@
 OriginRows = Mapping[str, tuple[str, str]]
 
 
+@dataclass(frozen=True, slots=True)
+class _KnownOrigin:
+    """Origin of a stream with the time at which this node learned it."""
+
+    origin: StreamOrigin
+    learned_at: float
+    began_here: bool
+
+
 class OriginPeers(Protocol):
     """Peers that keep copies of origins."""
 
@@ -69,8 +79,7 @@
         self._clock = clock
         self._started_at = clock()
         self.history = VersionHistory()
-        self._origins: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
-        self._own: dict[str, float] = {}
+        self._origins: OrderedDict[str, _KnownOrigin] = OrderedDict()
         self._searches: dict[str, asyncio.Event] = {}
         self._mixed: set[str] = set()
         self._has_read_store = False
@@ -113,10 +122,9 @@
             )
             self.peers.send_origins(
                 {
-                    request_id: self._origins[request_id][0]
-                    for request_id in self._own
-                    if request_id in self._origins
-                    and self._origins[request_id][0].service == service
+                    request_id: known.origin
+                    for request_id, known in self._origins.items()
+                    if known.began_here and known.origin.service == service
                 }
             )
         self._mixed = mixed
@@ -134,14 +142,7 @@
             Where its first event comes from.
         """
         request_id = exch.facts.resumed_id or exch.facts.request_id
-        self._store(request_id, origin)
-        now = self._clock()
-        self._own[request_id] = now
-        while self._own:
-            oldest = next(iter(self._own))
-            if now - self._own[oldest] < ORIGIN_LIFETIME and oldest in self._origins:
-                break
-            del self._own[oldest]
+        self._store(request_id, origin, began_here=True)
         if origin.service in self._mixed:
             self.peers.send_origins({request_id: origin})
 
@@ -158,26 +159,27 @@
 
     def get(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream if this node knows it."""
-        row = self._origins.get(request_id)
-        return row[0] if row is not None else None
+        known = self._origins.get(request_id)
+        return known.origin if known is not None else None
 
     def list_since(self, since: float) -> dict[str, StreamOrigin]:
         """Return the origins learned after a time on the node's clock."""
         rows = {}
-        for request_id, (origin, learned_at) in reversed(self._origins.items()):
-            if learned_at <= since:
+        for request_id, known in reversed(self._origins.items()):
+            if known.learned_at <= since:
                 break
-            if origin.service in self._mixed:
-                rows[request_id] = origin
+            if known.origin.service in self._mixed:
+                rows[request_id] = known.origin
         return rows
 
-    def _store(self, request_id: str, origin: StreamOrigin) -> None:
+    def _store(
+        self, request_id: str, origin: StreamOrigin, *, began_here: bool = False
+    ) -> None:
         now = self._clock()
-        if request_id not in self._origins:
-            self._origins[request_id] = (origin, now)
+        self._origins.setdefault(request_id, _KnownOrigin(origin, now, began_here))
         while self._origins:
-            oldest, (_, learned_at) = next(iter(self._origins.items()))
-            is_expired = now - learned_at > ORIGIN_LIFETIME
+            oldest, known = next(iter(self._origins.items()))
+            is_expired = now - known.learned_at > ORIGIN_LIFETIME
             if not is_expired and len(self._origins) <= MAX_ORIGINS:
                 break
             del self._origins[oldest]
@@ -243,9 +245,5 @@
                 return self.get(request_id)
         finally:
             self._searches.pop(request_id, None)
-        await self.observe_stored()
-        return self.get(request_id)
-
-    async def observe_stored(self) -> None:
-        """Read the origins and versions in the store."""
         self._has_read_store |= await self.read_stored()
+        return self.get(request_id)
