One loop decodes the store's entries of blocks and of origins

Cause: the loop of the origins repeated that of the blocks, with its log line for an entry that can't be decoded.

--- a/packages/medlargate/medlargate/relay/_block_store.py
+++ b/packages/medlargate/medlargate/relay/_block_store.py
@@ -13,12 +13,13 @@
 
 import orjson
 import xxhash
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel
 from returns.result import Failure
 
 from ..platform import Delete, Entry, Put, Store
 from ..policy import BLOCK_TIME
 from ._crash_guard import CrashGuard
+from ._stored_models import iter_stored_models
 
 log = logging.getLogger(__name__)
 
@@ -132,19 +133,13 @@
         requests: dict[str, list[str]] = {}
         parts: dict[str, dict[str, float]] = {}
         expired = []
-        for entry in entries:
-            try:
-                block = StoredBlock.model_validate(orjson.loads(entry.value))
-            except (orjson.JSONDecodeError, ValidationError) as exc:
-                log.warning(
-                    "stored block not decodable",
-                    extra={"key": entry.key, "fault": str(exc)[:200]},
-                )
-                continue
+        for key, block in iter_stored_models(
+            entries, StoredBlock, log, "stored block not decodable"
+        ):
             if wall_now - max(block.crashed_at.values(), default=0.0) > BLOCK_TIME:
-                expired.append(Delete(entry.key))
+                expired.append(Delete(key))
                 continue
-            self._saved[entry.key] = block.part
+            self._saved[key] = block.part
             if block.request:
                 requests[block.request] = list(block.crashed_at)
             else:
--- a/packages/medlargate/medlargate/relay/_origin_store.py
+++ b/packages/medlargate/medlargate/relay/_origin_store.py
@@ -13,11 +13,12 @@
 from dataclasses import dataclass, field
 
 import orjson
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel
 from returns.result import Failure
 
 from ..platform import Delete, Entry, Put, Store
 from ..policy import VERSION_LIFETIME
+from ._stored_models import iter_stored_models
 from ._stream_origins import StreamOrigins
 
 log = logging.getLogger(__name__)
@@ -140,18 +141,12 @@
     async def _merge(self, entries: tuple[Entry, ...]) -> None:
         wall_now = self.wall_clock()
         expired = []
-        for entry in entries:
-            try:
-                batch = OriginBatch.model_validate(orjson.loads(entry.value))
-            except (orjson.JSONDecodeError, ValidationError) as exc:
-                log.warning(
-                    "stored origins not decodable",
-                    extra={"key": entry.key, "fault": str(exc)[:200]},
-                )
-                continue
+        for key, batch in iter_stored_models(
+            entries, OriginBatch, log, "stored origins not decodable"
+        ):
             age = max(0.0, wall_now - batch.written_at)
             if age > 2 * VERSION_LIFETIME:
-                expired.append(Delete(entry.key))
+                expired.append(Delete(key))
                 continue
             versions = {
                 service: {version: seconds + age for version, seconds in row.items()}
