--- a/packages/medlargate/medlargate/relay/tests/test_reach.py
+++ b/packages/medlargate/medlargate/relay/tests/test_reach.py
@@ -39,6 +39,25 @@
         self.assertEqual(len(self.tried), 8)
         self.assertEqual(monitor.list_unreachable(), ["engine"])
 
+    async def test_second_partition_is_found_like_the_first(self):
+        reached, changes = set(), []
+        monitor = self.make_monitor(reached, delay=0.01)
+        monitor.listeners.append(lambda _: changes.append(monitor.list_unreachable()))
+        task = asyncio.create_task(monitor.run())
+        try:
+            for _ in range(2):
+                self.assertFalse(await monitor.check("engine"))
+                reached.update(f"s{number}" for number in range(12))
+                async with asyncio.timeout(2):
+                    while monitor.is_unreachable("engine"):
+                        await asyncio.sleep(0.02)
+                reached.clear()
+                # A service that has just been reached is not checked at once.
+                await asyncio.sleep(0.6)
+        finally:
+            task.cancel()
+        self.assertEqual(changes, [["engine"], [], ["engine"], []])
+
     async def test_reached_service_is_not_checked_again_at_once(self):
         monitor = self.make_monitor({f"s{number}" for number in range(12)})
         self.assertTrue(await monitor.check("engine"))
