Decode machine speed, expected output and cold servers; settings of the new parts

Change: the first three values hold whatever the fourth is; ServerLoad.slowness holds it. Token-Usage's maximum, Length-Hint, Instance-Id, Cold-Ms, ColdLeftMs, ColdStartS, ColdPerS and HealthPath are decoded, and the settings load.*, spill.*, evacuate_bound_ms, cold_overrun and cold_start_slack are checked; nothing uses them yet. Test: test_load_with_a_machine_speed_is_decoded, red before (None instead of a load).

--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -147,6 +147,22 @@
         le=60_000,
         description="maximum milliseconds until a leaving server gets no more requests",
     )
+    evacuate_bound_ms: int | None = Field(
+        None,
+        ge=0,
+        le=60_000,
+        description="maximum milliseconds until an evacuated failure domain gets no "
+        "more requests; none or 0: evacuations are not read",
+    )
+    cold_overrun: float | None = Field(
+        None,
+        ge=1,
+        le=10,
+        description="factor by which a cold server's rate may be exceeded",
+    )
+    cold_start_slack: float | None = Field(
+        None, ge=0, description="requests above a cold server's rate in one second"
+    )
     retry_ratio: float = Field(0.2, ge=0, le=10, description="retries per request")
     retry_slack: float = Field(
         50.0, ge=0, description="retries allowed in addition to the ratio"
@@ -181,6 +197,38 @@
     return host, int(port)
 
 
+class LoadSection(_Section):
+    """Decisions under load of a relay node."""
+
+    max_memory_share: float = Field(
+        0.95,
+        ge=0,
+        le=1,
+        description="share of an engine's KV memory that requests may fill; 0: no "
+        "bound but the slots",
+    )
+    customer_shares: bool = Field(
+        True, description="whether waiting requests are ordered by customers' shares"
+    )
+
+
+class SpillSection(_Section):
+    """Spillover of a relay node's requests to other failure domains."""
+
+    mode: str = Field(
+        "shared_machines",
+        pattern="^(off|shared_machines|on)$",
+        description="services that it applies to; shared_machines: those whose servers "
+        "report the speed of their machine",
+    )
+    max_share: float = Field(
+        0.5, ge=0, le=1, description="share of a domain's work that may leave it"
+    )
+    min_gain: float = Field(
+        0.05, ge=0, le=60, description="seconds that a request must gain by leaving"
+    )
+
+
 class LogSection(_Section):
     """Log level."""
 
@@ -197,6 +245,8 @@
     fleet: FleetSection = FleetSection()
     log: LogSection = LogSection()
     ingress: IngressSection | None = None
+    load: LoadSection = LoadSection()
+    spill: SpillSection = SpillSection()
 
 
 @dataclass(frozen=True)
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -20,7 +20,7 @@
     make_refusal_headers,
     make_response_headers,
 )
-from ._names import CONFIG_KEY, SERVERS_PREFIX
+from ._names import CONFIG_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX
 from ._orders import FencingCredentials, OrdersClient
 from ._store import (
     Change,
@@ -61,6 +61,7 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "EVACUATIONS_PREFIX",
     "SERVERS_PREFIX",
     "CallClient",
     "Change",
--- a/packages/medlargate/medlargate/platform/_decoding.py
+++ b/packages/medlargate/medlargate/platform/_decoding.py
@@ -78,8 +78,11 @@
 class _Service(_WireModel):
     Name: str
     MaxConns: int = Field(64, ge=1)
+    ColdStartS: float = Field(0.0, ge=0)
+    ColdPerS: float = Field(0.0, ge=0)
     Backend: _Engine | None = None
     Scaling: _Scaling | None = None
+    HealthPath: str = "/healthz"
 
 
 class _Limits(_WireModel):
@@ -112,6 +115,7 @@
     State: str = Field(pattern="^(ready|draining)$")
     Spot: bool = False
     leaves_ms: float | None = None
+    ColdLeftMs: float = Field(0.0, ge=0)
     born: int = 0
 
 
@@ -202,7 +206,15 @@
             spot_price=svc.Scaling.SpotPrice,
             zone_prices=dict(svc.Scaling.ZonePrices),
         )
-    return ServiceSpec(svc.Name, svc.MaxConns, engine, scaling)
+    return ServiceSpec(
+        name=svc.Name,
+        max_conns=svc.MaxConns,
+        engine=engine,
+        scaling=scaling,
+        health_path=svc.HealthPath,
+        cold_start_time=svc.ColdStartS,
+        cold_rate=svc.ColdPerS,
+    )
 
 
 def _compute_transfer_time(engine: _Engine) -> float:
@@ -247,6 +259,7 @@
             draining=server.State == "draining",
             leaves_in=leaves_ms / 1000 if leaves_ms is not None else None,
             spot=server.Spot,
+            cold_for=server.ColdLeftMs / 1000,
             revision=revision,
             born=server.born,
             software_version=server.Version,
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -7,12 +7,15 @@
 from dataclasses import dataclass
 
 from ._names import (
+    COLD_TIME,
     CUSTOMER,
     CUSTOMER_KEY,
     DEADLINE,
     EXPECT_INSTANCE,
     FETCH_FROM,
+    INSTANCE_ID,
     LAST_EVENT_ID,
+    LENGTH_HINT,
     NOT_EXECUTED,
     PROMPT_PARTS,
     PROTECTED_HEADERS,
@@ -44,6 +47,8 @@
         b"upgrade",
     }
 )
+# Work that takes longer than a hundred times as usual is taken for an invalid report.
+MAX_REPORTED_SLOWNESS = 100.0
 MISDIRECTED_STATUS = 421
 BUSY_STATUS = 503
 _ROUTER_HEADER_NAMES = frozenset(name.encode() for name in ROUTER_HEADERS)
@@ -82,6 +87,10 @@
         Seconds until the caller's deadline; None if missing.
     n_prompt_tokens : int
         Declared length of the prompt in tokens; 0 if missing.
+    max_output_tokens : int or None
+        Declared maximum length of the answer in tokens; None if missing.
+    output_hint : int or None
+        Caller's estimate of the length of the answer in tokens; None if missing.
     parts : tuple of PromptPart
         Parts of the prompt in order. The last part is specific to the request.
     last_event_id : int or None
@@ -95,6 +104,8 @@
     key: str
     time_left: float | None
     n_prompt_tokens: int = 0
+    max_output_tokens: int | None = None
+    output_hint: int | None = None
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
     resumed_id: str = ""
@@ -112,11 +123,18 @@
         Number of requests in the server's queue.
     n_slots : int
         Number of requests that the server runs concurrently.
+    slowness : float or None
+        Time that work takes on the server's machine at this moment, relative to the
+        usual time; None if not reported.
+    has_invalid_slowness : bool
+        Whether the server reported a slowness that is not a plausible number.
     """
 
     n_running: int
     n_waiting: int
     n_slots: int
+    slowness: float | None = None
+    has_invalid_slowness: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +169,10 @@
     max_rejections : float or None
         Requests that the server can reject in a second without falling over; None if
         it states no such limit.
+    server_id : str
+        Identity of the server that answered; empty if missing.
+    cold_time : float or None
+        Seconds for which the server stays cold; None if not reported.
     """
 
     status: int
@@ -164,6 +186,8 @@
     retry_after: float | None = None
     max_request_rate: float | None = None
     max_rejections: float | None = None
+    server_id: str = ""
+    cold_time: float | None = None
 
 
 def _parse_decimal(text: str) -> float | None:
@@ -198,6 +222,24 @@
     return tuple(parts)
 
 
+def _parse_server_load(text: str) -> ServerLoad | None:
+    """Return a server's load; None unless its first three numbers are valid."""
+    n_running, n_waiting, n_slots, percent = (*text.split(",", 3), *[None] * 4)[:4]
+    counts = [_parse_int(item) for item in (n_running, n_waiting, n_slots)]
+    if None in counts:
+        return None
+    slowness = None
+    if percent is not None:
+        slowness = (_parse_decimal(percent) or 0.0) / 100
+        if not 0 < slowness <= MAX_REPORTED_SLOWNESS:
+            slowness = None
+    return ServerLoad(
+        *counts,  # type: ignore[arg-type]
+        slowness=slowness,
+        has_invalid_slowness=percent is not None and slowness is None,
+    )
+
+
 def decode_request(headers: Headers) -> RequestInfo:
     """Decode the headers of a caller's request.
 
@@ -217,12 +259,14 @@
         return rows.get(name.lower(), "")
 
     deadline = _parse_int(get(DEADLINE).partition(".")[0])
-    prompt = get(TOKEN_COUNTS).partition(",")[0]
+    prompt, _, output = get(TOKEN_COUNTS).partition(",")
     return RequestInfo(
         request_id=get(REQUEST_ID),
         key=get(CUSTOMER_KEY),
         time_left=deadline / 1000 if deadline is not None else None,
         n_prompt_tokens=_parse_int(prompt) or 0,
+        max_output_tokens=_parse_int(output),
+        output_hint=_parse_int(get(LENGTH_HINT)),
         parts=_parse_prompt_parts(get(PROMPT_PARTS)),
         last_event_id=_parse_int(get(LAST_EVENT_ID)),
         resumed_id=get(RESUMES),
@@ -341,15 +385,11 @@
     Returns
     -------
     ResponseInfo
-        Decoded values. An invalid load header counts as missing.
+        Decoded values. An invalid load header counts as missing, and so does an
+        invalid slowness in it.
     """
     rows = _collect_first_values(headers)
-    load = None
-    numbers = [
-        _parse_int(item) for item in rows.get(SERVER_LOAD.lower(), "").split(",")
-    ]
-    if len(numbers) == 3 and None not in numbers:
-        load = ServerLoad(*numbers)  # type: ignore[arg-type]
+    cold_ms = _parse_decimal(rows.get(COLD_TIME.lower(), ""))
     return ResponseInfo(
         status=status,
         request_id=rows.get(REQUEST_ID.lower(), ""),
@@ -357,13 +397,15 @@
         misdirected=status == MISDIRECTED_STATUS,
         sealed=RESPONSE_SEAL.lower() in rows,
         encoded=rows.get("content-encoding", "identity") != "identity",
-        load=load,
+        load=_parse_server_load(rows.get(SERVER_LOAD.lower(), "")),
         leaving=rows.get(SERVER_LEAVING.lower()) == "1",
         retry_after=_parse_decimal(rows.get(RETRY_AFTER.lower(), ""))
         if status == BUSY_STATUS
         else None,
         max_request_rate=_parse_decimal(rows.get(SERVER_LIMIT.lower(), "")),
         max_rejections=_parse_decimal(rows.get(SERVER_BRITTLE.lower(), "")),
+        server_id=rows.get(INSTANCE_ID.lower(), ""),
+        cold_time=cold_ms / 1000 if cold_ms is not None else None,
     )
 
 
--- a/packages/medlargate/medlargate/platform/tests/test_decoding.py
+++ b/packages/medlargate/medlargate/platform/tests/test_decoding.py
@@ -19,7 +19,7 @@
 PLATFORM_NAMES = re.compile(
     r"Attempt-Id|Deadline-Ms|Prompt-Prefix|Token-Usage|Response-Seal|Expect-Instance"
     r"|Request-Priority|Server-Load|Not-Executed|Duty-Holder|Fencing-Token|Kv-Fetch"
-    r"|ExpectedRev|PutOp|TtftGoalMs|ItlGoalMs|KvCapacity|/kv-|\"/scale\"|\"/usage\"",
+    r"|ExpectedRev|PutOp|Instance-Id|Cold-Ms|Length-Hint|op/evacuate|TtftGoalMs|ItlGoalMs|KvCapacity|/kv-|\"/scale\"|\"/usage\"",
     re.IGNORECASE,
 )
 
@@ -79,6 +79,42 @@
         self.assertTrue(decode_response(421, []).not_run)
         self.assertFalse(decode_response(503, []).not_run)
 
+    def test_load_with_a_machine_speed_is_decoded(self):
+        # Four values once made nodes drop the whole header, so that they knew no load
+        # but their own.
+        cases = (
+            ("3,1,8,250", 2.5, False),
+            ("3,1,8, 100 ", 1.0, False),
+            ("3,1,8", None, False),
+            *((f"3,1,8,{it}", None, True) for it in ("fast", "0", "-5", "1e300", "")),
+            ("3,1,8,100,7", None, True),
+        )
+        for text, slowness, is_invalid in cases:
+            with self.subTest(text=text):
+                load = decode_response(200, [(b"server-load", text.encode())]).load
+                self.assertEqual((load.n_running, load.n_slots), (3, 8))
+                self.assertEqual(load.slowness, slowness)
+                self.assertEqual(load.has_invalid_slowness, is_invalid)
+
+    def test_expected_output_is_decoded(self):
+        for hint, expected in ((b"80", 80), (b"-1", None), (b"many", None)):
+            rows = [(b"token-usage", b"1460,160"), (b"length-hint", hint)]
+            facts = decode_request(rows)
+            self.assertEqual(
+                (facts.n_prompt_tokens, facts.max_output_tokens), (1460, 160)
+            )
+            self.assertEqual(facts.output_hint, expected)
+
+    def test_cold_servers_are_decoded(self):
+        services = [{"Name": "engine", "ColdStartS": 3.0, "ColdPerS": 5.0}]
+        cfg = decode_routing_config(
+            orjson.dumps({"Version": 1, "Services": services})
+        ).unwrap()
+        service = cfg.services["engine"]
+        self.assertEqual((service.cold_start_time, service.cold_rate), (3.0, 5.0))
+        response = decode_response(200, [(b"cold-ms", b"1500"), (b"instance-id", b"i")])
+        self.assertEqual((response.cold_time, response.server_id), (1.5, "i"))
+
     def test_connection_header_does_not_remove_the_request_id(self):
         rows = [
             (b"connection", b"attempt-id, x-a"),
--- a/packages/medlargate/medlargate/routing/_model.py
+++ b/packages/medlargate/medlargate/routing/_model.py
@@ -162,12 +162,21 @@
         Properties of the engines; None for a service without model engines.
     scaling : ScalingSpec or None
         Bounds for autoscaling; None if engines must not be ordered.
+    health_path : str
+        Path of the servers' health checks.
+    cold_start_time : float
+        Seconds for which a server is cold after a start; 0 if not given.
+    cold_rate : float
+        Requests a second that a cold server bears; 0 if cold servers need no care.
     """
 
     name: str
     max_conns: int
     engine: EngineSpec | None = None
     scaling: ScalingSpec | None = None
+    health_path: str = "/healthz"
+    cold_start_time: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,6 +272,8 @@
         Seconds from the write of the registration until a spot server is reclaimed.
     spot : bool
         Whether the platform may reclaim the server.
+    cold_for : float
+        Seconds from the write of the registration for which the server stays cold.
     revision : int
         Revision of the registration in the store.
     born : int
@@ -281,6 +292,7 @@
     draining: bool = False
     leaves_in: float | None = None
     spot: bool = False
+    cold_for: float = 0.0
     revision: int = 0
     born: int = 0
     software_version: str = ""
