--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -207,6 +207,13 @@
         description="share of an engine's KV memory that requests may fill; 0: no "
         "bound but the slots",
     )
+    connection_preference: float = Field(
+        0.0,
+        ge=0,
+        le=1,
+        description="seconds of delay that are accepted to reuse a connection to a "
+        "server",
+    )
     customer_shares: bool = Field(
         True, description="whether waiting requests are ordered by customers' shares"
     )
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -180,6 +180,8 @@
     n_bytes: int = 0,
     jitter: float = 0.0,
     random_state: Random | None = None,
+    connected: Collection[str] = (),
+    connection_preference: float = 0.0,
 ) -> Placement | None:
     """Choose the server with the lowest expected cost.
 
@@ -198,6 +200,11 @@
         Nodes with the same knowledge then do not all choose the same server.
     random_state : random.Random or None
         Source of the jitter; None adds none.
+    connected : collection of str
+        Servers to which the node has an idle connection.
+    connection_preference : float, default=0.0
+        Delay that is accepted to reuse a connection, in seconds: opening one costs the
+        server time that its other requests lack.
 
     Returns
     -------
@@ -216,6 +223,8 @@
             cost += PAUSE_PENALTY
         if random_state is not None:
             cost += jitter * random_state.random()
+        if connection_preference and state.name in connected:
+            cost -= connection_preference
         if crossing:
             cost += CROSS_DOMAIN_COST_PER_BYTE * n_bytes
         if state.home_rank is not None and state.home_rank < len(AFFINITY_DISCOUNTS):
--- a/packages/medlargate/medlargate/policy/tests/test_placement.py
+++ b/packages/medlargate/medlargate/policy/tests/test_placement.py
@@ -56,6 +56,28 @@
         self.assertEqual(place(failing, busy), "busy")
 
 
+class ConnectionReuseTest(unittest.TestCase):
+    """Load: few requests of each node for many servers of similar load."""
+
+    def place(self, *states):
+        return decide_placement(
+            states,
+            TIMES,
+            domain="a",
+            connected={"connected"},
+            connection_preference=0.02,
+        ).name
+
+    def test_server_with_an_idle_connection_is_preferred_among_similar_ones(self):
+        states = engine("other"), engine("connected", n_running=5)
+        self.assertEqual(place(*states), "other")
+        self.assertEqual(self.place(*states), "connected")
+
+    def test_idle_connection_does_not_outweigh_load(self):
+        busy = engine("connected", backlog=0.1)
+        self.assertEqual(self.place(engine("other"), busy), "other")
+
+
 class LongPromptBurstTest(unittest.TestCase):
     """Load: every engine runs prefill of a long prompt while more long prompts wait.
 
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -10,7 +10,13 @@
 
 from ..platform import RequestInfo
 from ..policy import RequestStates, StreamOrigin, Verdict, make_request_digest
-from ..routing import CustomerSpec, Registration, RouteRule, ServiceSpec
+from ..routing import (
+    CustomerSpec,
+    Registration,
+    RequestType,
+    RouteRule,
+    ServiceSpec,
+)
 from ..transport import IncomingRequest, Responder
 
 if TYPE_CHECKING:
@@ -168,6 +174,17 @@
             self.facts.last_event_id or self.facts.resumed_id
         )
 
+    @property
+    def needs_recent_connection(self) -> bool:
+        """Whether only a connection in use recently may be reused.
+
+        A server may close an idle connection while the request is on its way, and a
+        request that may not be sent twice is lost then.
+        """
+        return self.rule.request_type is RequestType.ONCE or (
+            self.rule.streams and not self.rule.resumable
+        )
+
     def can_run_at(self, server: Registration) -> bool:
         """Return whether a server may begin the stream, or go on with it."""
         origin = self.origin
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -130,6 +130,8 @@
             self.clock,
             self._observe_dispatch,
             lambda service: self.fleet.sum_sensitive_demand(service),
+            list_connected=lambda recent: self.pool.list_connected(recent_only=recent),
+            connection_preference=settings.load.connection_preference,
             random_state=self.random_state,
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -96,6 +96,11 @@
     sum_sensitive_demand : callable
         Returns the prefill work of prefill-sensitive streams that arrives at the whole
         fleet for a service, in engine-seconds per second.
+    list_connected : callable
+        Returns the servers to which the node has an idle connection that a request may
+        reuse; its argument tells whether only those in use recently count.
+    connection_preference : float, default=0.0
+        Delay that is accepted to reuse a connection, in seconds.
     random_state : random.Random or None
         Source of a random addition to the cost of servers for short prompts, so that
         nodes do not all choose the same server.
@@ -110,8 +115,12 @@
         observe_dispatch: Callable[[Exchange, str, float, bool], None],
         sum_sensitive_demand: Callable[[str], float],
         *,
+        list_connected: Callable[[bool], Collection[str]] = lambda _: (),
+        connection_preference: float = 0.0,
         random_state: random.Random | None = None,
     ) -> None:
+        self._list_connected = list_connected
+        self._connection_preference = connection_preference
         self._random_state = random_state or random.Random()
         self._sum_sensitive_demand = sum_sensitive_demand
         self._short_prompt_engines: dict[str, tuple[float, frozenset[str]]] = {}
@@ -239,6 +248,8 @@
             n_bytes=len(exch.req.body) + TYPICAL_ANSWER_BYTES,
             jitter=SHORT_PROMPT_JITTER if self._is_short_prompt(exch, times) else 0.0,
             random_state=self._random_state,
+            connected=self._list_connected(exch.needs_recent_connection),
+            connection_preference=self._connection_preference,
         )
         if placement is None:
             return None
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -10,7 +10,6 @@
 
 from ..platform import ResponseInfo, decode_response, make_forward_headers
 from ..policy import Verdict
-from ..routing import RequestType
 from ..transport import (
     BackendConnection,
     ConnectFaultError,
@@ -282,12 +281,12 @@
     ) -> BackendConnection:
         server = assignment.server
         exch.observe_write()
-        fresh = exch.rule.request_type is RequestType.ONCE or (
-            exch.rule.streams and not exch.rule.resumable
-        )
         try:
             return await self._pool.acquire(
-                server.server_id, server.host, server.port, recent_only=fresh
+                server.server_id,
+                server.host,
+                server.port,
+                recent_only=exch.needs_recent_connection,
             )
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
--- a/packages/medlargate/medlargate/transport/_pool.py
+++ b/packages/medlargate/medlargate/transport/_pool.py
@@ -62,17 +62,40 @@
         ConnectFaultError
             If no connection could be established.
         """
-        fraction = FRESH_IDLE_FRACTION if recent_only else MAX_IDLE_FRACTION
         idle = self._idle.get(server_id, [])
         now = time.monotonic()
         while idle:
-            conn = idle.pop()
-            if conn.is_usable(now, max_idle_fraction=fraction):
-                return conn
-            conn.abort()
+            if not _is_reusable(idle[-1], now):
+                idle.pop().abort()
+            elif recent_only and not _is_reusable(idle[-1], now, recent_only=True):
+                # The others have been idle even longer; they remain for requests that
+                # may be sent twice.
+                break
+            else:
+                return idle.pop()
         self.n_opened += 1
         return await open_connection(host, port, timeout=self._connect_timeout)
 
+    def list_connected(self, *, recent_only: bool = False) -> frozenset[str]:
+        """Return the servers to which an idle connection can be reused.
+
+        Parameters
+        ----------
+        recent_only : bool, default=False
+            Whether only connections count that were in use recently.
+
+        Returns
+        -------
+        frozenset of str
+            Ids of the servers.
+        """
+        now = time.monotonic()
+        return frozenset(
+            server_id
+            for server_id, idle in self._idle.items()
+            if idle and _is_reusable(idle[-1], now, recent_only=recent_only)
+        )
+
     def release(self, server_id: str, conn: BackendConnection) -> None:
         """Return a connection to the pool after its response was read completely.
 
@@ -105,3 +128,10 @@
         """Close all idle connections to all servers."""
         for server_id in list(self._idle):
             self.close_server_connections(server_id)
+
+
+def _is_reusable(
+    conn: BackendConnection, now: float, *, recent_only: bool = False
+) -> bool:
+    fraction = FRESH_IDLE_FRACTION if recent_only else MAX_IDLE_FRACTION
+    return conn.is_usable(now, max_idle_fraction=fraction)
--- /dev/null
+++ b/packages/medlargate/medlargate/transport/tests/test_pool.py
@@ -0,0 +1,58 @@
+"""Reuse of idle connections to backend servers."""
+
+import unittest
+from unittest import mock
+
+from medlargate.transport import ConnectionPool
+
+SERVER = ("s1", "127.0.0.1", 1)
+
+
+class IdleConnection:
+    """Connection that has been idle for a fraction of the keep-alive timeout."""
+
+    def __init__(self, idle_fraction):
+        self.idle_fraction = idle_fraction
+        self.aborted = False
+
+    def is_usable(self, now, *, max_idle_fraction):
+        return self.idle_fraction < max_idle_fraction
+
+    def finish(self, now):
+        return True
+
+    def abort(self):
+        self.aborted = True
+
+
+class RecentOnlyTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.pool = ConnectionPool()
+        self.opened = object()
+        patch = mock.patch(
+            "medlargate.transport._pool.open_connection",
+            mock.AsyncMock(return_value=self.opened),
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def test_older_connection_stays_for_requests_that_may_be_repeated(self):
+        # Requests that need a recent connection once closed every older one, so that
+        # most requests of a fleet with many servers opened a new connection.
+        old = IdleConnection(0.5)
+        self.pool.release("s1", old)
+        self.assertIs(await self.pool.acquire(*SERVER, recent_only=True), self.opened)
+        self.assertFalse(old.aborted)
+        self.assertIs(await self.pool.acquire(*SERVER), old)
+
+    async def test_expired_connections_are_closed(self):
+        expired = IdleConnection(0.9)
+        self.pool.release("s1", expired)
+        self.assertIs(await self.pool.acquire(*SERVER, recent_only=True), self.opened)
+        self.assertTrue(expired.aborted)
+
+    async def test_connected_servers_are_listed_by_age(self):
+        for name, fraction in (("new", 0.1), ("old", 0.5), ("expired", 0.9)):
+            self.pool.release(name, IdleConnection(fraction))
+        self.assertEqual(self.pool.list_connected(recent_only=True), {"new"})
+        self.assertEqual(self.pool.list_connected(), {"new", "old"})
