Requests answered with 421 are retried at once, also on routes of one attempt

Cause: a server that restarts under a new id answers 421 until the node knows its new registration, and that answer used up the only attempt of a route although the request had not run. Change: such an answer counts as no attempt; the request is retried within the retry budget at most three times, and never at the same stale id (Exchange.misdirected_servers). An id at whose address another one answers (Instance-Id) gets no requests of any kind for 8 s or until its registration goes. Conclusion: a restart costs a request one round trip instead of a 503.

--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -86,6 +86,8 @@
         State machine that tracks whether the request may have run.
     tried_servers : set of str
         Ids of the servers that the request was sent to or that were unreachable.
+    misdirected_servers : set of str
+        Ids at whose addresses other servers answered. They get the request never again.
     n_sent : int
         Number of times that the request was written to a server.
     exchange_id : int
@@ -123,6 +125,7 @@
     write_record: RecordWriter
     states: RequestStates = field(default_factory=RequestStates)
     tried_servers: set[str] = field(default_factory=set)
+    misdirected_servers: set[str] = field(default_factory=set)
     n_sent: int = 0
     exchange_id: int = field(default_factory=lambda: next(_numbers))
     last_event_id: int | None = None
@@ -169,7 +172,9 @@
         )
 
     def can_run_at(self, server: Registration) -> bool:
-        """Return whether a server may begin the stream, or go on with it."""
+        """Return whether a server may get the request, or go on with its stream."""
+        if server.server_id in self.misdirected_servers:
+            return False
         origin = self.origin
         return (
             origin is None
@@ -183,6 +188,11 @@
         declared = self.facts.n_prompt_tokens
         return declared or sum(part.n_tokens for part in self.facts.parts)
 
+    @property
+    def n_attempts(self) -> int:
+        """Number of times that the request reached the server it was meant for."""
+        return self.n_sent - len(self.misdirected_servers)
+
     @property
     def target_at(self) -> float:
         """Target time of the answer or first event on the node's clock, in seconds."""
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -277,7 +277,7 @@
         def may_abandon() -> bool:
             return (
                 exch.rule.repeatable
-                and exch.n_sent < exch.rule.max_attempts
+                and exch.n_attempts < exch.rule.max_attempts
                 and self._has_other_peer(exch)
             )
 
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -23,6 +23,7 @@
     MAX_SUSPENSION,
     MIN_SLOWNESS,
     PEER_LIFETIME,
+    REPLACED_LIFETIME,
     SMOOTHING,
     DomainPartition,
     PeerLoad,
@@ -345,6 +346,30 @@
         view.cached_parts.clear()
         view.n_cached_tokens = 0
 
+    def observe_replaced(self, server_id: str, new_id: str) -> None:
+        """Send nothing to a server at whose address another one answers.
+
+        Parameters
+        ----------
+        server_id : str
+            Server that the address was registered for.
+        new_id : str
+            Server that answered.
+        """
+        view = self.get_view(server_id)
+        now = time.monotonic()
+        if not view.is_replaced(now):
+            log.info(
+                "another server answers at the address of a registered one",
+                extra={"server": server_id, "new_server": new_id},
+            )
+        view.replaced_until = now + REPLACED_LIFETIME
+
+    def is_replaced(self, server_id: str) -> bool:
+        """Return whether another server has lately answered at a server's address."""
+        view = self.views.get(server_id)
+        return view is not None and view.is_replaced(time.monotonic())
+
     def observe_retry_after(self, server_id: str, seconds: float) -> None:
         """Store for how long a server wants no requests from this node.
 
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -41,6 +41,8 @@
 log = logging.getLogger(__name__)
 
 MAX_CONNECT_TRIES = 4  # unreachable servers per request
+# Retries of one request after answers 421, each of which costs a round trip.
+MAX_MISDIRECTED_RETRIES = 3
 # An attempt with less time than this cannot return an answer before the deadline.
 MIN_TIME_LEFT = 0.01  # seconds
 NOT_RUN_RETRY_AFTER = 0.3  # seconds; sent when a request was not run
@@ -297,7 +299,7 @@
         """Return whether another attempt can follow a silent one."""
         return (
             exch.rule.repeatable
-            and exch.n_sent < exch.rule.max_attempts
+            and exch.n_attempts < exch.rule.max_attempts
             and self._get_budget(exch.service.name).can_spend(
                 self._clock(), n_nodes=self._count_nodes()
             )
@@ -401,6 +403,7 @@
             exch.tried_servers.add(server_id)
             self._loads.observe_unreachable(server_id, assignment.server.zone)
         elif fault.kind == "misdirected":
+            exch.misdirected_servers.add(server_id)
             self._loads.observe_unreachable(server_id)
             exch.states.observe("backend_refusal")
         elif fault.kind == "refused":
@@ -453,7 +456,11 @@
             if n_unreachable >= MAX_CONNECT_TRIES:
                 return f"{n_unreachable} servers could not be reached"
             return None
-        if exch.n_sent >= exch.rule.max_attempts:
+        if fault.kind == "misdirected":
+            # The request has not run, so that routes of one attempt retry it too.
+            if len(exch.misdirected_servers) > MAX_MISDIRECTED_RETRIES:
+                return f"{len(exch.misdirected_servers)} servers had restarted"
+        elif exch.n_attempts >= exch.rule.max_attempts:
             return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
         if exch.deadline - self._clock() < MIN_TIME_LEFT:
             return "no time left"
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -124,12 +124,15 @@
         self._has_waiting = asyncio.Event()
 
     def list_usable_servers(self, service: str) -> list[Registration]:
-        """Return the registered servers of a service that are not leaving."""
+        """Return the servers of a service that are neither leaving nor replaced."""
         leaving = self._cluster_state.leaving
         return [
             it
             for it in self._cluster_state.servers.values()
-            if it.service == service and not it.draining and it.server_id not in leaving
+            if it.service == service
+            and not it.draining
+            and it.server_id not in leaving
+            and not self._loads.is_replaced(it.server_id)
         ]
 
     def _list_open_servers(self, service: str) -> list[Registration]:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -261,7 +261,8 @@
         self, exch: Exchange, server_id: str, facts: ResponseInfo
     ) -> None:
         if facts.misdirected:
-            # Another server answered.
+            if facts.server_id and facts.server_id != server_id:
+                self._loads.observe_replaced(server_id, facts.server_id)
             return
         if facts.load is not None:
             self._loads.observe_report(server_id, facts.load)
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -28,6 +28,9 @@
 PEER_LIFETIME = 2.5  # seconds that a load reported by a peer is used
 INITIAL_SUSPENSION = 0.5  # seconds without requests after a failed connection
 MAX_SUSPENSION = 4.0  # seconds
+# A node learns of a server's new registration within a few seconds. The time is bounded
+# because the server may come back at another address under its old id.
+REPLACED_LIFETIME = 8.0  # seconds without requests after a 421 with another id
 # When a failure domain is unreachable, each of its servers costs a request one
 # connection timeout. After two such servers the whole domain is suspended.
 MIN_UNREACHABLE_SERVERS = 2
@@ -145,6 +148,9 @@
         Monotonic time until which the server gets no requests, in seconds.
     suspension : float
         Duration of the next suspension, in seconds.
+    replaced_until : float
+        Monotonic time until which the server gets no requests because another one has
+        answered at its address, in seconds.
     refuses_until : float
         Monotonic time until which the server has asked for no requests, in seconds.
     max_rejections : float or None
@@ -167,10 +173,15 @@
     failure_updated_at: float = 0.0
     suspended_until: float = float("-inf")
     suspension: float = INITIAL_SUSPENSION
+    replaced_until: float = float("-inf")
     refuses_until: float = float("-inf")
     max_rejections: float | None = None
     on_trial: bool = False
 
+    def is_replaced(self, now: float) -> bool:
+        """Return whether another server has lately answered at the server's address."""
+        return now < self.replaced_until
+
     def count_running(self, now: float) -> int:
         """Return the estimated number of requests of all nodes on the server."""
         known = len(self.running)
