Placement by the speed that servers report, without herding

Cause: nodes ignored the fourth value of Server-Load, so that servers on shared machines were chosen while they were slow. Only services whose servers report take part.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -92,6 +92,11 @@
         Number of events of a complete stream.
     delay, pause : float
         Seconds before a response, and seconds between the events of a stream.
+    slowness : float
+        Factor by which the machine's other programs lengthen ``delay`` and ``pause``.
+    speed_text : str or None
+        Fourth value of the ``Server-Load`` header; None sends no such header. With a
+        value, requests beyond ``slots`` wait.
     runs : Counter
         Number of executions on this server by request id. A request was executed more
         than once if its numbers on all servers add up to more than 1.
@@ -122,6 +127,8 @@
     n_events: int = 4
     delay: float = 0.0
     pause: float = 0.0
+    slowness: float = 1.0
+    speed_text: str | None = None
     runs: Counter = field(default_factory=Counter)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     n_connections: int = 0
@@ -132,6 +139,8 @@
     n_endless_bytes: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
+    _n_held: int = 0
+    _slots: asyncio.Semaphore | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     async def start(self, host: str) -> None:
@@ -177,7 +186,7 @@
         try:
             while (req := await _read_request(reader)) is not None:
                 self.received_requests.append(req)
-                if not await self._respond(req, reader, writer):
+                if not await self._respond_in_slot(req, reader, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError):
             self.n_disconnects += 1
@@ -185,6 +194,24 @@
             self._tasks.discard(task)
             writer.close()
 
+    async def _respond_in_slot(
+        self,
+        req: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Respond to one request once a slot is free, if the server reports a load."""
+        if self.speed_text is None:
+            return await self._respond(req, reader, writer)
+        if self._slots is None:
+            self._slots = asyncio.Semaphore(self.slots)
+        self._n_held += 1
+        try:
+            async with self._slots:
+                return await self._respond(req, reader, writer)
+        finally:
+            self._n_held -= 1
+
     async def _respond(
         self,
         req: ReceivedRequest,
@@ -212,7 +239,9 @@
             return False
         if self.delay:
             disconnect = asyncio.create_task(reader.read(1))
-            done, _ = await asyncio.wait({disconnect}, timeout=self.delay)
+            done, _ = await asyncio.wait(
+                {disconnect}, timeout=self.delay * self.slowness
+            )
             disconnect.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await disconnect
@@ -250,7 +279,12 @@
         return False
 
     def _encode_extra_headers(self) -> str:
-        return "".join(f"{name}: {it}\r\n" for name, it in self.extra_headers.items())
+        headers = dict(self.extra_headers)
+        if self.speed_text is not None:
+            n_running = min(self._n_held, self.slots)
+            counts = f"{n_running},{self._n_held - n_running},{self.slots}"
+            headers["Server-Load"] = f"{counts},{self.speed_text}"
+        return "".join(f"{name}: {it}\r\n" for name, it in headers.items())
 
     async def _wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         await reader.read(1)
@@ -319,7 +353,7 @@
             if kind == "end" and event == event_number:
                 return False
             if self.pause:
-                await asyncio.sleep(self.pause)
+                await asyncio.sleep(self.pause * self.slowness)
         if is_framed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -84,6 +84,9 @@
         received a status from; empty in other nodes' statuses.
     holder : bool
         Whether the sender is the duty holder.
+    speeds : dict of str to (float, float)
+        Slowness that the machines of servers reported to the sender lately, and seconds
+        since then, by server; empty in other failure domains.
     """
 
     incarnation: str
@@ -93,6 +96,7 @@
     usage: dict[int, dict[str, int]] = Field(default_factory=dict)
     hears: list[str] = Field(default_factory=list)
     holder: bool = False
+    speeds: dict[str, tuple[float, float]] = Field(default_factory=dict)
 
 
 class DomainStatus(StatusMessage):
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -22,10 +22,12 @@
 from ._placement import (
     SHORT_PROMPT_JITTER,
     Placement,
+    ResponseLimits,
     ServerState,
     ServiceTimes,
     decide_placement,
     predict_first_token,
+    predict_pause,
 )
 from ._prefill_isolation import (
     LONG_PREFILL_TIME,
@@ -33,6 +35,14 @@
     is_prefill_sensitive,
 )
 from ._rate_limits import TokenBucket, decide_rate
+from ._server_speed import (
+    ProbeBudget,
+    ServerSpeed,
+    SpeedEstimate,
+    choose_similar,
+    compute_late_probability,
+    select_speeds,
+)
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._stream_versions import (
     VERSION_LIFETIME,
@@ -120,14 +130,18 @@
     "PoolScaler",
     "PoolScheduler",
     "Preemption",
+    "ProbeBudget",
     "Refusal",
     "RequestStates",
+    "ResponseLimits",
     "RetryBudget",
     "RetryDecision",
     "ScalingDecision",
+    "ServerSpeed",
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "SpeedEstimate",
     "StreamOrigin",
     "TokenBucket",
     "Verdict",
@@ -138,6 +152,8 @@
     "choose_forward_peer",
     "choose_origin_keepers",
     "choose_short_prompt_engines",
+    "choose_similar",
+    "compute_late_probability",
     "compute_max_demand",
     "compute_work",
     "decide_capacity",
@@ -157,8 +173,10 @@
     "make_queue_key",
     "make_request_digest",
     "predict_first_token",
+    "predict_pause",
     "rank_backends",
     "rank_by_hash",
+    "select_speeds",
 ]
 
 __getattr__ = make_lazy_getattr(__name__, _LAZY)
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -16,6 +16,14 @@
 from dataclasses import dataclass
 from random import Random
 
+from ._server_speed import (
+    LATE_PENALTY,
+    MIN_TOLERANCE,
+    choose_similar,
+    compute_late_probability,
+    may_probe,
+)
+
 # Traffic between failure domains is billed by the byte. At the more expensive site, the
 # bytes of a long prompt cost about an eighth of another prefill of its shared prefix
 # (0.35 s, multiplied by the weight below).
@@ -40,6 +48,8 @@
 # Fraction of the weighted prefill time that is deducted for the first and the second
 # preferred server of a prompt, because other nodes send the same prefix there.
 AFFINITY_DISCOUNTS = (0.8, 0.4)
+# Initial value of a service's time per output token, on a well-filled engine.
+INITIAL_TOKEN_TIME = 0.012  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +76,15 @@
         Name of the engine to transfer from; None if too few tokens could be
         transferred.
     slowness : float
-        Ratio of measured to predicted times; 1 is normal.
+        Lasting ratio of measured to predicted times; 1 is normal.
+    machine_slowness : float
+        Time that work takes on the server's machine now, relative to the usual time.
+    speed_error : float or None
+        Relative error of predicted times; None if no server of the service reports the
+        slowness of its machine.
+    probe_age : float or None
+        Age of what is known of an avoided server's speed, in seconds, if the request
+        may be sent there to learn whether it is still slow; None if it may not.
     failure_share : float
         Fraction of the server's recent answers that failed, between 0 and 1.
     home_rank : int or None
@@ -92,6 +110,9 @@
     home_rank: int | None = None
     risks_pauses: bool = False
     has_room: bool = True
+    machine_slowness: float = 1.0
+    speed_error: float | None = None
+    probe_age: float | None = None
 
     @property
     def n_prefill_tokens(self) -> int:
@@ -115,12 +136,15 @@
     per_fetched : float
         Time to transfer the cache entry of a prompt token from another engine, in
         seconds.
+    per_output_token : float
+        Time between two output tokens, in seconds.
     """
 
     base: float
     prefill_per_token: float = 0.0
     per_running_request: float = 0.0
     per_fetched: float = 0.0
+    per_output_token: float = INITIAL_TOKEN_TIME
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,13 +187,55 @@
     float
         Predicted time in seconds.
     """
-    prefill_time = state.backlog + state.n_prefill_tokens * times.prefill_per_token
+    prefill_time = state.n_prefill_tokens * times.prefill_per_token
     prefill_time += state.n_fetchable * times.per_fetched
     interference = state.n_running * times.per_running_request
     queue_factor = max(0, state.n_running + 1 - state.n_slots) / max(1, state.n_slots)
-    return (
-        prefill_time + times.base * (1 + queue_factor) + interference
-    ) * state.slowness
+    # The backlog is known as time on the machine, with its slowness.
+    work_time = prefill_time + times.base * (1 + queue_factor) + interference
+    return (state.backlog + work_time * state.machine_slowness) * state.slowness
+
+
+def predict_pause(
+    state: ServerState, times: ServiceTimes, *, n_tokens_per_event: int
+) -> float:
+    """Predict the time between two events of a stream.
+
+    Parameters
+    ----------
+    state : ServerState
+        State of the server for the request.
+    times : ServiceTimes
+        Latency parameters of the service.
+    n_tokens_per_event : int
+        Number of output tokens in one event.
+
+    Returns
+    -------
+    float
+        Predicted time in seconds, without prefill of other prompts.
+    """
+    token_time = times.per_output_token * state.machine_slowness * state.slowness
+    return n_tokens_per_event * token_time
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseLimits:
+    """Times after which a caller counts a response as late.
+
+    Attributes
+    ----------
+    time_to_target : float
+        Time until the first event or answer is late, in seconds.
+    max_pause : float
+        Longest allowed time between two events, in seconds; 0 if not declared.
+    n_tokens_per_event : int
+        Number of output tokens in one event.
+    """
+
+    time_to_target: float
+    max_pause: float = 0.0
+    n_tokens_per_event: int = 1
 
 
 def decide_placement(
@@ -179,9 +245,13 @@
     domain: str,
     n_bytes: int = 0,
     jitter: float = 0.0,
+    limits: ResponseLimits | None = None,
     random_state: Random | None = None,
 ) -> Placement | None:
-    """Choose the server with the lowest expected cost.
+    """Choose a server with the lowest expected cost.
+
+    If the servers report the slowness of their machines, the choice is random among
+    those whose costs do not differ by more than the error of their predictions.
 
     Parameters
     ----------
@@ -196,34 +266,74 @@
     jitter : float, default=0.0
         Upper bound of the random cost that is added to each server, in seconds.
         Nodes with the same knowledge then do not all choose the same server.
+    limits : ResponseLimits or None
+        Times after which the response is late. Only servers with a ``speed_error`` are
+        compared by the probability that it is.
     random_state : random.Random or None
-        Source of the jitter; None adds none.
+        Source of the jitter and of the choice among similar servers; None adds none.
 
     Returns
     -------
     Placement or None
         Chosen server; None if there are no candidates.
     """
-    best: Placement | None = None
+    placements = []
     for state in states:
         predicted = predict_first_token(state, times)
         crossing = state.domain != domain
-        prefill_time = state.n_prefill_tokens * times.prefill_per_token * state.slowness
-        cost = predicted + PREFILL_WEIGHT * prefill_time
-        cost += TRANSFER_WEIGHT * state.n_fetchable * times.prefill_per_token
-        cost += FAILURE_PENALTY * state.failure_share
-        if state.risks_pauses:
-            cost += PAUSE_PENALTY
+        cost = _compute_cost(state, times, predicted)
+        lateness = 0.0
+        if limits is not None and state.speed_error is not None:
+            lateness = _predict_lateness(state, times, limits, predicted)
+            cost += LATE_PENALTY * lateness
         if random_state is not None:
             cost += jitter * random_state.random()
         if crossing:
             cost += CROSS_DOMAIN_COST_PER_BYTE * n_bytes
-        if state.home_rank is not None and state.home_rank < len(AFFINITY_DISCOUNTS):
-            cost -= (
-                AFFINITY_DISCOUNTS[state.home_rank]
-                * (1 + PREFILL_WEIGHT)
-                * prefill_time
-            )
-        if best is None or cost < best.cost:
-            best = Placement(state.name, predicted, cost, len(states), crossing)
-    return best
+        placement = Placement(state.name, predicted, cost, len(states), crossing)
+        if may_probe(state.probe_age, lateness):
+            return placement
+        placements.append((placement, state))
+    if not placements:
+        return None
+    if random_state is None or all(it.speed_error is None for it in states):
+        return min(placements, key=lambda row: row[0].cost)[0]
+    placement, _ = choose_similar(
+        placements,
+        get_cost=lambda row: row[0].cost,
+        get_tolerance=lambda row: max(
+            MIN_TOLERANCE, (row[1].speed_error or 0.0) * row[0].predicted
+        ),
+        get_utilization=lambda row: row[1].n_running / max(1, row[1].n_slots),
+        random_state=random_state,
+    )
+    return placement
+
+
+def _compute_cost(state: ServerState, times: ServiceTimes, predicted: float) -> float:
+    """Return the cost of a server for a request, without the traffic, in seconds."""
+    prefill_time = state.n_prefill_tokens * times.prefill_per_token * state.slowness
+    prefill_time *= state.machine_slowness
+    cost = predicted + PREFILL_WEIGHT * prefill_time
+    cost += TRANSFER_WEIGHT * state.n_fetchable * times.prefill_per_token
+    cost += FAILURE_PENALTY * state.failure_share
+    if state.risks_pauses:
+        cost += PAUSE_PENALTY
+    if state.home_rank is not None and state.home_rank < len(AFFINITY_DISCOUNTS):
+        discount = AFFINITY_DISCOUNTS[state.home_rank]
+        cost -= discount * (1 + PREFILL_WEIGHT) * prefill_time
+    return cost
+
+
+def _predict_lateness(
+    state: ServerState, times: ServiceTimes, limits: ResponseLimits, predicted: float
+) -> float:
+    """Return the probability that the first event or a pause is late."""
+    error = state.speed_error or 0.0
+    on_time = 1.0 - compute_late_probability(predicted, limits.time_to_target, error)
+    if limits.max_pause > 0:
+        pause = predict_pause(
+            state, times, n_tokens_per_event=limits.n_tokens_per_event
+        )
+        on_time *= 1.0 - compute_late_probability(pause, limits.max_pause, error)
+    return 1.0 - on_time
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -62,6 +62,8 @@
 MAX_TRANSIT_TIME = 0.1  # seconds; subtracted from the times in received messages
 # Combines the changes of one response of the store into one broadcast.
 CHANGE_BATCH_DELAY = 0.02  # seconds
+# Announcements of changed speeds at most double the statuses that are sent anyway.
+MIN_ANNOUNCE_INTERVAL = 0.2  # seconds
 REGISTRATION_RETRY_DELAY = 1.0  # seconds between attempts to write this node's entry
 # After a restore of the store, all nodes write their entries again, spread over this
 # time.
@@ -169,6 +171,7 @@
         self._origins = origins
         self._pull_server = IngressServer(self._answer_peer, self._get_peer_limits)
         self._broadcast_pending = False
+        self._speeds_announced_at = float("-inf")
         self._pull_task: asyncio.Task[None] | None = None
         self._restored = asyncio.Event()
 
@@ -294,6 +297,7 @@
             unreachable=self.list_unreachable(),
             stopping=self.is_stopping(),
             loads=self._loads.list_own_loads() if same_domain else {},
+            speeds=self._loads.list_speeds() if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
             usage=usage,
@@ -369,6 +373,14 @@
             CHANGE_BATCH_DELAY, self._broadcast_changes
         )
 
+    def announce_speeds(self) -> None:
+        """Send a status to all peers of the domain, at most once in a round of them."""
+        now = self._clock()
+        interval = max(MIN_ANNOUNCE_INTERVAL, self.table.compute_intra_domain_round())
+        if now - self._speeds_announced_at >= interval:
+            self._speeds_announced_at = now
+            self.broadcast_soon()
+
     def _schedule_broadcast(self, server_id: str) -> None:
         """Schedule one status broadcast for a burst of changed registrations.
 
@@ -523,6 +535,7 @@
                 LOAD_LIFETIME_ROUNDS * self.table.compute_intra_domain_round(),
             )
             self._loads.observe_peer_loads(status.name, status.loads, lifetime=lifetime)
+            self._loads.observe_peer_speeds(status.speeds)
         self._compare_state(status)
 
     def _receive_domain_status(self, status: DomainStatus) -> None:
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -10,11 +11,14 @@
 
 from ..platform import PromptPart, ServerLoad
 from ..policy import (
+    ProbeBudget,
+    ServerSpeed,
     ServerState,
     ServiceTimes,
     draw_rejection_pause,
     has_brittle_room,
     rank_by_hash,
+    select_speeds,
 )
 from ..routing import Registration, ServiceSpec
 from ._server_view import (
@@ -41,6 +45,9 @@
 # the servers can still be reached.
 MIN_OVERDUE = 0.7  # seconds
 OVERDUE_FACTOR = 3.0  # relative to the prediction
+PEER_REPORT_DELAY = 0.01  # seconds that a report from another node took, at least
+SLOW_MACHINE = 1.5  # slowness from which a machine is logged as slow
+SPEED_LOG_INTERVAL = 0.5  # seconds between log lines about the speed of one server
 MIN_FETCH_TOKENS = 1_500  # shortest prefix, in tokens, that is worth fetching
 
 
@@ -60,6 +67,11 @@
         Estimators of response times by service.
     count_nodes : callable
         Returns the number of nodes of the fleet; set when the node starts.
+    announce_speeds : callable
+        Called when a response to this node first shows that a machine has become slow
+        or usual; set when the node starts.
+    random_state : random.Random
+        Source of the choice of servers to probe.
     """
 
     def __init__(self, domain: str) -> None:
@@ -69,6 +81,10 @@
         self.views: dict[str, ServerView] = {}
         self.estimators: dict[str, ServiceTimesEstimator] = {}
         self.count_nodes: Callable[[], int] = lambda: 1
+        self.random_state = random.Random()
+        self.announce_speeds: Callable[[], None] = lambda: None
+        self._probe_budgets: dict[str, ProbeBudget] = {}
+        self._invalid_speeds: set[str] = set()
 
     def get_view(self, server_id: str) -> ServerView:
         """Return the view of a server, creating it if the server is new."""
@@ -131,8 +147,11 @@
         preferred_ranks = _rank_preferred_servers([it for it, _ in available], parts)
         source = self._find_prefix_source(spec, parts)
         n_slots = spec.engine.n_slots if spec.engine else None
+        reports_speed = any(view.speed.has_reports for _, view in available)
+        probe = self._choose_probe(spec, available, now) if reports_speed else None
         states = []
         for server, view in available:
+            speed = view.speed.estimate(now) if reports_speed else None
             cached = view.count_cached(parts) if view.cached_parts else 0
             # Fewer tokens than MIN_FETCH_TOKENS are not fetched (`source` is None), but
             # they still count as fetchable: the predictions include the time of a
@@ -154,10 +173,35 @@
                     failure_share=view.failure_share(now),
                     home_rank=preferred_ranks.get(server.server_id),
                     has_room=self._has_room(view, n_slots or server.n_slots, now),
+                    machine_slowness=speed.machine_slowness if speed else 1.0,
+                    speed_error=speed.error if speed else None,
+                    probe_age=probe[1]
+                    if probe and probe[0] == server.server_id
+                    else None,
                 )
             )
         return states
 
+    def _choose_probe(
+        self, spec: ServiceSpec, rows: list[tuple[Registration, ServerView]], now: float
+    ) -> tuple[str, float] | None:
+        budget = self._probe_budgets.setdefault(
+            spec.name, ProbeBudget(self.random_state.random())
+        )
+        if budget.credit < 1.0:
+            return None
+        # Nodes of the other failure domains probe their servers.
+        speeds = [
+            (
+                server.server_id,
+                view.speed.estimate(now),
+                any(not it.has_started for it in view.running.values()),
+            )
+            for server, view in rows
+            if server.zone == self.domain
+        ]
+        return budget.choose(speeds, random_state=self.random_state)
+
     def _has_room(self, view: ServerView, n_slots: int, now: float) -> bool:
         return view.max_rejections is None or has_brittle_room(
             n_running=view.count_running(now),
@@ -217,7 +261,11 @@
             state.n_prefill_tokens
             * self.get_service_times(spec).prefill_per_token
             * view.slowness
+            * state.machine_slowness
         )
+        budget = self._probe_budgets.get(spec.name)
+        if budget is not None:
+            budget.observe_request(is_probe=state.probe_age is not None)
         view.observe_prefill(prefill_time, now)
         view.running[exchange_id] = RunningRequest(
             prefill_time=prefill_time,
@@ -226,6 +274,7 @@
             n_uncached=state.n_prefill_tokens,
             unqueued=state.backlog < 0.005 and state.n_running < state.n_slots,
             parts=parts,
+            log_slowness=view.speed.compute_log_reported(now),
         )
         if spec.engine is not None:
             view.cache_capacity = spec.engine.n_cache_tokens
@@ -260,6 +309,9 @@
             if server_id in partition.unreachable_servers:
                 partition.unreachable_servers.clear()
                 partition.suspended_until = float("-inf")
+        if view.speed.has_reports:
+            self._observe_time(spec, view, request, elapsed, now)
+            return
         if request.unqueued:
             ratio = elapsed / max(request.predicted, 0.005) * view.slowness
             sample = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
@@ -267,6 +319,50 @@
         if request.unqueued and view.slowness < 2.0:
             self._get_estimator(spec).observe(request.n_uncached, elapsed)
 
+    def _observe_time(
+        self,
+        spec: ServiceSpec,
+        view: ServerView,
+        request: RunningRequest,
+        elapsed: float,
+        now: float,
+    ) -> None:
+        """Update the estimates of a server that reports the slowness of its machine."""
+        log_before = view.speed.compute_log_reported(now)
+        view.speed.observe_time(
+            elapsed,
+            request.predicted,
+            log_sent=request.log_slowness,
+            queued=not request.unqueued,
+            now=now,
+        )
+        view.slowness = view.speed.estimate(now).fixed_slowness
+        if request.unqueued:
+            log_mean = view.speed.sensitivity * (request.log_slowness + log_before) / 2
+            self._get_estimator(spec).observe(
+                request.n_uncached, elapsed / math.exp(log_mean)
+            )
+
+    def observe_token_time(
+        self, spec: ServiceSpec, server_id: str, token_time: float
+    ) -> None:
+        """Update a service's time per output token with that of a complete stream.
+
+        Parameters
+        ----------
+        spec : ServiceSpec
+            Service of the stream.
+        server_id : str
+            Server that sent the stream.
+        token_time : float
+            Mean time between two output tokens, in seconds.
+        """
+        view = self.get_view(server_id)
+        if view.speed.has_reports:
+            speed = view.speed.estimate(time.monotonic())
+            slowness = speed.machine_slowness * speed.fixed_slowness
+            self._get_estimator(spec).observe_token_time(token_time / slowness)
+
     def list_overdue_servers(self) -> list[str]:
         """Return the servers that owe this node a first token or an answer.
 
@@ -447,7 +543,62 @@
             Load from the headers of the answer.
         """
         view = self.get_view(server_id)
-        view.reported_load, view.reported_at = load, time.monotonic()
+        now = time.monotonic()
+        view.reported_load, view.reported_at = load, now
+        if load.has_invalid_slowness and server_id not in self._invalid_speeds:
+            self._invalid_speeds.add(server_id)
+            log.warning(
+                "a backend server reports an invalid speed of its machine",
+                extra={"server": server_id},
+            )
+        if load.slowness is not None:
+            if not view.speed.has_reports:
+                view.speed = ServerSpeed(log_fixed=math.log(view.slowness))
+            view.speed.observe_own_report(load.slowness, now)
+            self._log_speed(server_id, view, now, is_own=True)
+
+    def _log_speed(
+        self, server_id: str, view: ServerView, now: float, *, is_own: bool = False
+    ) -> None:
+        slowness = view.speed.estimate(now).machine_slowness
+        if (slowness > SLOW_MACHINE) == view.is_slow:
+            return
+        if now - view.speed_logged_at >= SPEED_LOG_INTERVAL:
+            view.is_slow, view.speed_logged_at = not view.is_slow, now
+            log.info(
+                "speed of a backend server's machine changed",
+                extra={"server": server_id, "slowness": round(slowness, 2)},
+            )
+            if is_own:
+                self.announce_speeds()
+
+    def list_speeds(self) -> dict[str, tuple[float, float]]:
+        """Return the machines' slowness and its age for the nodes of this domain."""
+        speeds = {
+            server_id: view.speed
+            for server_id, view in self.views.items()
+            if view.speed.has_reports
+        }
+        return select_speeds(speeds, time.monotonic())
+
+    def observe_peer_speeds(self, speeds: Mapping[str, tuple[float, float]]) -> None:
+        """Store what another node knows of the machines' slowness.
+
+        Parameters
+        ----------
+        speeds : mapping of str to (float, float)
+            Slowness and age of the report in seconds, by server. Servers that this node
+            does not know yet are left out.
+        """
+        now = time.monotonic()
+        for server_id, (slowness, age) in speeds.items():
+            view = self.views.get(server_id)
+            if view is None:
+                continue
+            if not view.speed.has_reports:
+                view.speed = ServerSpeed(log_fixed=math.log(view.slowness))
+            view.speed.observe_report(slowness, now - max(0.0, age) - PEER_REPORT_DELAY)
+            self._log_speed(server_id, view, now)
 
     def observe_peer_loads(
         self,
@@ -587,6 +738,7 @@
         view = self.views.get(server_id)
         if view is not None and not view.running:
             del self.views[server_id]
+        self._invalid_speeds.discard(server_id)
 
 
 def _rank_preferred_servers(
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -328,6 +328,7 @@
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
         self.loads.count_nodes = self._count_nodes
+        self.loads.announce_speeds = self.fleet.announce_speeds
         self.fleet.get_limits = self._get_limits
         self.fleet.handle_forwarded = self._handle_forwarded
         self.fleet.is_stopping = lambda: self.stopping
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -359,6 +359,7 @@
                 make_extra_headers=lambda: _make_origin_headers(exch),
                 clock=self._clock,
             )
+        self._observe_token_time(exch, server.server_id)
         is_delimited = open_answer.head.is_delimited
         if is_delimited or exch.attempt.n_events > MAX_BLAMED_EVENTS:
             # A shorter stream may have ended because its server crashed.
@@ -368,6 +369,22 @@
         await exch.responder.finish()
         return Outcome(open_answer.facts.status, "ok")
 
+    def _observe_token_time(self, exch: Exchange, server_id: str) -> None:
+        """Measure the pauses of a stream that one server sent from begin to end."""
+        engine, first, last = (
+            exch.service.engine,
+            exch.first_event_at,
+            exch.last_event_at,
+        )
+        n_pauses = exch.n_events - 1
+        if engine is None or first is None or last is None or n_pauses < 1:
+            return
+        if exch.n_attempts == 1:
+            n_tokens = n_pauses * engine.n_tokens_per_event
+            self._loads.observe_token_time(
+                exch.service, server_id, (last - first) / n_tokens
+            )
+
     def _observe_first_event(
         self, exch: Exchange, assignment: ServerAssignment
     ) -> None:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -13,6 +13,7 @@
     SHORT_PROMPT_JITTER,
     Placement,
     Refusal,
+    ResponseLimits,
     ServerState,
     ServiceTimes,
     accepts_any_server,
@@ -240,6 +241,7 @@
             times,
             domain=self._loads.domain,
             n_bytes=len(exch.req.body) + TYPICAL_ANSWER_BYTES,
+            limits=_make_limits(exch, waited),
             jitter=SHORT_PROMPT_JITTER if self._is_short_prompt(exch, times) else 0.0,
             random_state=self._random_state,
         )
@@ -326,6 +328,8 @@
             fetch_from=assignment.fetch_from,
             home_rank=assignment.state.home_rank,
             risks_pauses=assignment.state.risks_pauses,
+            machine_slowness=round(assignment.state.machine_slowness, 2),
+            probe=assignment.state.probe_age is not None,
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._cluster_state.servers_revision,
         )
@@ -443,6 +447,15 @@
     return message
 
 
+def _make_limits(exch: Exchange, waited: float) -> ResponseLimits:
+    engine = exch.service.engine
+    return ResponseLimits(
+        time_to_target=exch.rule.target - waited,
+        max_pause=exch.rule.max_pause if exch.rule.streams else 0.0,
+        n_tokens_per_event=engine.n_tokens_per_event if engine else 1,
+    )
+
+
 def _is_prefill_sensitive(exch: Exchange, times: ServiceTimes) -> bool:
     """Return whether prefill of long prompts would delay events of a stream."""
     engine = exch.service.engine
@@ -466,7 +479,9 @@
     most likely been paused.
     """
     if exch.service.engine is None:
-        return predict_first_token(replace(state, backlog=0.0, slowness=1.0), times)
+        return predict_first_token(
+            replace(state, backlog=0.0, slowness=1.0, machine_slowness=1.0), times
+        )
     return (
         state.backlog * state.slowness
         + state.n_prefill_tokens * times.prefill_per_token
@@ -475,7 +490,8 @@
 
 def _predict_prefill_time(state: ServerState, times: ServiceTimes) -> float:
     """Return the prefill time of a request's prompt in seconds, including slowness."""
-    return state.n_prefill_tokens * times.prefill_per_token * state.slowness
+    slowness = state.slowness * state.machine_slowness
+    return state.n_prefill_tokens * times.prefill_per_token * slowness
 
 
 def _can_accept(
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..platform import PromptPart, ServerLoad
-from ..policy import ServiceTimes
+from ..policy import ServerSpeed, ServiceTimes
 
 # Initial values of estimates that are then fitted to measured response times.
 INITIAL_BASE = 0.06  # seconds
@@ -61,6 +61,8 @@
         Prompt parts of the request.
     has_started : bool
         Whether the first token or answer has arrived.
+    log_slowness : float
+        Logarithm of the slowness that the machine reported before the request was sent.
     """
 
     prefill_time: float
@@ -70,6 +72,7 @@
     unqueued: bool
     parts: tuple[PromptPart, ...] = ()
     has_started: bool = False
+    log_slowness: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +143,12 @@
         Number of tokens that the prompt cache holds.
     slowness : float
         Moving average of measured over predicted times; 1 is normal.
+    speed : ServerSpeed
+        Estimator of a server that reports the slowness of its machine.
+    is_slow : bool
+        Whether the machine was slow by the last log line about it.
+    speed_logged_at : float
+        Monotonic time of that log line, in seconds.
     failure_average : float
         Moving average of failures, as of the last result.
     failure_updated_at : float
@@ -169,6 +178,9 @@
     n_cached_tokens: int = 0
     cache_capacity: int = INITIAL_CACHE_CAPACITY
     slowness: float = 1.0
+    speed: ServerSpeed = field(default_factory=ServerSpeed)
+    is_slow: bool = False
+    speed_logged_at: float = float("-inf")
     failure_average: float = 0.0
     failure_updated_at: float = 0.0
     suspended_until: float = float("-inf")
@@ -351,6 +363,7 @@
     _sums: list[float] = field(default_factory=lambda: [0.0] * 5)
     _base: float = INITIAL_BASE
     _per_token: float = INITIAL_PREFILL_PER_TOKEN
+    _token_time: float = ServiceTimes(0.0).per_output_token
 
     def __post_init__(self) -> None:
         if self.plain:
@@ -384,6 +397,11 @@
         )
         self._base = min(max((sum_y - self._per_token * sum_x) / n, 0.005), 1.0)
 
+    def observe_token_time(self, token_time: float) -> None:
+        """Update the time per output token with that of a stream, in seconds."""
+        limited = min(token_time, 4 * self._token_time)
+        self._token_time += SMOOTHING * (limited - self._token_time)
+
     def estimate(self) -> ServiceTimes:
         """Return the current estimate.
 
@@ -393,4 +411,9 @@
             Estimated times of the service.
         """
         per_running = 0.0 if self.plain else TIME_PER_RUNNING_REQUEST
-        return ServiceTimes(self._base, self._per_token, per_running)
+        return ServiceTimes(
+            self._base,
+            self._per_token,
+            per_running,
+            per_output_token=self._token_time,
+        )
