--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -13,6 +13,7 @@
     SHORT_PROMPT_JITTER,
     Placement,
     Refusal,
+    ResponseLimits,
     ServerState,
     ServiceTimes,
     accepts_any_server,
@@ -133,12 +134,15 @@
         self._has_waiting = asyncio.Event()
 
     def list_usable_servers(self, service: str) -> list[Registration]:
-        """Return the registered servers of a service that are not leaving."""
+        """Return the servers of a service that are neither leaving nor replaced."""
         leaving = self._cluster_state.leaving
         return [
             it
             for it in self._cluster_state.servers.values()
-            if it.service == service and not it.draining and it.server_id not in leaving
+            if it.service == service
+            and not it.draining
+            and it.server_id not in leaving
+            and not self._loads.is_replaced(it.server_id)
         ]
 
     def _list_open_servers(self, service: str) -> list[Registration]:
@@ -246,6 +250,7 @@
             times,
             domain=self._loads.domain,
             n_bytes=len(exch.req.body) + TYPICAL_ANSWER_BYTES,
+            limits=_make_limits(exch, waited),
             jitter=SHORT_PROMPT_JITTER if self._is_short_prompt(exch, times) else 0.0,
             random_state=self._random_state,
             connected=self._list_connected(exch.needs_recent_connection),
@@ -334,6 +339,8 @@
             fetch_from=assignment.fetch_from,
             home_rank=assignment.state.home_rank,
             risks_pauses=assignment.state.risks_pauses,
+            machine_slowness=round(assignment.state.machine_slowness, 2),
+            probe=assignment.state.probe_age is not None,
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._cluster_state.servers_revision,
         )
@@ -451,6 +458,15 @@
     return message
 
 
+def _make_limits(exch: Exchange, waited: float) -> ResponseLimits:
+    engine = exch.service.engine
+    return ResponseLimits(
+        time_to_target=exch.rule.target - waited,
+        max_pause=exch.rule.max_pause if exch.rule.streams else 0.0,
+        n_tokens_per_event=engine.n_tokens_per_event if engine else 1,
+    )
+
+
 def _is_prefill_sensitive(exch: Exchange, times: ServiceTimes) -> bool:
     """Return whether prefill of long prompts would delay events of a stream."""
     engine = exch.service.engine
@@ -474,7 +490,9 @@
     most likely been paused.
     """
     if exch.service.engine is None:
-        return predict_first_token(replace(state, backlog=0.0, slowness=1.0), times)
+        return predict_first_token(
+            replace(state, backlog=0.0, slowness=1.0, machine_slowness=1.0), times
+        )
     return (
         state.backlog * state.slowness
         + state.n_prefill_tokens * times.prefill_per_token
@@ -483,7 +501,8 @@
 
 def _predict_prefill_time(state: ServerState, times: ServiceTimes) -> float:
     """Return the prefill time of a request's prompt in seconds, including slowness."""
-    return state.n_prefill_tokens * times.prefill_per_token * state.slowness
+    slowness = state.slowness * state.machine_slowness
+    return state.n_prefill_tokens * times.prefill_per_token * slowness
 
 
 def _can_accept(
