Cold servers get a shared low rate; evacuated failure domains get nothing

Cause: a server that starts during traffic, or returns from an evacuation, bears ColdPerS requests a second and crashes well above that, but every node preferred the idle server; op/evacuate/ was not read. Change: policy/_cold_servers.py divides the rate among the first nodes in the server's hash order, over all known nodes and not only live ones. op/ is read and watched in place of op/config, so that no store call is added; evacuations are in status messages with the revision up to which they are complete. A refusal after an attempt that may have run is a 502, since 503 guarantees that nothing has run. Autoscaling leaves an evacuated domain out of its plan.

Conclusion: the bound holds with late starters, nodes cut off from the store and servers that turn cold in the middle of traffic.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -108,6 +108,8 @@
         Version of the software that the registration states.
     born : int
         Start time that the registration states, in milliseconds since 1970.
+    cold_ms : int
+        Time for which the server stays cold by its registration, in milliseconds.
     n_endless_bytes : int
         Largest number of bytes sent on one connection by an endless behaviour.
     port : int
@@ -129,6 +131,7 @@
     extra_headers: dict[str, str] = field(default_factory=dict)
     version: str = "v1"
     born: int = 1
+    cold_ms: int = 0
     n_endless_bytes: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
@@ -161,7 +164,7 @@
             "Version": self.version,
             "Slots": self.slots,
             "State": state,
-            "ColdLeftMs": 0,
+            "ColdLeftMs": self.cold_ms,
             "Sequence": 1,
             "born": self.born,
         }
--- a/packages/medlargate-standins/medlargate_standins/platform.py
+++ b/packages/medlargate-standins/medlargate_standins/platform.py
@@ -80,6 +80,8 @@
         Number of calls of each key-value store operation, failed calls included.
     down_until : float
         End of the key-value store's outage, in seconds on the monotonic clock.
+    watches_are_quiet : bool
+        Whether watches answer without the changes that happened.
     lose_answers_until : float
         End of the period in which the key-value store executes calls but answers 502
         instead of 200, except for watches, in seconds on the monotonic clock.
@@ -98,6 +100,7 @@
         self.duty_calls: list[tuple[str, int]] = []
         self.n_calls: dict[str, int] = {}
         self.down_until = 0.0
+        self.watches_are_quiet = False
         self.lose_answers_until = 0.0
 
     def is_down(self) -> bool:
@@ -230,8 +233,9 @@
             if watch_result.compacted:
                 return JSONResponse({"Error": "compacted"}, 410)
             remaining = deadline - time.monotonic()
-            if watch_result.changes or remaining <= 0:
-                events = [_encode_change(change) for change in watch_result.changes]
+            found = () if platform.watches_are_quiet else watch_result.changes
+            if found or remaining <= 0:
+                events = [_encode_change(change) for change in found]
                 return JSONResponse({"events": events, "At": watch_result.revision})
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(OUTAGE_CHECK_INTERVAL, remaining)):
--- a/packages/medlargate-standins/medlargate_standins/relay_testbed.py
+++ b/packages/medlargate-standins/medlargate_standins/relay_testbed.py
@@ -11,9 +11,11 @@
 
 import orjson
 from medlargate._settings import Settings
-from medlargate.platform import Delete, Put
+from medlargate.platform import Delete, PlatformCallError, Put
+from medlargate.policy import Verdict
 from medlargate.relay import RelayNode
 from medlargate.telemetry import LineWriter
+from returns.result import Failure
 
 from .backend import Backend
 from .demo import HOST, Servers, find_free_port
@@ -137,6 +139,8 @@
         Number of relay nodes.
     domains : sequence of str, default=("fd-a",)
         Failure domains, assigned to the nodes in turn.
+    ingress : dict of str to object
+        Settings of the nodes in addition to the defaults.
 
     Attributes
     ----------
@@ -152,7 +156,14 @@
         Started nodes.
     """
 
-    def __init__(self, *, n_nodes: int = 1, domains: Sequence[str] = ("fd-a",)) -> None:
+    def __init__(
+        self,
+        *,
+        n_nodes: int = 1,
+        domains: Sequence[str] = ("fd-a",),
+        **ingress: Any,
+    ) -> None:
+        self._ingress = ingress
         self.platform = Platform()
         self.servers = Servers()
         self.backends: dict[str, Backend] = {}
@@ -193,6 +204,24 @@
         """Delete a backend server's registration from the store."""
         self.platform.store.write([], [Delete(f"servers/{backend.server_id}")])
 
+    def evacuate(self, domain: str) -> None:
+        """Write the evacuation of a failure domain to the store."""
+        self.platform.store.write([], [Put(f"op/evacuate/{domain}", b"{}")])
+
+    def end_evacuation(self, domain: str) -> None:
+        """Delete the evacuation of a failure domain from the store."""
+        self.platform.store.write([], [Delete(f"op/evacuate/{domain}")])
+
+    def cut_off_from_store(self, node: RelayNode) -> None:
+        """Let all further calls of a node to the store fail."""
+
+        async def fail(*_: Any, **__: Any) -> Failure[PlatformCallError]:
+            return Failure(PlatformCallError(Verdict.MAY_HAVE_RUN, "cut off"))
+
+        node.watcher.store._call = fail
+        # Ends the watch that is under way.
+        self.platform.store.write([], [Put("op/other", b"{}")])
+
     def put_config(self, config: dict[str, Any]) -> None:
         """Write the operator's configuration to the store."""
         self.platform.store.write([], [Put("op/config", orjson.dumps(config))])
@@ -210,6 +239,7 @@
             "grace": 5.0,
             "duties": "metering,autoscale",
             "lease_ms": 1000,
+            **self._ingress,
         }
         settings = {
             "node": {"name": name, "failure_domain": domain, "address": HOST},
--- a/packages/medlargate/medlargate/fleet/__init__.py
+++ b/packages/medlargate/medlargate/fleet/__init__.py
@@ -10,6 +10,7 @@
 from .._lazy import make_lazy_getattr
 from ._cluster_state import ClusterState, StateFreshness
 from ._domains import STATUS_LIFETIME_ROUNDS, DomainTable
+from ._evacuations import Evacuations
 from ._leases import DutyLease
 from ._peer_checked_clock import PeerCheckedClock
 from ._peer_messages import (
@@ -23,7 +24,7 @@
     decode_node,
     encode_node,
 )
-from ._peers import KnownPeer, PeerMessenger, PeerTable
+from ._peers import ALIVE_TIME, KnownPeer, PeerMessenger, PeerTable
 from ._usage_counts import UsageCounts
 from ._usage_reporter import UsagePartWriter, UsageReporter
 from ._watching import StoreWatcher
@@ -105,6 +106,7 @@
 }
 
 __all__ = [
+    "ALIVE_TIME",
     "KINDS",
     "STATUS_LIFETIME_ROUNDS",
     "AgedRevision",
@@ -122,6 +124,7 @@
     "DomainStatus",
     "DomainTable",
     "DutyLease",
+    "Evacuations",
     "FleetAgent",
     "Heartbeat",
     "Key",
--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -11,6 +11,7 @@
 
 from ..platform import Change, Entry, get_era
 from ..routing import Registration, RouteTable, RoutingConfig, make_route_table
+from ._evacuations import Evacuations
 
 log = logging.getLogger(__name__)
 
@@ -78,6 +79,8 @@
     leaving : dict of str to int
         Servers that have announced in an answer that they leave, with the start times
         (``Registration.born``) of these processes.
+    evacuations : Evacuations
+        Failure domains to whose servers nothing may be sent.
     """
 
     decode_routing_config: DecodeRoutingConfig
@@ -91,11 +94,15 @@
     servers_confirmed_at: float = float("-inf")
     lapsed: dict[str, float] = field(default_factory=dict)
     leaving: dict[str, int] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
     last_store_failure_at: float = float("-inf")
     recent_changes: list[Change] = field(default_factory=list)
     history_start_revision: int = 0
     config_listeners: list[Callable[[], None]] = field(default_factory=list)
     server_listeners: list[Callable[[str], None]] = field(default_factory=list)
+    evacuation_listeners: list[Callable[[frozenset[str]], None]] = field(
+        default_factory=list
+    )
     _entries: dict[str, Entry] = field(default_factory=dict)
     _digest: str | None = None
     _tombstones: dict[str, int] = field(default_factory=dict)
@@ -148,6 +155,31 @@
         for listener in self.config_listeners:
             listener()
 
+    # Evacuations
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains to whose servers nothing may be sent."""
+        return self.evacuations.domains
+
+    def observe_evacuations(self, domains: Iterable[str], revision: int) -> None:
+        """Take over the evacuated failure domains unless newer ones are known.
+
+        The listeners are called after a change, with the domains whose evacuation has
+        ended.
+
+        Parameters
+        ----------
+        domains : iterable of str
+            All evacuated failure domains.
+        revision : int
+            Store revision up to which they are known.
+        """
+        begun, ended = self.evacuations.replace(domains, revision)
+        if begun or ended:
+            for listener in self.evacuation_listeners:
+                listener(ended)
+
     # Registrations
 
     def observe_servers(
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -43,6 +43,16 @@
     limits : dict of str to (float or None, float)
         Requests a second that servers accept from all nodes together, None if a limit
         was lifted, and seconds since a node learned it, by server.
+    evacuations_revision : int or None
+        Store revision up to which ``evacuated`` is complete; None if the sender does
+        not read evacuations.
+    evacuated : list of str
+        Evacuated failure domains.
+    cold : dict of str to float
+        Seconds for which servers stay cold, by server.
+    traffic_age : float or None
+        Seconds since the fleet's first request that the sender knows of; None before it
+        and if no service has cold servers.
     """
 
     name: str
@@ -62,6 +72,10 @@
     sound_parts: dict[str, float] = Field(default_factory=dict)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
+    evacuations_revision: int | None = None
+    evacuated: list[str] = Field(default_factory=list)
+    cold: dict[str, float] = Field(default_factory=dict)
+    traffic_age: float | None = None
 
 
 class PeerStatus(StatusMessage):
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -16,8 +16,9 @@
 
 from returns.result import Failure
 
-from ..platform import Store
+from ..platform import Change, Store, StoreResult
 from ._cluster_state import ClusterState
+from ._evacuations import list_evacuated
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +54,9 @@
         Receives the store's answers.
     config_key, servers_prefix : str
         Key of the configuration and key prefix of the registrations.
+    evacuations_prefix : str, default=""
+        Key prefix of the evacuated failure domains, read and watched together with the
+        configuration, since each call is billed; empty if they are not read.
     clock : callable
         Returns seconds.
     should_watch : callable
@@ -60,8 +64,8 @@
     on_confirmed : callable
         Called after successful polls, so that peers can skip theirs.
     config_bound, servers_bound : float, default=2.0
-        Seconds within which a change of the configuration or of a registration has
-        to be in force.
+        Seconds within which a change of the configuration or of an evacuation, and a
+        change of a registration, have to be in force.
     poll_delay : callable
         Returns the seconds by which this node's polls follow those of the node that
         polls on behalf of all.
@@ -85,6 +89,7 @@
     config_bound: float = 2.0
     servers_bound: float = 2.0
     random_state: random.Random = field(default_factory=random.Random)
+    evacuations_prefix: str = ""
     store_up: bool = True
     _config_read_revision: int = 0
     _config_read_task: asyncio.Task[bool] | None = None
@@ -99,7 +104,8 @@
             if not self.should_watch():
                 await asyncio.sleep(WATCH_CHECK_INTERVAL)
                 continue
-            got = await self.store.poll(self.config_key, revision, WATCH_TIMEOUT)
+            prefix = self._find_common_prefix()
+            got = await self.store.poll(prefix, revision, WATCH_TIMEOUT)
             if isinstance(got, Failure):
                 self._record_outcome(False, got.failure().message)
                 revision = 0
@@ -115,8 +121,24 @@
                     self.cluster_state.observe_config(
                         change.entry, confirmed_at=self.clock()
                     )
+            self._observe_evacuation_changes(found.changes, found.revision)
             revision = found.revision
 
+    def _find_common_prefix(self) -> str:
+        """Return the prefix of the configuration's key and of the evacuations."""
+        if not self.evacuations_prefix:
+            return self.config_key
+        prefix = self.config_key.rpartition("/")[0] + "/"
+        assert self.evacuations_prefix.startswith(prefix)
+        return prefix
+
+    def _observe_evacuation_changes(
+        self, changes: Sequence[Change], revision: int
+    ) -> None:
+        if self.evacuations_prefix:
+            state = self.cluster_state
+            state.observe_evacuations(state.evacuations.apply(changes), revision)
+
     async def _read_config(self) -> int:
         """Read the configuration and return the revision to watch from.
 
@@ -145,18 +167,28 @@
 
     async def _fetch_config(self) -> bool:
         sent_at = self.clock()
-        got = await self.store.read(self.config_key)
+        got = await self._read_config_entries()
         if isinstance(got, Failure):
             self._record_outcome(False, got.failure().message)
             return False
         self._record_outcome(True)
         answer = got.unwrap()
-        entry = answer.entries[0] if answer.entries else None
+        if self.evacuations_prefix:
+            self.cluster_state.observe_evacuations(
+                list_evacuated(answer.entries), answer.revision
+            )
+        rows = [it for it in answer.entries if it.key == self.config_key]
+        entry = rows[0] if rows else None
         self.cluster_state.observe_config(entry, confirmed_at=sent_at)
         if entry is not None:
             self._config_read_revision = max(answer.revision, entry.mod_revision)
         return entry is not None
 
+    async def _read_config_entries(self) -> StoreResult:
+        if not self.evacuations_prefix:
+            return await self.store.read(self.config_key)
+        return await self.store.read(self._find_common_prefix(), prefix=True)
+
     async def run_servers(self) -> None:
         """Watch the registrations until cancelled."""
         known = False
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -14,6 +14,7 @@
     compute_max_demand,
     decide_capacity,
 )
+from ._cold_servers import ColdShare, decide_cold_end, decide_cold_share
 from ._crash_history import CrashHistory, make_request_digest
 from ._demand import DecayingRate
 from ._fleet_budget import FleetRetryBudget
@@ -103,6 +104,7 @@
     "BackendView",
     "Candidate",
     "CapacityOrder",
+    "ColdShare",
     "ConcurrencyLimit",
     "CrashDecision",
     "CrashHistory",
@@ -141,6 +143,8 @@
     "compute_max_demand",
     "compute_work",
     "decide_capacity",
+    "decide_cold_end",
+    "decide_cold_share",
     "decide_ejections",
     "decide_placement",
     "decide_quotas",
--- a/packages/medlargate/medlargate/policy/_rate_limits.py
+++ b/packages/medlargate/medlargate/policy/_rate_limits.py
@@ -70,6 +70,9 @@
         Tokens a second.
     n_tokens : float
         Tokens at the time of the last update.
+    max_tokens : float or None
+        Tokens that may be saved up; None for those of ``MAX_BURST_TIME``, but at least
+        one.
     updated_at : float
         Time of the last update, in seconds.
 
@@ -86,6 +89,7 @@
     rate: float
     updated_at: float
     n_tokens: float = 0.0
+    max_tokens: float | None = None
 
     def set_rate(self, rate: float, now: float) -> None:
         """Change the rate; a rate of 0 empties the bucket."""
@@ -97,7 +101,9 @@
 
     def _update(self, now: float) -> None:
         n_added = max(0.0, now - self.updated_at) * self.rate
-        size = max(1.0, self.rate * MAX_BURST_TIME)
+        size = self.max_tokens
+        if size is None:
+            size = max(1.0, self.rate * MAX_BURST_TIME)
         self.n_tokens = min(size, self.n_tokens + n_added)
         self.updated_at = now
 
@@ -114,3 +120,8 @@
         """Take the token of a request."""
         self._update(now)
         self.n_tokens -= 1.0
+
+    def refund(self, now: float) -> None:
+        """Return the token of a request that did not count."""
+        self.n_tokens += 1.0
+        self._update(now)
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -174,7 +174,12 @@
             for it in self._cluster_state.servers.values()
             if it.service == service.name and not it.draining
         ]
-        names = sorted(set(spec.zone_prices) | {it.zone for it in engines})
+        # Nothing is ordered or released in an evacuated domain, and the others are
+        # planned to carry the whole load.
+        names = sorted(
+            (set(spec.zone_prices) | {it.zone for it in engines})
+            - self._cluster_state.evacuated
+        )
         return [
             ZoneEngines(
                 zone=name,
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 
 from ..fleet import (
+    ALIVE_TIME,
     STATUS_LIFETIME_ROUNDS,
     ClusterState,
     DomainStatus,
@@ -42,6 +43,7 @@
     Responder,
     open_connection,
 )
+from ._cold_servers import ColdServers
 from ._crash_guard import CrashGuard
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
@@ -112,6 +114,10 @@
         Limits stated by servers, exchanged with peers.
     origins : StreamOrigins
         Origins of streams, of which peers keep copies.
+    cold : ColdServers
+        Cold servers, exchanged with peers.
+    reads_evacuations : bool
+        Whether evacuations are read from the store and exchanged with peers.
     """
 
     def __init__(
@@ -131,6 +137,8 @@
         crash_guard: CrashGuard,
         limits: ServerLimits,
         origins: StreamOrigins,
+        cold: ColdServers,
+        reads_evacuations: bool,
     ) -> None:
         self.table = PeerTable(name, zone, clock)
         self.domains = DomainTable(self.table, clock)
@@ -167,6 +175,10 @@
         self._crash_guard = crash_guard
         self._limits = limits
         self._origins = origins
+        self._cold = cold
+        self._reads_evacuations = reads_evacuations
+        self._started_at = clock()
+        self._has_read_nodes = False
         self._pull_server = IngressServer(self._answer_peer, self._get_peer_limits)
         self._broadcast_pending = False
         self._pull_task: asyncio.Task[None] | None = None
@@ -178,6 +190,9 @@
         await self._pull_server.start(self._host, self._port)
         self._cluster_state.config_listeners.append(self.broadcast_state)
         self._cluster_state.server_listeners.append(self._schedule_broadcast)
+        self._cluster_state.evacuation_listeners.append(
+            lambda _: self.broadcast_state()
+        )
 
     def observe_seeds(self, seeds: str) -> None:
         """Add the peer addresses from the settings.
@@ -203,6 +218,7 @@
             read_result = await self._store.read(NODES_PREFIX, prefix=True)
             if not isinstance(read_result, Failure):
                 self._observe_nodes(read_result.unwrap().entries)
+                self._has_read_nodes = True
             if not isinstance(write_result, Failure) and not isinstance(
                 read_result, Failure
             ):
@@ -233,6 +249,24 @@
                 name = entry.key.removeprefix(NODES_PREFIX)
                 self.table.observe_address(name, row["zone"], row["address"])
 
+    def list_node_names(self) -> list[str]:
+        """Return the names of all other known nodes, silent ones included."""
+        # A seed has its address as its name until its first status.
+        return [it.name for it in self.table.peers.values() if it.name != it.address]
+
+    def knows_nodes(self) -> bool:
+        """Return whether this node knows the other nodes and what they know.
+
+        After a start it has heard another node, found none in the store, or waited as
+        long as a live one would be silent at most.
+        """
+        if self._clock() - self._started_at > ALIVE_TIME:
+            return True
+        if not self._has_read_nodes:
+            return False
+        peers = self.table.peers.values()
+        return not peers or any(it.status is not None for it in peers)
+
     def has_heard_all(self, since: float) -> bool:
         """Return whether all live peers have sent a status since a time of day.
 
@@ -275,6 +309,18 @@
             **self._crash_guard.make_status_fields(),
             "versions": self._origins.snapshot_versions(),
             "limits": self._limits.snapshot(),
+            **self._make_evacuation_fields(),
+            "cold": self._cold.snapshot(),
+            "traffic_age": self._cold.get_traffic_age(),
+        }
+
+    def _make_evacuation_fields(self) -> dict[str, Any]:
+        evacuations = self._cluster_state.evacuations
+        if not self._reads_evacuations or not evacuations.revision:
+            return {}
+        return {
+            "evacuations_revision": evacuations.revision,
+            "evacuated": sorted(evacuations.domains),
         }
 
     def _make_peer_status(self, zone: str, to_holder: bool) -> PeerStatus:
@@ -516,6 +562,7 @@
         self._usage.merge(status.incarnation, status.usage)
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
+        self._cold.merge(status.cold, status.traffic_age)
         self._origins.merge_versions(status.versions)
         if status.zone == self.table.zone:
             lifetime = max(
@@ -534,6 +581,7 @@
             )
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
+        self._cold.merge(status.cold, status.traffic_age)
         self._origins.merge_versions(status.versions)
         lifetime = max(
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
@@ -601,7 +649,8 @@
         freshness = state.freshness()
         config_at = now - status.config_age - MAX_TRANSIT_TIME
         servers_at = now - status.servers_age - MAX_TRANSIT_TIME
-        if status.config_revision == freshness.config_revision:
+        confirms_config = self._merge_evacuations(status)
+        if confirms_config and status.config_revision == freshness.config_revision:
             state.config_confirmed_at = max(state.config_confirmed_at, config_at)
         same_servers = status.servers_digest == state.digest()
         if same_servers:
@@ -612,6 +661,22 @@
         if behind and (self._pull_task is None or self._pull_task.done()):
             self._pull_task = asyncio.create_task(self._pull(status))
 
+    def _merge_evacuations(self, status: StatusMessage) -> bool:
+        """Take over evacuations; return whether a peer can confirm this node's reads.
+
+        A peer that does not read evacuations confirms the configuration only. A node
+        that took that for a confirmation of both would skip the read by which it
+        learns of an evacuation.
+        """
+        if not self._reads_evacuations:
+            return True
+        if status.evacuations_revision is None:
+            return False
+        self._cluster_state.observe_evacuations(
+            status.evacuated, status.evacuations_revision
+        )
+        return True
+
     def _decide_pull_delay(self, zone: str) -> float:
         if zone == self.table.zone or not self.table.list_alive(zone=self.table.zone):
             return PULL_DELAY
@@ -651,7 +716,10 @@
         except (ConnectFaultError, ExchangeFaultError, TimeoutError) as exc:
             log.info("pull failed", extra={"peer": status.name, "fault": str(exc)})
             return
-        self._apply_pull_response(status.name, orjson.loads(body))
+        response = orjson.loads(body)
+        if self._reads_evacuations and status.evacuations_revision is None:
+            response["config_age"] = float("inf")
+        self._apply_pull_response(status.name, response)
 
     def _apply_pull_response(self, peer: str, response: dict[str, Any]) -> None:
         now = self._clock() - MAX_TRANSIT_TIME
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -25,6 +25,7 @@
 )
 from ..platform import (
     CONFIG_KEY,
+    EVACUATIONS_PREFIX,
     SERVERS_PREFIX,
     HttpStore,
     OrdersClient,
@@ -45,6 +46,7 @@
 )
 from ._accept import Acceptor
 from ._block_store import BlockStore
+from ._cold_servers import ColdServers
 from ._crash_guard import CrashGuard
 from ._duties import (
     ORDER_TIMEOUT,
@@ -121,19 +123,21 @@
             lambda: [peer.name for peer in self.fleet.table.list_alive()],
             lambda server_id: server_id in self.cluster_state.servers,
         )
+        self.wall_clock = PeerCheckedClock(self.clock, time.time)
+        self.cold = self._make_cold_servers()
         self.pool = ConnectionPool()
         self.demand = DemandTracker()
         self.request_queue = RequestQueue(
             self.cluster_state,
             self.loads,
             self.limits,
+            self.cold,
             self.clock,
             self._observe_dispatch,
             lambda service: self.fleet.sum_sensitive_demand(service),
             random_state=self.random_state,
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
-        self.wall_clock = PeerCheckedClock(self.clock, time.time)
         self.crash_guard = CrashGuard(self.clock)
         self.reach = ReachMonitor(
             self.request_queue.list_usable_servers,
@@ -159,6 +163,7 @@
             self.pool,
             self.loads,
             self.limits,
+            self.cold,
             self.cluster_state.observe_leaving,
             lambda server_id, limit: self.fleet.observe_rejection(server_id, limit),
         )
@@ -201,6 +206,26 @@
         self.fleet: FleetSync
         self.duties: Duties
 
+    def _make_cold_servers(self) -> ColdServers:
+        cold = ColdServers(
+            self.settings.node.name,
+            self.cluster_state,
+            self.clock,
+            self.wall_clock.now,
+            lambda: self.fleet.list_node_names(),
+            lambda: self.fleet.knows_nodes(),
+            overrun=self.ingress.cold_overrun or 1.0,
+            slack=self.ingress.cold_start_slack or 0.0,
+            registration_bound=self.ingress.drain_bound_ms / 1000,
+        )
+        cold.cold_listeners.append(lambda: self.fleet.broadcast_soon())
+        self.cluster_state.evacuation_listeners.append(self._observe_evacuations)
+        return cold
+
+    def _observe_evacuations(self, ended: frozenset[str]) -> None:
+        self.cold.observe_evacuation_end(ended)
+        self.request_queue.observe_change()
+
     # Callbacks of the components
 
     def write_record(self, kind: str, **facts: Any) -> None:
@@ -258,6 +283,9 @@
             self.pool.close_server_connections(server_id)
             self.loads.forget(server_id)
             self.limits.forget(server_id)
+            self.cold.forget(server_id)
+        else:
+            self.cold.observe_registration(self.cluster_state.servers[server_id])
         self.request_queue.observe_change()
 
     def _list_services(self) -> set[str]:
@@ -324,7 +352,10 @@
             should_watch=self.fleet.is_watcher,
             on_confirmed=self.fleet.broadcast_state,
             poll_delay=self.fleet.domains.decide_poll_delay,
-            config_bound=self.ingress.config_bound_ms / 1000,
+            config_bound=self._compute_config_bound(),
+            evacuations_prefix=(
+                EVACUATIONS_PREFIX if self.ingress.evacuate_bound_ms else ""
+            ),
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
         self.loads.count_nodes = self._count_nodes
@@ -377,6 +408,11 @@
             self._spawn(job)
         log.info("node started", extra={"incarnation": self.incarnation})
 
+    def _compute_config_bound(self) -> float:
+        """Return the time within which what the watcher reads has to be in force."""
+        bounds = (self.ingress.config_bound_ms, self.ingress.evacuate_bound_ms)
+        return min(filter(None, bounds)) / 1000
+
     async def _run_summaries(self) -> None:
         """Log a summary of the node's state periodically, until cancelled."""
         while True:
@@ -396,6 +432,8 @@
                     "n_nodes": self.fleet.count_nodes(),
                     "domains_age": self.fleet.domains.status_ages(),
                     "holds_duties": self.duties.is_holder(),
+                    "evacuated": sorted(self.cluster_state.evacuated),
+                    "cold_servers": self.cold.list_cold(),
                     "n_store_calls": dict(self.watcher.store.n_calls),
                     "n_connections_opened": self.pool.n_opened,
                     "n_lines_dropped": self.writer.n_dropped,
@@ -419,6 +457,8 @@
             crash_guard=self.crash_guard,
             limits=self.limits,
             origins=self.origins,
+            cold=self.cold,
+            reads_evacuations=bool(self.ingress.evacuate_bound_ms),
         )
         fleet.observe_seeds(self.ingress.seeds)
         return fleet
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -182,7 +182,7 @@
         except TimeoutError:
             refusal = self._make_timeout(exch)
         except Refusal as exc:
-            refusal = exc
+            refusal = _make_truthful(exc, exch.verdict)
         if exch.responder.started:
             exch.responder.abort()
             return Outcome(0, f"broken_off:{refusal.code}")
@@ -496,6 +496,17 @@
     exch.rule = replace(exch.rule, max_attempts=max_attempts)
 
 
+def _make_truthful(exc: Refusal, verdict: Verdict) -> Refusal:
+    """Return a refusal that does not claim of an earlier attempt that it has not run.
+
+    The statuses 429, 503, 408 and 421 guarantee to the caller that nothing has run.
+    """
+    if exc.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
+        return exc
+    message = f"an earlier attempt may have run; {exc.message}"
+    return Refusal(502, f"failed:{exc.code}", message, verdict)
+
+
 def _make_origin_headers(exch: Exchange) -> list[tuple[bytes, bytes]]:
     return make_origin_headers(exch.origin) if exch.forwarded is not None else []
 
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -25,6 +25,7 @@
     predict_first_token,
 )
 from ..routing import Registration
+from ._cold_servers import ColdServers
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
@@ -87,6 +88,8 @@
         Load estimates of the servers.
     limits : ServerLimits
         Request rates that servers limit.
+    cold : ColdServers
+        Request rates of cold servers.
     clock : callable
         Returns the node's monotonic time in seconds.
     observe_dispatch : callable
@@ -106,6 +109,7 @@
         cluster_state: ClusterState,
         loads: LoadTracker,
         limits: ServerLimits,
+        cold: ColdServers,
         clock: Callable[[], float],
         observe_dispatch: Callable[[Exchange, str, float, bool], None],
         sum_sensitive_demand: Callable[[str], float],
@@ -119,11 +123,17 @@
         self._cluster_state = cluster_state
         self._loads = loads
         self._limits = limits
+        self._cold = cold
         self._clock = clock
         self._queues: dict[str, list[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
 
     def list_usable_servers(self, service: str) -> list[Registration]:
+        """Return the servers of a service that are not leaving or evacuated."""
+        evacuated = self._cluster_state.evacuated
+        return [it for it in self._list_staying(service) if it.zone not in evacuated]
+
+    def _list_staying(self, service: str) -> list[Registration]:
         """Return the registered servers of a service that are not leaving."""
         leaving = self._cluster_state.leaving
         return [
@@ -146,7 +156,9 @@
         A server may have asked this node for a pause or limit the rate of its requests.
         """
         return max(
-            self._loads.get_refusal_time(server_id), self._limits.get_wait(server_id)
+            self._loads.get_refusal_time(server_id),
+            self._limits.get_wait(server_id),
+            self._cold.get_wait(server_id),
         )
 
     def has_untried_server(self, exch: Exchange) -> bool:
@@ -246,6 +258,8 @@
         if not _can_accept(exch, state, times, accept_any):
             return None
         holder = self._cluster_state.servers.get(state.source) if state.source else None
+        if holder is not None and holder.zone in self._cluster_state.evacuated:
+            holder = None
         fetch_from = holder.address if holder is not None else None
         return ServerAssignment(servers[placement.name], state, placement, fetch_from)
 
@@ -337,6 +351,7 @@
             placement.predicted,
         )
         self._limits.observe_send(placement.name)
+        self._cold.observe_send(placement.name)
         if exch.service.engine is not None:
             prefill_sensitive = _is_prefill_sensitive(exch, times)
             self._observe_dispatch(
@@ -387,7 +402,12 @@
             if exch.can_run_at(it)
         ]
         if not servers:
-            if now - queued.queued_at < NO_SERVER_WAIT:
+            # Evacuated servers do not come back within the wait.
+            is_evacuated = any(
+                it.zone in self._cluster_state.evacuated
+                for it in self._list_staying(exch.service.name)
+            )
+            if not is_evacuated and now - queued.queued_at < NO_SERVER_WAIT:
                 return None
             return Refusal(
                 503,
@@ -420,7 +440,10 @@
 
         It is 0 if one of the servers does not limit the rate of its requests.
         """
-        total_rate = sum(self._limits.get_rate(it.server_id) for it in servers)
+        total_rate = sum(
+            min(self._limits.get_rate(it.server_id), self._cold.get_rate(it.server_id))
+            for it in servers
+        )
         return n_ahead / total_rate if total_rate else 0.0
 
     async def run(self) -> None:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -18,6 +18,7 @@
     ExchangeFaultError,
     ResponseHead,
 )
+from ._cold_servers import ColdServers
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._request_queue import ServerAssignment
@@ -157,6 +158,8 @@
         Load estimates, updated with reported loads and failures.
     limits : ServerLimits
         Limits of the servers, updated with those stated in answers.
+    cold : ColdServers
+        Cold servers, updated with what they state in answers.
     observe_leaving : callable
         Called with the id of a server that announces that it leaves.
     observe_rejection : callable
@@ -169,12 +172,14 @@
         pool: ConnectionPool,
         loads: LoadTracker,
         limits: ServerLimits,
+        cold: ColdServers,
         observe_leaving: Callable[[str], None],
         observe_rejection: Callable[[str, float], None],
     ) -> None:
         self._pool = pool
         self._loads = loads
         self._limits = limits
+        self._cold = cold
         self._observe_leaving = observe_leaving
         self._observe_rejection = observe_rejection
         self._open: dict[int, tuple[Exchange, BackendConnection]] = {}
@@ -262,7 +267,9 @@
     ) -> None:
         if facts.misdirected:
             # Another server answered.
+            self._cold.observe_misdirected(server_id)
             return
+        self._cold.observe_answer(server_id, facts.cold_time)
         if facts.load is not None:
             self._loads.observe_report(server_id, facts.load)
         self._loads.observe_brittle(server_id, facts.max_rejections)
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_cold_servers.py
@@ -0,0 +1,183 @@
+"""Cold servers before a fleet of six nodes with more requests than they bear."""
+
+import asyncio
+import itertools
+import time
+import unittest
+
+from medlargate_standins.backend import Backend
+from medlargate_standins.relay_testbed import RelayTestbed, make_config
+
+from medlargate.policy import TokenBucket
+
+COLD_RATE, COLD_TIME, OVERRUN, SLACK = 5.0, 4.0, 1.5, 5.0
+BOUND = COLD_RATE * OVERRUN + SLACK
+# Until then, nodes may not know of a server that turns cold among warm ones.
+CONTACT_TIME = 1.0  # seconds
+
+
+def count_most(times, since=0.0):
+    """Return the largest number of times in any second after a time."""
+    times = [it for it in times if it >= since]
+    return max((sum(it <= at < it + 1 for at in times) for it in times), default=0)
+
+
+class ColdServerCase(unittest.IsolatedAsyncioTestCase):
+    """Six nodes in three domains before the servers p1 and p2 of a plain service."""
+
+    cold_rate = COLD_RATE
+
+    async def asyncSetUp(self):
+        self.world = RelayTestbed(
+            n_nodes=6,
+            domains=("fd-a", "fd-b", "fd-c"),
+            evacuate_bound_ms=5000,
+            cold_overrun=OVERRUN,
+            cold_start_slack=SLACK,
+        )
+        services = make_config()["Services"]
+        for service in services:
+            service.update(ColdStartS=COLD_TIME, ColdPerS=self.cold_rate)
+        await self.world.start(Services=services)
+        self.arrivals = {}
+        self.stopped = False
+        for backend in self.world.backends.values():
+            self.record_arrivals(backend)
+        async with asyncio.timeout(10):
+            while any(len(it.fleet.table.list_alive()) < 5 for it in self.world.nodes):
+                await asyncio.sleep(0.05)
+        self.load_task = asyncio.create_task(self.load())
+        await asyncio.sleep(0.5)
+
+    async def asyncTearDown(self):
+        await self.end_load()
+        await self.world.close()
+
+    def record_arrivals(self, backend):
+        times = self.arrivals[backend.server_id] = []
+
+        def decide(_):
+            times.append(time.monotonic())
+            return "ok"
+
+        backend.behaviour = decide
+
+    async def load(self, rate=90.0):
+        """Send requests to the nodes in turn until stopped; return the replies."""
+        tasks = []
+        for number in itertools.count():
+            if self.stopped:
+                break
+            node = number % len(self.world.nodes)
+            tasks.append(asyncio.create_task(self.world.call("/read/x", node=node)))
+            await asyncio.sleep(1 / rate)
+        return await asyncio.gather(*tasks)
+
+    async def end_load(self):
+        self.stopped = True
+        return await self.load_task
+
+    async def add_server(self, name="p3", **fields):
+        backend = Backend(name, "plain", "fd-b", slots=50, **fields)
+        self.record_arrivals(backend)
+        return await self.world.add_backend(backend)
+
+    def assert_spared(self, name, since=0.0, *, at_least=5):
+        """Check that a cold server got few requests, but not none."""
+        self.assertLess(count_most(self.arrivals[name], since), BOUND)
+        n_arrivals = sum(it >= since for it in self.arrivals[name])
+        self.assertGreaterEqual(n_arrivals, at_least)
+
+
+class ColdServerTest(ColdServerCase):
+    async def test_new_server_that_says_nothing_is_cold(self):
+        await self.add_server(born=int(time.time() * 1000))
+        await asyncio.sleep(3.5)
+        self.assert_spared("p3")
+        await asyncio.sleep(1.5)
+        replies = await self.end_load()
+        self.assertEqual({it.status for it in replies}, {200})
+        # It is warm now and gets its part.
+        self.assertGreater(count_most(self.arrivals["p3"]), BOUND)
+
+    async def test_server_turns_cold_in_the_middle_of_traffic(self):
+        backend = self.world.backends["p1"]
+        backend.cold_ms = 4000
+        self.world.register(backend)
+        since = time.monotonic() + CONTACT_TIME
+        await asyncio.sleep(4.0)
+        self.assert_spared("p1", since)
+
+    async def test_cold_answer_at_one_node_is_told_to_the_others(self):
+        backend = self.world.backends["p1"]
+        backend.extra_headers = {"Cold-Ms": "4000"}
+        since = time.monotonic() + CONTACT_TIME
+        await asyncio.sleep(0.3)
+        backend.extra_headers = {}
+        await asyncio.sleep(3.5)
+        self.assert_spared("p1", since)
+
+    async def test_node_that_starts_late_adds_little(self):
+        await self.add_server(cold_ms=5000)
+        await self.world.add_node("late")
+        await asyncio.sleep(3.5)
+        self.assert_spared("p3")
+
+    async def test_nodes_cut_off_from_the_store_take_part_in_the_division(self):
+        for node in self.world.nodes[:3]:
+            self.world.cut_off_from_store(node)
+        await self.add_server(cold_ms=5000)
+        await asyncio.sleep(3.5)
+        self.assert_spared("p3")
+
+    async def test_servers_are_cold_when_an_evacuation_ends(self):
+        # The registration that says so comes after the end of the evacuation.
+        backend = await self.add_server()
+        self.world.evacuate("fd-b")
+        await asyncio.sleep(1.5)
+        self.world.end_evacuation("fd-b")
+        since = time.monotonic()
+        await asyncio.sleep(1.2)
+        backend.cold_ms = 4000
+        self.world.register(backend)
+        await asyncio.sleep(3.0)
+        self.assert_spared("p3", since)
+
+    async def test_all_servers_cold(self):
+        since = time.monotonic() + CONTACT_TIME
+        for name in ("p1", "p2"):
+            backend = self.world.backends[name]
+            backend.cold_ms = 4000
+            self.world.register(backend)
+        await asyncio.sleep(4.0)
+        for name in ("p1", "p2"):
+            self.assert_spared(name, since)
+        replies = await self.end_load()
+        statuses = [it.status for it in replies]
+        self.assertLessEqual(set(statuses), {200, 503, 504})
+        self.assertGreater(statuses.count(503), 0)
+        # A request that gets its turn just before its deadline may end with 504.
+        self.assertLessEqual(statuses.count(504), 0.2 * len(statuses))
+
+
+class SwitchedOffTest(ColdServerCase):
+    cold_rate = 0.0
+
+    async def test_new_server_gets_its_part_at_once(self):
+        await self.add_server(born=int(time.time() * 1000), cold_ms=4000)
+        await asyncio.sleep(2.5)
+        self.assertGreater(count_most(self.arrivals["p3"]), BOUND)
+        for node in self.world.nodes:
+            self.assertEqual(node.cold.list_cold(), [])
+
+
+class MisdirectedTest(unittest.TestCase):
+    def test_request_that_another_server_answered_does_not_count(self):
+        bucket = TokenBucket(1.0, 0.0, n_tokens=1.0, max_tokens=1.0)
+        bucket.spend(0.0)
+        self.assertEqual(bucket.compute_wait(0.0), 1.0)
+        bucket.refund(0.0)
+        self.assertEqual(bucket.compute_wait(0.0), 0.0)
+        bucket.refund(0.0)
+        bucket.spend(0.0)
+        self.assertEqual(bucket.compute_wait(0.0), 1.0)
--- a/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
+++ b/packages/medlargate/medlargate/relay/tests/test_scale_duty.py
@@ -56,6 +56,20 @@
         )
         self.assertEqual(await self.step(0.4), [])
 
+    async def test_evacuated_domain_gets_no_orders_and_the_others_enough(self):
+        # Guards against engines that nothing may be sent to, and against a plan that
+        # counts on them.
+        self.demand["s"] = 0.0
+        await self.step()
+        await self.step(130.0)
+        self.demand["s"] = 0.4
+        before = {row[0]: row[1] for row in await self.step(10.0) if row[2]}
+        self.cluster_state.observe_evacuations(["a"], 5)
+        after = {row[0]: row[1] for row in await self.step(10.0) if row[2]}
+        self.assertNotIn("a", after)
+        for zone in "bc":
+            self.assertGreater(after[zone], before[zone])
+
     def sum_ordered_spot(self):
         """Return the total number of spot engines in the latest orders."""
         rows = {zone: desired for zone, desired, spot in self.sent if spot}
