--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -17,6 +17,7 @@
     ExchangeFaultError,
     ResponseHead,
 )
+from ._cold_servers import ColdServers
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._request_queue import ServerAssignment
@@ -156,6 +157,8 @@
         Load estimates, updated with reported loads and failures.
     limits : ServerLimits
         Limits of the servers, updated with those stated in answers.
+    cold : ColdServers
+        Cold servers, updated with what they state in answers.
     observe_leaving : callable
         Called with the id of a server that announces that it leaves.
     observe_rejection : callable
@@ -168,12 +171,14 @@
         pool: ConnectionPool,
         loads: LoadTracker,
         limits: ServerLimits,
+        cold: ColdServers,
         observe_leaving: Callable[[str], None],
         observe_rejection: Callable[[str, float], None],
     ) -> None:
         self._pool = pool
         self._loads = loads
         self._limits = limits
+        self._cold = cold
         self._observe_leaving = observe_leaving
         self._observe_rejection = observe_rejection
         self._open: dict[int, tuple[Exchange, BackendConnection]] = {}
@@ -260,9 +265,11 @@
         self, exch: Exchange, server_id: str, facts: ResponseInfo
     ) -> None:
         if facts.misdirected:
+            self._cold.observe_misdirected(server_id)
             if facts.server_id and facts.server_id != server_id:
                 self._loads.observe_replaced(server_id, facts.server_id)
             return
+        self._cold.observe_answer(server_id, facts.cold_time)
         if facts.load is not None:
             self._loads.observe_report(server_id, facts.load)
         self._loads.observe_brittle(server_id, facts.max_rejections)
