--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -10,7 +10,13 @@
 
 from ..platform import RequestInfo
 from ..policy import RequestStates, StreamOrigin, Verdict, make_request_digest
-from ..routing import CustomerSpec, Registration, RouteRule, ServiceSpec
+from ..routing import (
+    CustomerSpec,
+    Registration,
+    RequestType,
+    RouteRule,
+    ServiceSpec,
+)
 from ..transport import IncomingRequest, Responder
 
 if TYPE_CHECKING:
@@ -86,6 +92,8 @@
         State machine that tracks whether the request may have run.
     tried_servers : set of str
         Ids of the servers that the request was sent to or that were unreachable.
+    misdirected_servers : set of str
+        Ids at whose addresses other servers answered. They get the request never again.
     n_sent : int
         Number of times that the request was written to a server.
     exchange_id : int
@@ -123,6 +131,7 @@
     write_record: RecordWriter
     states: RequestStates = field(default_factory=RequestStates)
     tried_servers: set[str] = field(default_factory=set)
+    misdirected_servers: set[str] = field(default_factory=set)
     n_sent: int = 0
     exchange_id: int = field(default_factory=lambda: next(_numbers))
     last_event_id: int | None = None
@@ -168,8 +177,21 @@
             self.facts.last_event_id or self.facts.resumed_id
         )
 
+    @property
+    def needs_recent_connection(self) -> bool:
+        """Whether only a connection in use recently may be reused.
+
+        A server may close an idle connection while the request is on its way, and a
+        request that may not be sent twice is lost then.
+        """
+        return self.rule.request_type is RequestType.ONCE or (
+            self.rule.streams and not self.rule.resumable
+        )
+
     def can_run_at(self, server: Registration) -> bool:
-        """Return whether a server may begin the stream, or go on with it."""
+        """Return whether a server may get the request, or go on with its stream."""
+        if server.server_id in self.misdirected_servers:
+            return False
         origin = self.origin
         return (
             origin is None
@@ -183,6 +205,11 @@
         declared = self.facts.n_prompt_tokens
         return declared or sum(part.n_tokens for part in self.facts.parts)
 
+    @property
+    def n_attempts(self) -> int:
+        """Number of times that the request reached the server it was meant for."""
+        return self.n_sent - len(self.misdirected_servers)
+
     @property
     def target_at(self) -> float:
         """Target time of the answer or first event on the node's clock, in seconds."""
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -41,6 +41,8 @@
 log = logging.getLogger(__name__)
 
 MAX_CONNECT_TRIES = 4  # unreachable servers per request
+# Retries of one request after answers 421, each of which costs a round trip.
+MAX_MISDIRECTED_RETRIES = 3
 # An attempt with less time than this cannot return an answer before the deadline.
 MIN_TIME_LEFT = 0.01  # seconds
 NOT_RUN_RETRY_AFTER = 0.3  # seconds; sent when a request was not run
@@ -182,7 +184,7 @@
         except TimeoutError:
             refusal = self._make_timeout(exch)
         except Refusal as exc:
-            refusal = exc
+            refusal = _make_truthful(exc, exch.verdict)
         if exch.responder.started:
             exch.responder.abort()
             return Outcome(0, f"broken_off:{refusal.code}")
@@ -297,7 +299,7 @@
         """Return whether another attempt can follow a silent one."""
         return (
             exch.rule.repeatable
-            and exch.n_sent < exch.rule.max_attempts
+            and exch.n_attempts < exch.rule.max_attempts
             and self._get_budget(exch.service.name).can_spend(
                 self._clock(), n_nodes=self._count_nodes()
             )
@@ -357,6 +359,7 @@
                 make_extra_headers=lambda: _make_origin_headers(exch),
                 clock=self._clock,
             )
+        self._observe_token_time(exch, server.server_id)
         is_delimited = open_answer.head.is_delimited
         if is_delimited or exch.attempt.n_events > MAX_BLAMED_EVENTS:
             # A shorter stream may have ended because its server crashed.
@@ -366,6 +369,22 @@
         await exch.responder.finish()
         return Outcome(open_answer.facts.status, "ok")
 
+    def _observe_token_time(self, exch: Exchange, server_id: str) -> None:
+        """Measure the pauses of a stream that one server sent from begin to end."""
+        engine, first, last = (
+            exch.service.engine,
+            exch.first_event_at,
+            exch.last_event_at,
+        )
+        n_pauses = exch.n_events - 1
+        if engine is None or first is None or last is None or n_pauses < 1:
+            return
+        if exch.n_attempts == 1:
+            n_tokens = n_pauses * engine.n_tokens_per_event
+            self._loads.observe_token_time(
+                exch.service, server_id, (last - first) / n_tokens
+            )
+
     def _observe_first_event(
         self, exch: Exchange, assignment: ServerAssignment
     ) -> None:
@@ -401,6 +420,7 @@
             exch.tried_servers.add(server_id)
             self._loads.observe_unreachable(server_id, assignment.server.zone)
         elif fault.kind == "misdirected":
+            exch.misdirected_servers.add(server_id)
             self._loads.observe_unreachable(server_id)
             exch.states.observe("backend_refusal")
         elif fault.kind == "refused":
@@ -453,7 +473,11 @@
             if n_unreachable >= MAX_CONNECT_TRIES:
                 return f"{n_unreachable} servers could not be reached"
             return None
-        if exch.n_sent >= exch.rule.max_attempts:
+        if fault.kind == "misdirected":
+            # The request has not run, so that routes of one attempt retry it too.
+            if len(exch.misdirected_servers) > MAX_MISDIRECTED_RETRIES:
+                return f"{len(exch.misdirected_servers)} servers had restarted"
+        elif exch.n_attempts >= exch.rule.max_attempts:
             return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
         if exch.deadline - self._clock() < MIN_TIME_LEFT:
             return "no time left"
@@ -496,6 +520,17 @@
     exch.rule = replace(exch.rule, max_attempts=max_attempts)
 
 
+def _make_truthful(exc: Refusal, verdict: Verdict) -> Refusal:
+    """Return a refusal that does not claim of an earlier attempt that it has not run.
+
+    The statuses 429, 503, 408 and 421 guarantee to the caller that nothing has run.
+    """
+    if exc.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
+        return exc
+    message = f"an earlier attempt may have run; {exc.message}"
+    return Refusal(502, f"failed:{exc.code}", message, verdict)
+
+
 def _make_origin_headers(exch: Exchange) -> list[tuple[bytes, bytes]]:
     return make_origin_headers(exch.origin) if exch.forwarded is not None else []
 
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -13,6 +13,7 @@
     SHORT_PROMPT_JITTER,
     Placement,
     Refusal,
+    ResponseLimits,
     ServerState,
     ServiceTimes,
     accepts_any_server,
@@ -25,6 +26,7 @@
     predict_first_token,
 )
 from ..routing import Registration
+from ._cold_servers import ColdServers
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
@@ -87,6 +89,8 @@
         Load estimates of the servers.
     limits : ServerLimits
         Request rates that servers limit.
+    cold : ColdServers
+        Request rates of cold servers.
     clock : callable
         Returns the node's monotonic time in seconds.
     observe_dispatch : callable
@@ -96,6 +100,11 @@
     sum_sensitive_demand : callable
         Returns the prefill work of prefill-sensitive streams that arrives at the whole
         fleet for a service, in engine-seconds per second.
+    list_connected : callable
+        Returns the servers to which the node has an idle connection that a request may
+        reuse; its argument tells whether only those in use recently count.
+    connection_preference : float, default=0.0
+        Delay that is accepted to reuse a connection, in seconds.
     random_state : random.Random or None
         Source of a random addition to the cost of servers for short prompts, so that
         nodes do not all choose the same server.
@@ -106,12 +115,17 @@
         cluster_state: ClusterState,
         loads: LoadTracker,
         limits: ServerLimits,
+        cold: ColdServers,
         clock: Callable[[], float],
         observe_dispatch: Callable[[Exchange, str, float, bool], None],
         sum_sensitive_demand: Callable[[str], float],
         *,
+        list_connected: Callable[[bool], Collection[str]] = lambda _: (),
+        connection_preference: float = 0.0,
         random_state: random.Random | None = None,
     ) -> None:
+        self._list_connected = list_connected
+        self._connection_preference = connection_preference
         self._random_state = random_state or random.Random()
         self._sum_sensitive_demand = sum_sensitive_demand
         self._short_prompt_engines: dict[str, tuple[float, frozenset[str]]] = {}
@@ -119,17 +133,26 @@
         self._cluster_state = cluster_state
         self._loads = loads
         self._limits = limits
+        self._cold = cold
         self._clock = clock
         self._queues: dict[str, list[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
 
     def list_usable_servers(self, service: str) -> list[Registration]:
-        """Return the registered servers of a service that are not leaving."""
+        """Return the servers of a service that are not leaving or evacuated."""
+        evacuated = self._cluster_state.evacuated
+        return [it for it in self._list_staying(service) if it.zone not in evacuated]
+
+    def _list_staying(self, service: str) -> list[Registration]:
+        """Return the servers of a service that are neither leaving nor replaced."""
         leaving = self._cluster_state.leaving
         return [
             it
             for it in self._cluster_state.servers.values()
-            if it.service == service and not it.draining and it.server_id not in leaving
+            if it.service == service
+            and not it.draining
+            and it.server_id not in leaving
+            and not self._loads.is_replaced(it.server_id)
         ]
 
     def _list_open_servers(self, service: str) -> list[Registration]:
@@ -146,7 +169,9 @@
         A server may have asked this node for a pause or limit the rate of its requests.
         """
         return max(
-            self._loads.get_refusal_time(server_id), self._limits.get_wait(server_id)
+            self._loads.get_refusal_time(server_id),
+            self._limits.get_wait(server_id),
+            self._cold.get_wait(server_id),
         )
 
     def has_untried_server(self, exch: Exchange) -> bool:
@@ -237,8 +262,11 @@
             times,
             domain=self._loads.domain,
             n_bytes=len(exch.req.body) + TYPICAL_ANSWER_BYTES,
+            limits=_make_limits(exch, waited),
             jitter=SHORT_PROMPT_JITTER if self._is_short_prompt(exch, times) else 0.0,
             random_state=self._random_state,
+            connected=self._list_connected(exch.needs_recent_connection),
+            connection_preference=self._connection_preference,
         )
         if placement is None:
             return None
@@ -246,6 +274,8 @@
         if not _can_accept(exch, state, times, accept_any):
             return None
         holder = self._cluster_state.servers.get(state.source) if state.source else None
+        if holder is not None and holder.zone in self._cluster_state.evacuated:
+            holder = None
         fetch_from = holder.address if holder is not None else None
         return ServerAssignment(servers[placement.name], state, placement, fetch_from)
 
@@ -323,6 +353,8 @@
             fetch_from=assignment.fetch_from,
             home_rank=assignment.state.home_rank,
             risks_pauses=assignment.state.risks_pauses,
+            machine_slowness=round(assignment.state.machine_slowness, 2),
+            probe=assignment.state.probe_age is not None,
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._cluster_state.servers_revision,
         )
@@ -337,6 +369,7 @@
             placement.predicted,
         )
         self._limits.observe_send(placement.name)
+        self._cold.observe_send(placement.name)
         if exch.service.engine is not None:
             prefill_sensitive = _is_prefill_sensitive(exch, times)
             self._observe_dispatch(
@@ -387,7 +420,12 @@
             if exch.can_run_at(it)
         ]
         if not servers:
-            if now - queued.queued_at < NO_SERVER_WAIT:
+            # Evacuated servers do not come back within the wait.
+            is_evacuated = any(
+                it.zone in self._cluster_state.evacuated
+                for it in self._list_staying(exch.service.name)
+            )
+            if not is_evacuated and now - queued.queued_at < NO_SERVER_WAIT:
                 return None
             return Refusal(
                 503,
@@ -420,7 +458,10 @@
 
         It is 0 if one of the servers does not limit the rate of its requests.
         """
-        total_rate = sum(self._limits.get_rate(it.server_id) for it in servers)
+        total_rate = sum(
+            min(self._limits.get_rate(it.server_id), self._cold.get_rate(it.server_id))
+            for it in servers
+        )
         return n_ahead / total_rate if total_rate else 0.0
 
     async def run(self) -> None:
@@ -440,6 +481,15 @@
     return message
 
 
+def _make_limits(exch: Exchange, waited: float) -> ResponseLimits:
+    engine = exch.service.engine
+    return ResponseLimits(
+        time_to_target=exch.rule.target - waited,
+        max_pause=exch.rule.max_pause if exch.rule.streams else 0.0,
+        n_tokens_per_event=engine.n_tokens_per_event if engine else 1,
+    )
+
+
 def _is_prefill_sensitive(exch: Exchange, times: ServiceTimes) -> bool:
     """Return whether prefill of long prompts would delay events of a stream."""
     engine = exch.service.engine
@@ -463,7 +513,9 @@
     most likely been paused.
     """
     if exch.service.engine is None:
-        return predict_first_token(replace(state, backlog=0.0, slowness=1.0), times)
+        return predict_first_token(
+            replace(state, backlog=0.0, slowness=1.0, machine_slowness=1.0), times
+        )
     return (
         state.backlog * state.slowness
         + state.n_prefill_tokens * times.prefill_per_token
@@ -472,7 +524,8 @@
 
 def _predict_prefill_time(state: ServerState, times: ServiceTimes) -> float:
     """Return the prefill time of a request's prompt in seconds, including slowness."""
-    return state.n_prefill_tokens * times.prefill_per_token * state.slowness
+    slowness = state.slowness * state.machine_slowness
+    return state.n_prefill_tokens * times.prefill_per_token * slowness
 
 
 def _can_accept(
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..platform import PromptPart, ServerLoad
-from ..policy import ServiceTimes
+from ..policy import ServerSpeed, ServiceTimes
 
 # Initial values of estimates that are then fitted to measured response times.
 INITIAL_BASE = 0.06  # seconds
@@ -28,6 +28,9 @@
 PEER_LIFETIME = 2.5  # seconds that a load reported by a peer is used
 INITIAL_SUSPENSION = 0.5  # seconds without requests after a failed connection
 MAX_SUSPENSION = 4.0  # seconds
+# A node learns of a server's new registration within a few seconds. The time is bounded
+# because the server may come back at another address under its old id.
+REPLACED_LIFETIME = 8.0  # seconds without requests after a 421 with another id
 # When a failure domain is unreachable, each of its servers costs a request one
 # connection timeout. After two such servers the whole domain is suspended.
 MIN_UNREACHABLE_SERVERS = 2
@@ -58,6 +61,8 @@
         Prompt parts of the request.
     has_started : bool
         Whether the first token or answer has arrived.
+    log_slowness : float
+        Logarithm of the slowness that the machine reported before the request was sent.
     """
 
     prefill_time: float
@@ -67,6 +72,7 @@
     unqueued: bool
     parts: tuple[PromptPart, ...] = ()
     has_started: bool = False
+    log_slowness: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +143,12 @@
         Number of tokens that the prompt cache holds.
     slowness : float
         Moving average of measured over predicted times; 1 is normal.
+    speed : ServerSpeed
+        Estimator of a server that reports the slowness of its machine.
+    is_slow : bool
+        Whether the machine was slow by the last log line about it.
+    speed_logged_at : float
+        Monotonic time of that log line, in seconds.
     failure_average : float
         Moving average of failures, as of the last result.
     failure_updated_at : float
@@ -145,6 +157,9 @@
         Monotonic time until which the server gets no requests, in seconds.
     suspension : float
         Duration of the next suspension, in seconds.
+    replaced_until : float
+        Monotonic time until which the server gets no requests because another one has
+        answered at its address, in seconds.
     refuses_until : float
         Monotonic time until which the server has asked for no requests, in seconds.
     max_rejections : float or None
@@ -163,14 +178,22 @@
     n_cached_tokens: int = 0
     cache_capacity: int = INITIAL_CACHE_CAPACITY
     slowness: float = 1.0
+    speed: ServerSpeed = field(default_factory=ServerSpeed)
+    is_slow: bool = False
+    speed_logged_at: float = float("-inf")
     failure_average: float = 0.0
     failure_updated_at: float = 0.0
     suspended_until: float = float("-inf")
     suspension: float = INITIAL_SUSPENSION
+    replaced_until: float = float("-inf")
     refuses_until: float = float("-inf")
     max_rejections: float | None = None
     on_trial: bool = False
 
+    def is_replaced(self, now: float) -> bool:
+        """Return whether another server has lately answered at the server's address."""
+        return now < self.replaced_until
+
     def count_running(self, now: float) -> int:
         """Return the estimated number of requests of all nodes on the server."""
         known = len(self.running)
@@ -340,6 +363,7 @@
     _sums: list[float] = field(default_factory=lambda: [0.0] * 5)
     _base: float = INITIAL_BASE
     _per_token: float = INITIAL_PREFILL_PER_TOKEN
+    _token_time: float = ServiceTimes(0.0).per_output_token
 
     def __post_init__(self) -> None:
         if self.plain:
@@ -373,6 +397,11 @@
         )
         self._base = min(max((sum_y - self._per_token * sum_x) / n, 0.005), 1.0)
 
+    def observe_token_time(self, token_time: float) -> None:
+        """Update the time per output token with that of a stream, in seconds."""
+        limited = min(token_time, 4 * self._token_time)
+        self._token_time += SMOOTHING * (limited - self._token_time)
+
     def estimate(self) -> ServiceTimes:
         """Return the current estimate.
 
@@ -382,4 +411,9 @@
             Estimated times of the service.
         """
         per_running = 0.0 if self.plain else TIME_PER_RUNNING_REQUEST
-        return ServiceTimes(self._base, self._per_token, per_running)
+        return ServiceTimes(
+            self._base,
+            self._per_token,
+            per_running,
+            per_output_token=self._token_time,
+        )
