Usage windows wait for the counts of a partitioned failure domain

Change: while more than a fifth of the recently heard nodes are silent, a window is sealed up to 7.5 s after its end, of the 10 s allowed; single silent nodes delay it by three seconds as before, since a successor of a restarted holder needs seven.

--- a/packages/medlargate/medlargate/fleet/_usage_reporter.py
+++ b/packages/medlargate/medlargate/fleet/_usage_reporter.py
@@ -35,6 +35,9 @@
 # has normally written its part to the store before MIN_SEAL_DELAY.
 MIN_SEAL_DELAY = 0.8  # seconds after the end, longer than PART_WRITE_DELAY
 MAX_SEAL_DELAY = 3.0  # seconds after the end, of the ten allowed
+# The same while a partition of the fleet is likely: its nodes still count requests, and
+# a partition of a few seconds would otherwise make the windows it touches wrong.
+MAX_PARTITION_SEAL_DELAY = 7.5  # seconds after the end
 REQUEST_START_MARGIN = 0.2  # seconds after the end, for requests that just began
 # Windows that ended earlier are not reported any more.
 MAX_REPORT_DELAY = 40.0  # seconds after the end
@@ -78,6 +81,9 @@
         copy; 0 if it is unknown.
     may_be_first : callable
         Returns whether a store without a record of its era has never been restored.
+    is_partitioned_since : callable
+        Returns whether so many nodes have not been heard since a time of day that they
+        are probably partitioned and not stopped.
 
     Notes
     -----
@@ -94,6 +100,7 @@
     all_heard_since: Callable[[float], bool] = lambda _: True
     get_era: Callable[[], int] = lambda: 0
     may_be_first: Callable[[], bool] = lambda: False
+    is_partitioned_since: Callable[[float], bool] = lambda _: False
     _sealed: dict[int, WindowCounts] = field(default_factory=dict)
     _reported: set[int] = field(default_factory=set)
     _first_window: int | None = None
@@ -118,14 +125,21 @@
             if window in self._reported or not self.lease.is_holder():
                 continue
             end = (window + 1) * window_length
-            if now < end + MAX_SEAL_DELAY and not self.all_heard_since(
-                end + REQUEST_START_MARGIN
-            ):
+            if now < end + self._decide_seal_delay(end):
                 continue
             await self._report(window, age=now - end)
         self._reported = {window for window in self._reported if window >= oldest}
         self._sealed = {w: c for w, c in self._sealed.items() if w >= oldest}
 
+    def _decide_seal_delay(self, end: float) -> float:
+        """Return how long after its end a window is sealed, in seconds."""
+        heard_since = end + REQUEST_START_MARGIN
+        if self.all_heard_since(heard_since):
+            return MIN_SEAL_DELAY
+        if self.is_partitioned_since(heard_since):
+            return MAX_PARTITION_SEAL_DELAY
+        return MAX_SEAL_DELAY
+
     async def _observe_era(self) -> bool:
         """Find the first window that no node can have sealed before a restore."""
         era = self.get_era()
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -75,6 +75,9 @@
 MIN_DOMAIN_LOAD_LIFETIME = 1.5  # seconds
 # Usage counts of a peer that has not been heard for this time are not waited for.
 USAGE_PEER_TIMEOUT = 10.0  # seconds
+# A rolling restart silences few nodes at a time, a partition of a failure domain more
+# than this share.
+MIN_PARTITION_SHARE = 0.2
 PEER_HEADER_BYTES = 2048  # headers that a peer adds to a request that it forwards
 USAGE_WINDOWS_SENT = 2  # usage windows in a status message, the current one included
 
@@ -246,11 +249,32 @@
         bool
             False if a peer heard within ``USAGE_PEER_TIMEOUT`` has an older status.
         """
-        return all(
-            peer.status is None or peer.status.time >= since
+        return not any(self._list_silent(since))
+
+    def is_partitioned(self, since: float) -> bool:
+        """Return whether more nodes are silent than planned restarts explain.
+
+        Parameters
+        ----------
+        since : float
+            Time of day in seconds.
+
+        Returns
+        -------
+        bool
+            True if more than ``MIN_PARTITION_SHARE`` of the nodes heard within
+            ``USAGE_PEER_TIMEOUT`` have sent no status since then.
+        """
+        silent = self._list_silent(since)
+        return sum(silent) > MIN_PARTITION_SHARE * len(silent)
+
+    def _list_silent(self, since: float) -> list[bool]:
+        """Return for each peer heard lately whether its last status is older."""
+        return [
+            peer.status is not None and peer.status.time < since
             for peer in self.table.peers.values()
             if self._clock() - peer.heard_at < USAGE_PEER_TIMEOUT
-        )
+        ]
 
     def is_watcher(self) -> bool:
         """Return whether this node watches the store for its failure domain."""
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -470,6 +470,7 @@
                 self.fleet.has_heard_all,
                 lambda: store.era,
                 may_be_first,
+                self.fleet.is_partitioned,
             )
         if AUTOSCALE in names:
             scale = ScaleDuty(
