--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -43,6 +43,9 @@
     limits : dict of str to (float or None, float)
         Requests a second that servers accept from all nodes together, None if a limit
         was lifted, and seconds since a node learned it, by server.
+    slow_engines : (float, list of str)
+        Time of day of the last decision which engines have a lasting speed below that
+        of the others, and these engines.
     """
 
     name: str
@@ -62,6 +65,7 @@
     sound_parts: dict[str, float] = Field(default_factory=dict)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
+    slow_engines: tuple[float, list[str]] = (0.0, [])
 
 
 class PeerStatus(StatusMessage):
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -31,6 +31,7 @@
 )
 from ._prefill_isolation import (
     LONG_PREFILL_TIME,
+    SlowEngines,
     choose_short_prompt_engines,
     is_prefill_sensitive,
 )
@@ -141,6 +142,7 @@
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "SlowEngines",
     "SpeedEstimate",
     "StreamOrigin",
     "TokenBucket",
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -291,19 +291,26 @@
         if crossing:
             cost += CROSS_DOMAIN_COST_PER_BYTE * n_bytes
         placement = Placement(state.name, predicted, cost, len(states), crossing)
-        if may_probe(state.probe_age, lateness):
+        if state.has_room and may_probe(state.probe_age, lateness):
             return placement
         placements.append((placement, state))
     if not placements:
         return None
     if random_state is None or all(it.speed_error is None for it in states):
         return min(placements, key=lambda row: row[0].cost)[0]
+    best = min((it for it, _ in placements), key=lambda it: it.cost)
+    shortest = min(it.predicted for it, _ in placements)
+
+    def get_tolerance(row: tuple[Placement, ServerState]) -> float:
+        if row[0].crossing and not best.crossing:
+            # Bytes between failure domains are billed whatever the error is.
+            return 0.0
+        return max(MIN_TOLERANCE, (row[1].speed_error or 0.0) * shortest)
+
     placement, _ = choose_similar(
         placements,
         get_cost=lambda row: row[0].cost,
-        get_tolerance=lambda row: max(
-            MIN_TOLERANCE, (row[1].speed_error or 0.0) * row[0].predicted
-        ),
+        get_tolerance=get_tolerance,
         get_utilization=lambda row: row[1].n_running / max(1, row[1].n_slots),
         random_state=random_state,
     )
--- a/packages/medlargate/medlargate/policy/_prefill_isolation.py
+++ b/packages/medlargate/medlargate/policy/_prefill_isolation.py
@@ -8,13 +8,16 @@
 some of them for short prompts: a share between about ``MIN_SHORT_PROMPT_SHARE`` and
 ``MAX_SHORT_PROMPT_SHARE``, larger with the demand of the sensitive streams. The
 sensitive streams are preferably placed there, and long prompts go there only if no
-other engine is left.
+other engine is left. Engines that are slower than the others for a lasting reason are
+reserved last.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+import statistics
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
 
 from ._placement import ServiceTimes
 from ._shares import rank_by_hash
@@ -34,6 +37,14 @@
 # tokens of the other streams.
 PREFILL_CHUNK_TOKENS = 2_048
 DECODE_STEP_TIME = 0.012  # seconds per token on a well-filled engine without prefill
+# An engine counts as slow above the first of these ratios to the median slowness of its
+# service, and until it is below the second.
+SLOW_RATIO, USUAL_RATIO = 1.3, 1.15
+# Each change of the reserved engines moves long prompts away from their caches.
+SLOW_ENGINES_INTERVAL = 30.0  # seconds between decisions
+MAX_SLOW_ENGINES = 64  # names in a status message
+# Decisions from further in the future come from a node with a wrong time of day.
+MAX_CLOCK_ERROR = 60.0  # seconds
 # Share of the longest allowed pause that token generation beside a prefill may take;
 # the rest is for delivery.
 MAX_PREFILL_PAUSE_FRACTION = 0.75
@@ -66,7 +77,10 @@
 
 
 def choose_short_prompt_engines(
-    names: Sequence[str], *, sensitive_demand: float = 0.0
+    names: Sequence[str],
+    *,
+    sensitive_demand: float = 0.0,
+    slow: Collection[str] = (),
 ) -> frozenset[str]:
     """Choose the engines of a service that are reserved for short prompts.
 
@@ -77,6 +91,8 @@
     sensitive_demand : float, default=0.0
         Arriving prefill demand of the streams that are sensitive to prefill, in
         engine-seconds per second.
+    slow : collection of str
+        Names of engines that are chosen only if no others are left.
 
     Returns
     -------
@@ -86,7 +102,7 @@
 
     Notes
     -----
-    All nodes that know the same engines and the same demand choose the same engines.
+    All nodes that know the same engines, demand and slow ones choose the same engines.
     When the demand grows, engines are added to the choice and none is dropped.
     """
     if len(names) < MIN_ENGINES:
@@ -96,4 +112,74 @@
     n_reserved = min(
         max(n_reserved, n_needed), int(MAX_SHORT_PROMPT_SHARE * len(names))
     )
-    return frozenset(rank_by_hash("short prompts", sorted(names))[:n_reserved])
+    ranked = rank_by_hash("short prompts", sorted(names))
+    ranked.sort(key=lambda name: name in slow)
+    return frozenset(ranked[:n_reserved])
+
+
+@dataclass
+class SlowEngines:
+    """Engines with a lasting speed below that of others, the same on all nodes.
+
+    Measured speeds differ between nodes. The holder of the duties decides, and the
+    newest decision passes from node to node with the status messages.
+
+    Attributes
+    ----------
+    decided_at : float
+        Time of day of the decision, in seconds since 1970.
+    names : frozenset of str
+        Names of the slow engines.
+    """
+
+    decided_at: float = 0.0
+    names: frozenset[str] = frozenset()
+
+    def decide(self, slownesses: Mapping[str, float], now: float) -> bool:
+        """Decide anew, on the holder of the duties.
+
+        Parameters
+        ----------
+        slownesses : mapping of str to float
+            Lasting slowness of the engines whose times were measured often enough.
+        now : float
+            Time of day, in seconds since 1970.
+
+        Returns
+        -------
+        bool
+            Whether the decision has changed.
+        """
+        if now - self.decided_at < SLOW_ENGINES_INTERVAL or not slownesses:
+            return False
+        median = statistics.median(slownesses.values())
+        names = frozenset(
+            sorted(
+                name
+                for name, slowness in slownesses.items()
+                if slowness
+                > median * (USUAL_RATIO if name in self.names else SLOW_RATIO)
+            )[:MAX_SLOW_ENGINES]
+        )
+        changed = names != self.names
+        if changed:
+            self.decided_at, self.names = now, names
+        return changed
+
+    def merge(self, decided_at: float, names: Collection[str], now: float) -> bool:
+        """Take over another node's decision if it is newer; return whether it is.
+
+        Parameters
+        ----------
+        decided_at : float
+            Time of day of the decision, in seconds since 1970.
+        names : collection of str
+            Names of the slow engines.
+        now : float
+            Time of day, in seconds since 1970.
+        """
+        newer = (decided_at, sorted(names)) > (self.decided_at, sorted(self.names))
+        if not newer or decided_at > now + MAX_CLOCK_ERROR:
+            return False
+        self.decided_at, self.names = decided_at, frozenset(names)
+        return True
--- a/packages/medlargate/medlargate/policy/_server_speed.py
+++ b/packages/medlargate/medlargate/policy/_server_speed.py
@@ -24,6 +24,9 @@
 REPORT_SMOOTHING_TIME = 0.15  # seconds
 # Without newer reports, a machine's deviation from its usual speed halves in this time.
 REPORT_HALF_LIFE = 10.0  # seconds
+# Reports that differ by more than this on average, as a logarithm, say little about the
+# next moment and count less.
+MAX_DEVIATION = 0.3
 MIN_MACHINE_SLOWNESS, MAX_MACHINE_SLOWNESS = 0.2, 10.0
 # Predictions from a fresh report are about this far off, relative to the time.
 MIN_ERROR = 0.1
@@ -34,14 +37,19 @@
 # Step of the correction by one measured time. The time of a request that had to queue
 # depends on requests that the node does not know.
 UNQUEUED_STEP, QUEUED_STEP = 0.2, 0.05
+# Error of the lasting slowness, relative to the mean residual of the measured times.
+RESIDUAL_ERROR = 0.4
+# Additional error before the first measured time; it falls with their number.
+UNMEASURED_ERROR = 0.2
+# A server that seemed slow by a few unlucky times gets no requests that would show the
+# error. Its lasting slowness halves in this time without measured times.
+FIXED_HALF_LIFE = 30.0  # seconds
 MAX_LOG_RESIDUAL = math.log(4.0)
 MIN_FIXED_SLOWNESS, MAX_FIXED_SLOWNESS = 0.3, 10.0
 # A response after the target or a pause beyond the limit has a small part of its value.
 # The penalty is the delay that is accepted to avoid it.
 LATE_PENALTY = 1.0  # seconds
-# Weight of a server's utilization between two servers with similar predictions.
-UTILIZATION_WEIGHT = 0.1
-# A server that is slower than the fastest by this factor gets hardly any requests. It is
+# A server slower than the fastest by this factor gets hardly any requests. It is
 # probed by single requests once its report is older than PROBE_AGE, or rarely if its
 # machine has the usual speed and it is slow for a lasting reason.
 AVOIDED_FACTOR = 1.15
@@ -106,6 +114,12 @@
         Time of the last own report that differed from the usual value, in seconds.
     log_fixed : float
         Logarithm of the lasting slowness.
+    residual : float
+        Mean size of the residual of a measured time, as a logarithm.
+    n_times : int
+        Number of measured times.
+    measured_at : float
+        Time of the last one, in seconds.
     sensitivity : float
         Share of the reported deviation that measured times show, between 0 and 1.
     """
@@ -117,6 +131,9 @@
     own_slowness: float = 1.0
     notable_at: float = float("-inf")
     log_fixed: float = 0.0
+    residual: float = 0.0
+    n_times: int = 0
+    measured_at: float = float("-inf")
     sensitivity: float = 1.0
 
     @property
@@ -159,7 +176,15 @@
         if not self.has_reports:
             return 0.0
         age = max(0.0, now - self.reported_at)
-        return self.log_reported * 0.5 ** (age / REPORT_HALF_LIFE)
+        weight = min(1.0, MAX_DEVIATION / max(self.deviation, 0.01))
+        return weight * self.log_reported * 0.5 ** (age / REPORT_HALF_LIFE)
+
+    def compute_log_fixed(self, now: float) -> float:
+        """Return the logarithm of the lasting slowness, decayed to the given time."""
+        if not self.n_times:
+            return self.log_fixed
+        age = max(0.0, now - self.measured_at)
+        return self.log_fixed * 0.5 ** (age / FIXED_HALF_LIFE)
 
     def observe_time(
         self,
@@ -187,6 +212,10 @@
         residual = math.log(max(elapsed, 0.001) / max(predicted, 0.005))
         residual -= self.sensitivity * (log_mean - log_sent)
         residual = min(max(residual, -MAX_LOG_RESIDUAL), MAX_LOG_RESIDUAL)
+        self.log_fixed = self.compute_log_fixed(now)
+        self.n_times += 1
+        self.measured_at = now
+        self.residual += 0.1 * (abs(residual) - self.residual)
         step = QUEUED_STEP if queued else UNQUEUED_STEP
         step *= residual / (1.0 + log_mean * log_mean)
         self.log_fixed = min(
@@ -198,13 +227,15 @@
     def estimate(self, now: float) -> SpeedEstimate:
         """Return the estimated speed at the given time, in seconds."""
         age = max(0.0, now - self.reported_at)
-        error = min(MAX_ERROR, MIN_ERROR + self.deviation / 4 + ERROR_PER_SECOND * age)
+        error = MIN_ERROR + self.deviation / 4 + ERROR_PER_SECOND * age
+        error += RESIDUAL_ERROR * self.residual
+        error += UNMEASURED_ERROR / (1 + self.n_times)
         return SpeedEstimate(
             machine_slowness=math.exp(
                 self.sensitivity * self.compute_log_reported(now)
             ),
-            fixed_slowness=math.exp(self.log_fixed),
-            error=error if self.has_reports else ERROR_OF_SILENT,
+            fixed_slowness=math.exp(self.compute_log_fixed(now)),
+            error=min(MAX_ERROR, error) if self.has_reports else ERROR_OF_SILENT,
             age=age,
         )
 
@@ -271,14 +302,9 @@
         it for it in options if get_cost(it) <= get_cost(best) + get_tolerance(it)
     ]
     drawn = random_state.sample(similar, min(2, len(similar)))
-    return min(
-        drawn,
-        key=lambda it: (
-            get_cost(it) * (1 + UTILIZATION_WEIGHT * get_utilization(it))
-            if get_cost(it) > 0
-            else get_cost(it)
-        ),
-    )
+    # A smaller cost within the error must not decide: some servers would never get the
+    # requests that show their speed.
+    return min(drawn, key=get_utilization)
 
 
 @dataclass(slots=True)
@@ -309,8 +335,8 @@
         Parameters
         ----------
         speeds : sequence of (str, SpeedEstimate, bool)
-            Names of the servers, their estimated speed, and whether a request to the
-            server is under way whose response will tell.
+            Names of the servers, their estimated speed, and whether a probe is under
+            way or would have to wait.
         random_state : random.Random
             Source of the choice.
 
--- a/packages/medlargate/medlargate/policy/tests/test_server_speed.py
+++ b/packages/medlargate/medlargate/policy/tests/test_server_speed.py
@@ -12,6 +12,8 @@
     ServerSpeed,
     ServerState,
     ServiceTimes,
+    SlowEngines,
+    choose_short_prompt_engines,
     compute_late_probability,
     decide_placement,
     predict_pause,
@@ -182,6 +184,33 @@
         self.assertLessEqual(counts["s1"] / counts.total(), 0.2, counts)
 
 
+class SlowEnginesTest(unittest.TestCase):
+    """Guards against nodes that reserve different engines for short prompts."""
+
+    def test_all_nodes_reserve_the_same_engines_of_usual_speed(self):
+        names = [f"e{number}" for number in range(12)]
+        reserved = choose_short_prompt_engines(names)
+        holder, *others = (SlowEngines() for _ in range(4))
+        slownesses = dict.fromkeys(names, 1.0) | dict.fromkeys(reserved, 1.8)
+        self.assertTrue(holder.decide(slownesses, 1000.0))
+        for other in others:
+            other.merge(holder.decided_at, sorted(holder.names), 1001.0)
+            other.merge(900.0, ["e5"], 1001.0)
+            other.merge(5000.0, ["e6"], 1001.0)
+        nodes = [holder, *others]
+        choices = {choose_short_prompt_engines(names, slow=it.names) for it in nodes}
+        self.assertEqual(len(choices), 1)
+        self.assertFalse(choices.pop() & reserved)
+
+    def test_speed_near_the_limit_changes_nothing_again(self):
+        engines = SlowEngines()
+        slownesses = {"e1": 1.0, "e2": 1.0, "e3": 1.35}
+        self.assertTrue(engines.decide(slownesses, 1000.0))
+        self.assertFalse(engines.decide(slownesses | {"e3": 1.2}, 2000.0))
+        self.assertFalse(engines.decide(slownesses | {"e3": 1.0}, 1010.0))
+        self.assertTrue(engines.decide(slownesses | {"e3": 1.0}, 3000.0))
+
+
 class LatenessTest(unittest.TestCase):
     def test_stream_avoids_an_engine_whose_pauses_would_be_late(self):
         # Guards against a choice by the first event alone.
@@ -195,6 +224,16 @@
         )
         self.assertEqual(placement.name, "busy")
 
+    def test_unknown_speed_is_no_reason_to_cross_failure_domains(self):
+        # Guards against billed bytes for servers that count as similar by their error.
+        near = ServerState("near", "a", 3, 64, speed_error=0.1)
+        far = ServerState("far", "b", 0, 64, speed_error=0.5)
+        for seed in range(20):
+            placement = decide_placement(
+                [near, far], TIMES, domain="a", n_bytes=7000, random_state=Random(seed)
+            )
+            self.assertEqual(placement.name, "near")
+
     def test_probability_grows_with_the_error_before_the_limit(self):
         sure, unsure = (compute_late_probability(0.1, 0.2, it) for it in (0.1, 0.5))
         self.assertLess(sure, unsure)
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -265,6 +265,9 @@
         """Return the fields of a ``StatusMessage`` except loads and demand."""
         freshness = self._cluster_state.freshness()
         now = self._clock()
+        if self.is_holder():
+            self._loads.decide_slow_engines(self._wall_clock.now())
+        slow_engines = self._loads.slow_engines
         return {
             "name": self.table.name,
             "zone": self.table.zone,
@@ -278,6 +281,7 @@
             **self._crash_guard.make_status_fields(),
             "versions": self._origins.snapshot_versions(),
             "limits": self._limits.snapshot(),
+            "slow_engines": (slow_engines.decided_at, sorted(slow_engines.names)),
         }
 
     def _make_peer_status(self, zone: str, to_holder: bool) -> PeerStatus:
@@ -528,6 +532,7 @@
         self._usage.merge(status.incarnation, status.usage)
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
+        self._loads.merge_slow_engines(*status.slow_engines, self._wall_clock.now())
         self._origins.merge_versions(status.versions)
         if status.zone == self.table.zone:
             lifetime = max(
@@ -547,6 +552,7 @@
             )
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
+        self._loads.merge_slow_engines(*status.slow_engines, self._wall_clock.now())
         self._origins.merge_versions(status.versions)
         lifetime = max(
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -15,6 +15,7 @@
     ServerSpeed,
     ServerState,
     ServiceTimes,
+    SlowEngines,
     draw_rejection_pause,
     has_brittle_room,
     rank_by_hash,
@@ -46,6 +47,10 @@
 MIN_OVERDUE = 0.7  # seconds
 OVERDUE_FACTOR = 3.0  # relative to the prediction
 PEER_REPORT_DELAY = 0.01  # seconds that a report from another node took, at least
+# Before, differences to the initial values of the service would count as those of the
+# server that answered first.
+MIN_SERVICE_SAMPLES = 20
+MIN_MEASURED_TIMES = 15  # responses after which a lasting speed is known
 SLOW_MACHINE = 1.5  # slowness from which a machine is logged as slow
 SPEED_LOG_INTERVAL = 0.5  # seconds between log lines about the speed of one server
 MIN_FETCH_TOKENS = 1_500  # shortest prefix, in tokens, that is worth fetching
@@ -72,6 +77,8 @@
         or usual; set when the node starts.
     random_state : random.Random
         Source of the choice of servers to probe.
+    slow_engines : SlowEngines
+        Engines that are reserved for short prompts last.
     """
 
     def __init__(self, domain: str) -> None:
@@ -83,6 +90,7 @@
         self.count_nodes: Callable[[], int] = lambda: 1
         self.random_state = random.Random()
         self.announce_speeds: Callable[[], None] = lambda: None
+        self.slow_engines = SlowEngines()
         self._probe_budgets: dict[str, ProbeBudget] = {}
         self._invalid_speeds: set[str] = set()
 
@@ -169,7 +177,9 @@
                     source=source[0]
                     if source and n_fetchable >= MIN_FETCH_TOKENS
                     else None,
-                    slowness=view.slowness,
+                    slowness=speed.fixed_slowness
+                    if speed and view.speed.has_reports
+                    else view.slowness,
                     failure_share=view.failure_share(now),
                     home_rank=preferred_ranks.get(server.server_id),
                     has_room=self._has_room(view, n_slots or server.n_slots, now),
@@ -195,7 +205,7 @@
             (
                 server.server_id,
                 view.speed.estimate(now),
-                any(not it.has_started for it in view.running.values()),
+                _has_unmeasured_work(server, view, now),
             )
             for server, view in rows
             if server.zone == self.domain
@@ -328,20 +338,22 @@
         now: float,
     ) -> None:
         """Update the estimates of a server that reports the slowness of its machine."""
-        log_before = view.speed.compute_log_reported(now)
-        view.speed.observe_time(
-            elapsed,
-            request.predicted,
-            log_sent=request.log_slowness,
-            queued=not request.unqueued,
-            now=now,
-        )
+        estimator = self._get_estimator(spec)
+        if estimator.n_samples >= MIN_SERVICE_SAMPLES:
+            view.speed.observe_time(
+                elapsed,
+                request.predicted,
+                log_sent=request.log_slowness,
+                queued=not request.unqueued,
+                now=now,
+            )
         view.slowness = view.speed.estimate(now).fixed_slowness
         if request.unqueued:
-            log_mean = view.speed.sensitivity * (request.log_slowness + log_before) / 2
-            self._get_estimator(spec).observe(
-                request.n_uncached, elapsed / math.exp(log_mean)
+            log_reported = view.speed.compute_log_reported(now)
+            log_mean = (
+                view.speed.sensitivity * (request.log_slowness + log_reported) / 2
             )
+            estimator.observe(request.n_uncached, elapsed / math.exp(log_mean))
 
     def observe_token_time(
         self, spec: ServiceSpec, server_id: str, token_time: float
@@ -572,6 +584,30 @@
             if is_own:
                 self.announce_speeds()
 
+    def decide_slow_engines(self, time_of_day: float) -> None:
+        """Decide which engines have a lasting speed below that of the others.
+
+        Called on the holder of the duties.
+        """
+        slownesses = {
+            server_id: view.slowness
+            for server_id, view in self.views.items()
+            if view.speed.n_times >= MIN_MEASURED_TIMES and view.cached_parts
+        }
+        if self.slow_engines.decide(slownesses, time_of_day):
+            self._log_slow_engines()
+
+    def merge_slow_engines(
+        self, decided_at: float, names: Iterable[str], time_of_day: float
+    ) -> None:
+        """Take over a newer decision of another node about slow engines."""
+        if self.slow_engines.merge(decided_at, list(names), time_of_day):
+            self._log_slow_engines()
+
+    def _log_slow_engines(self) -> None:
+        names = sorted(self.slow_engines.names)
+        log.info("engines reserved for short prompts last", extra={"servers": names})
+
     def list_speeds(self) -> dict[str, tuple[float, float]]:
         """Return the machines' slowness and its age for the nodes of this domain."""
         speeds = {
@@ -741,6 +777,15 @@
         self._invalid_speeds.discard(server_id)
 
 
+def _has_unmeasured_work(server: Registration, view: ServerView, now: float) -> bool:
+    """Return whether a probe is under way, or would have to wait for other requests."""
+    return (
+        any(not it.has_started for it in view.running.values())
+        or view.total_prefill_time(now) > 0
+        or view.count_running(now) >= server.n_slots
+    )
+
+
 def _rank_preferred_servers(
     servers: list[Registration], parts: tuple[PromptPart, ...]
 ) -> dict[str, int]:
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -23,7 +23,7 @@
     make_origin_headers,
     make_refusal_notice,
 )
-from ._load_tracker import LoadTracker
+from ._load_tracker import SLOW_MACHINE, LoadTracker
 from ._reach import ReachMonitor
 from ._request_queue import RequestQueue, ServerAssignment
 from ._request_recorder import RequestRecorder
@@ -227,6 +227,10 @@
     async def _serve_here(self, exch: Exchange) -> Outcome:
         """Send a request to one of the servers that this node reaches."""
         assignment = await self._queue.acquire(exch)
+        if assignment.state.probe_age is not None:
+            self._recorder.observe_event("speed_probe")
+        elif assignment.state.machine_slowness > SLOW_MACHINE:
+            self._recorder.observe_event("slow_machine")
         try:
             # The block may have come while the request waited.
             self._raise_if_blocked(exch)
@@ -420,6 +424,7 @@
             exch.tried_servers.add(server_id)
             self._loads.observe_unreachable(server_id, assignment.server.zone)
         elif fault.kind == "misdirected":
+            self._recorder.observe_event("misdirected")
             exch.misdirected_servers.add(server_id)
             self._loads.observe_unreachable(server_id)
             exch.states.observe("backend_refusal")
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -305,7 +305,9 @@
         cached = self._short_prompt_engines.get(service)
         if cached is None or now - cached[0] > SHORT_PROMPT_ENGINES_INTERVAL:
             reserved = choose_short_prompt_engines(
-                list(servers), sensitive_demand=self._sum_sensitive_demand(service)
+                list(servers),
+                sensitive_demand=self._sum_sensitive_demand(service),
+                slow=self._loads.slow_engines.names,
             )
             cached = self._short_prompt_engines[service] = (now, reserved)
         return cached[1]
--- a/packages/medlargate/medlargate/relay/_request_recorder.py
+++ b/packages/medlargate/medlargate/relay/_request_recorder.py
@@ -77,6 +77,10 @@
         if exch.customer is not None:
             self._observe_usage(exch.customer.name)
 
+    def observe_event(self, kind: str) -> None:
+        """Count an event of a kind from a bounded set in the metrics."""
+        self._metrics.observe_event(kind)
+
     def observe_end(self, exch: Exchange, outcome: Outcome) -> None:
         """Record the outcome of an accepted request."""
         now = self._clock()
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -357,9 +357,12 @@
     ----------
     plain : bool, default=False
         Whether the service is a plain one, without prompts.
+    n_samples : int, default=0
+        Number of measured times.
     """
 
     plain: bool = False
+    n_samples: int = 0
     _sums: list[float] = field(default_factory=lambda: [0.0] * 5)
     _base: float = INITIAL_BASE
     _per_token: float = INITIAL_PREFILL_PER_TOKEN
@@ -379,6 +382,7 @@
         elapsed : float
             Time to the first token or answer, in seconds.
         """
+        self.n_samples += 1
         if self.plain:
             self._base += SMOOTHING * (min(elapsed, 4 * self._base) - self._base)
             return
--- a/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
@@ -50,6 +50,17 @@
         self._n_observed += 1
         self._buffer.append(facts)
 
+    def observe_event(self, kind: str) -> None:
+        """Count an event; those before the instruments exist are not counted.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the event, from a bounded set.
+        """
+        if self._metrics is not None:
+            self._metrics.observe_event(kind)
+
     def snapshot(self) -> bytes:
         """Return the metrics page.
 
