--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -53,6 +53,9 @@
     traffic_age : float or None
         Seconds since the fleet's first request that the sender knows of; None before it
         and if no service has cold servers.
+    slow_engines : (float, list of str)
+        Time of day of the last decision which engines have a lasting speed below that
+        of the others, and these engines.
     """
 
     name: str
@@ -76,6 +79,7 @@
     evacuated: list[str] = Field(default_factory=list)
     cold: dict[str, float] = Field(default_factory=dict)
     traffic_age: float | None = None
+    slow_engines: tuple[float, list[str]] = (0.0, [])
 
 
 class PeerStatus(StatusMessage):
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -32,6 +32,7 @@
 )
 from ._prefill_isolation import (
     LONG_PREFILL_TIME,
+    SlowEngines,
     choose_short_prompt_engines,
     is_prefill_sensitive,
 )
@@ -143,6 +144,7 @@
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "SlowEngines",
     "SpeedEstimate",
     "StreamOrigin",
     "TokenBucket",
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -323,6 +323,9 @@
         """Return the fields of a ``StatusMessage`` except loads and demand."""
         freshness = self._cluster_state.freshness()
         now = self._clock()
+        if self.is_holder():
+            self._loads.decide_slow_engines(self._wall_clock.now())
+        slow_engines = self._loads.slow_engines
         return {
             "name": self.table.name,
             "zone": self.table.zone,
@@ -336,6 +339,7 @@
             **self._crash_guard.make_status_fields(),
             "versions": self._origins.snapshot_versions(),
             "limits": self._limits.snapshot(),
+            "slow_engines": (slow_engines.decided_at, sorted(slow_engines.names)),
             **self._make_evacuation_fields(),
             "cold": self._cold.snapshot(),
             "traffic_age": self._cold.get_traffic_age(),
@@ -599,6 +603,7 @@
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
         self._cold.merge(status.cold, status.traffic_age)
+        self._loads.merge_slow_engines(*status.slow_engines, self._wall_clock.now())
         self._origins.merge_versions(status.versions)
         if status.zone == self.table.zone:
             lifetime = max(
@@ -619,6 +624,7 @@
         self._crash_guard.merge_status(status)
         self._limits.merge(status.limits)
         self._cold.merge(status.cold, status.traffic_age)
+        self._loads.merge_slow_engines(*status.slow_engines, self._wall_clock.now())
         self._origins.merge_versions(status.versions)
         lifetime = max(
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
