Cold servers: bounded times, stopped nodes left out of the division, log line of a start

Cause: an incorrect ColdLeftMs made a server cold for ever; a node that had announced its stop kept its part of the rate for 15 minutes. Change: statements count for 120 s at most, stopped nodes are no senders, and a server that is cold by its start is logged.

--- a/packages/medlargate/medlargate/relay/_cold_servers.py
+++ b/packages/medlargate/medlargate/relay/_cold_servers.py
@@ -17,6 +17,8 @@
 # margin, two nodes would extend the time of a server for each other without end.
 MAX_TRANSIT_TIME = 0.1  # seconds
 MIN_EXTENSION = 0.25  # seconds by which a peer's statement must exceed what is known
+# Bounds the effect of an incorrect statement; servers are cold for seconds.
+MAX_COLD_TIME = 120.0  # seconds
 
 
 class ColdServers:
@@ -120,11 +122,17 @@
                 self._state_end(server.server_id, end, source="evacuation")
 
     def _state_end(self, server_id: str, end: float, *, source: str) -> None:
+        end = min(end, self._clock() + MAX_COLD_TIME)
         before = self._stated_ends.get(server_id, float("-inf"))
         self._stated_ends[server_id] = max(before, end)
+        if end > before and self._find_service(server_id) is not None:
+            self._log_cold(server_id, end, source)
+            for listener in self.cold_listeners:
+                listener()
+
+    def _log_cold(self, server_id: str, end: float, source: str) -> None:
         service = self._find_service(server_id)
-        if end <= before or service is None:
-            return
+        assert service is not None
         log.info(
             "backend server cold",
             extra={
@@ -134,8 +142,6 @@
                 "max_rate": service.cold_rate,
             },
         )
-        for listener in self.cold_listeners:
-            listener()
 
     def observe_send(self, server_id: str) -> None:
         """Count a request that is sent to a server."""
@@ -298,6 +304,8 @@
         if bucket is None:
             bucket = TokenBucket(rate=0.0, updated_at=now, max_tokens=1.0)
             self._buckets[server_id] = bucket
+            if server_id not in self._stated_ends:
+                self._log_cold(server_id, self._find_end(server_id), "start")
         if now - self._shared_at.get(server_id, float("-inf")) > SHARE_INTERVAL:
             self._update_share(server_id, bucket, now)
         return bucket
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -250,9 +250,17 @@
                 self.table.observe_address(name, row["zone"], row["address"])
 
     def list_node_names(self) -> list[str]:
-        """Return the names of all other known nodes, silent ones included."""
-        # A seed has its address as its name until its first status.
-        return [it.name for it in self.table.peers.values() if it.name != it.address]
+        """Return the names of all other known nodes, silent ones included.
+
+        Nodes that have announced their stop before they fell silent are left out.
+        """
+        return [
+            it.name
+            for it in self.table.peers.values()
+            # A seed has its address as its name until its first status.
+            if it.name != it.address
+            and not (it.status and it.status.stopping and not self.table.is_alive(it))
+        ]
 
     def knows_nodes(self) -> bool:
         """Return whether this node knows the other nodes and what they know.
--- a/packages/medlargate/medlargate/relay/tests/test_cold_servers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_cold_servers.py
@@ -4,11 +4,20 @@
 import itertools
 import time
 import unittest
+from dataclasses import replace
 
 from medlargate_standins.backend import Backend
 from medlargate_standins.relay_testbed import RelayTestbed, make_config
 
-from medlargate.policy import TokenBucket
+from medlargate.fleet import ClusterState
+from medlargate.platform import decode_registration, decode_routing_config
+from medlargate.relay._cold_servers import MAX_COLD_TIME, ColdServers
+from medlargate.routing import (
+    Registration,
+    RoutingConfig,
+    ServiceSpec,
+    make_route_table,
+)
 
 COLD_RATE, COLD_TIME, OVERRUN, SLACK = 5.0, 4.0, 1.5, 5.0
 BOUND = COLD_RATE * OVERRUN + SLACK
@@ -171,13 +180,69 @@
             self.assertEqual(node.cold.list_cold(), [])
 
 
-class MisdirectedTest(unittest.TestCase):
+class StateTest(unittest.TestCase):
+    """State of one node before a single cold server."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.state = ClusterState(
+            decode_routing_config, decode_registration, lambda: self.now
+        )
+        spec = ServiceSpec("s", 100, cold_start_time=COLD_TIME, cold_rate=COLD_RATE)
+        self.state.route_table = make_route_table(RoutingConfig(1, (), {"s": spec}))
+        self.server = Registration("x", "s", "h:1", "h", 1, "fd-a", 4, revision=1)
+        self.state.servers["x"] = self.server
+
+    def make_cold_servers(self, name="n1", nodes=()):
+        return ColdServers(
+            name,
+            self.state,
+            lambda: self.now,
+            lambda: self.now + 1000.0,
+            lambda: nodes,
+            lambda: True,
+            overrun=1.0,
+            slack=1.0,
+            registration_bound=2.0,
+        )
+
     def test_request_that_another_server_answered_does_not_count(self):
-        bucket = TokenBucket(1.0, 0.0, n_tokens=1.0, max_tokens=1.0)
-        bucket.spend(0.0)
-        self.assertEqual(bucket.compute_wait(0.0), 1.0)
-        bucket.refund(0.0)
-        self.assertEqual(bucket.compute_wait(0.0), 0.0)
-        bucket.refund(0.0)
-        bucket.spend(0.0)
-        self.assertEqual(bucket.compute_wait(0.0), 1.0)
+        cold = self.make_cold_servers()
+        cold.observe_registration(replace(self.server, cold_for=10.0))
+        self.assertGreater(cold.get_wait("x"), 0.0)
+        self.now += 2.0
+        self.assertEqual(cold.get_wait("x"), 0.0)
+        cold.observe_send("x")
+        self.assertGreater(cold.get_wait("x"), 0.0)
+        cold.observe_misdirected("x")
+        self.assertEqual(cold.get_wait("x"), 0.0)
+        cold.observe_misdirected("x")
+        cold.observe_send("x")
+        self.assertGreater(cold.get_wait("x"), 0.0)
+
+    def test_two_nodes_do_not_extend_the_time_for_each_other(self):
+        # Each status is 0.3 s under way, which a busy node may add.
+        nodes = [self.make_cold_servers(), self.make_cold_servers("n2")]
+        nodes[0].observe_answer("x", 3.0)
+        for number in range(40):
+            rows = nodes[number % 2].snapshot()
+            self.now += 0.3
+            nodes[(number + 1) % 2].merge(rows, None)
+        self.assertEqual([it.list_cold() for it in nodes], [[], []])
+
+    def test_incorrect_time_has_an_end(self):
+        cold = self.make_cold_servers()
+        cold.observe_registration(replace(self.server, cold_for=float("inf")))
+        cold.merge({"x": 1e12}, None)
+        self.now += MAX_COLD_TIME
+        self.assertEqual(cold.get_wait("x"), 0.0)
+
+    def test_start_in_the_future_counts_as_now(self):
+        # The clock of the server's machine may be ahead.
+        cold = self.make_cold_servers()
+        cold.observe_send("other")
+        born = int((self.now + 5000.0) * 1000)
+        cold.observe_registration(replace(self.server, born=born))
+        self.assertTrue(cold.is_cold("x"))
+        self.now += COLD_TIME
+        self.assertFalse(cold.is_cold("x"))
