Spillover to other failure domains is decided for each service and class

Cause: CROSS_DOMAIN_COST_PER_BYTE alone decided what leaves a domain. Long prompts waited at a full domain while others had free slots, short ones crossed for chance differences of loads, and nodes followed loads of domains that they no longer heard. Change: policy/_domain_spill.py plans the share of each class by destination from demand, capacity, room and surplus of the domains with their ages, and measured links; relay/_spillover.py collects the facts and applies the plan. Statuses carry waiting requests, and those of domains their surplus.

--- a/packages/medlargate/medlargate/fleet/_domains.py
+++ b/packages/medlargate/medlargate/fleet/_domains.py
@@ -187,6 +187,11 @@
             < max(ALIVE_TIME, STATUS_LIFETIME_ROUNDS * it.status.interval)
         ]
 
+    def list_reports(self) -> list[tuple[DomainStatus, float]]:
+        """Return the last status of each other domain with its age in seconds."""
+        now = self.clock()
+        return [(it.status, now - it.received_at) for it in self._received.values()]
+
     def decide_poll_delay(self) -> float:
         """Return by how much this node delays its store polls.
 
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -43,6 +43,8 @@
     limits : dict of str to (float or None, float)
         Requests a second that servers accept from all nodes together, None if a limit
         was lifted, and seconds since a node learned it, by server.
+    waiting : dict of str to int, or None
+        Requests that wait for a server, by service; None if not reported.
     """
 
     name: str
@@ -62,6 +64,7 @@
     sound_parts: dict[str, float] = Field(default_factory=dict)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
+    waiting: dict[str, int] | None = None
 
 
 class PeerStatus(StatusMessage):
@@ -98,7 +101,7 @@
 class DomainStatus(StatusMessage):
     """Status of a failure domain, sent by its representative to other domains.
 
-    Loads and demand are sums over the nodes of the domain.
+    Loads, demand and waiting requests are sums over the nodes of the domain.
 
     Attributes
     ----------
@@ -109,6 +112,9 @@
     parts : list of (str, list of (str, int))
         Servers with the prompt parts recently sent to them: part ids and numbers of
         tokens.
+    surplus : dict of str to float, or None
+        Slots of work for which the domain has no capacity, by service; None if not
+        reported.
     relayed : bool
         Whether the status was forwarded within the receiver's failure domain.
     """
@@ -118,6 +124,7 @@
     n_nodes: int
     interval: float = 0.0
     parts: list[tuple[str, list[tuple[str, int]]]] = Field(default_factory=list)
+    surplus: dict[str, float] | None = None
     relayed: bool = False
 
 
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -16,10 +16,23 @@
 )
 from ._crash_history import CrashHistory, make_request_digest
 from ._demand import DecayingRate
+from ._domain_spill import (
+    ClassLoad,
+    DomainLoad,
+    LinkTimes,
+    PrefixTrips,
+    SpillOptions,
+    SpillPlan,
+    choose_destination,
+    compute_use,
+    decide_spill,
+    select_candidates,
+)
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
 from ._part_crashes import BLOCK_TIME, PartCrashes
 from ._placement import (
+    CROSS_DOMAIN_COST_PER_BYTE,
     SHORT_PROMPT_JITTER,
     Placement,
     ServerState,
@@ -96,6 +109,7 @@
 
 __all__ = [
     "BLOCK_TIME",
+    "CROSS_DOMAIN_COST_PER_BYTE",
     "LONG_PREFILL_TIME",
     "SHORT_PROMPT_JITTER",
     "VERSION_LIFETIME",
@@ -103,15 +117,18 @@
     "BackendView",
     "Candidate",
     "CapacityOrder",
+    "ClassLoad",
     "ConcurrencyLimit",
     "CrashDecision",
     "CrashHistory",
     "CrashTracker",
     "DecayingRate",
+    "DomainLoad",
     "FairQueue",
     "FleetRetryBudget",
     "ForwardPeer",
     "Job",
+    "LinkTimes",
     "OutputEstimator",
     "PartCrashes",
     "Placement",
@@ -120,6 +137,7 @@
     "PoolScaler",
     "PoolScheduler",
     "Preemption",
+    "PrefixTrips",
     "Refusal",
     "RequestStates",
     "RetryBudget",
@@ -128,6 +146,8 @@
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "SpillOptions",
+    "SpillPlan",
     "StreamOrigin",
     "TokenBucket",
     "Verdict",
@@ -135,10 +155,12 @@
     "WaitDecision",
     "ZoneEngines",
     "accepts_any_server",
+    "choose_destination",
     "choose_forward_peer",
     "choose_origin_keepers",
     "choose_short_prompt_engines",
     "compute_max_demand",
+    "compute_use",
     "compute_work",
     "decide_capacity",
     "decide_ejections",
@@ -147,6 +169,7 @@
     "decide_rate",
     "decide_retry",
     "decide_share",
+    "decide_spill",
     "decide_suspect_placement",
     "decide_wait",
     "draw_rejection_pause",
@@ -159,6 +182,7 @@
     "predict_first_token",
     "rank_backends",
     "rank_by_hash",
+    "select_candidates",
 ]
 
 __getattr__ = make_lazy_getattr(__name__, _LAZY)
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -46,6 +46,7 @@
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
 from ._server_view import PEER_LIFETIME
+from ._spillover import DomainReport
 from ._stream_origins import MAX_NOTES, StreamOrigins
 
 log = logging.getLogger(__name__)
@@ -149,6 +150,8 @@
         self.is_holder: Callable[[], bool] = lambda: False
         self.get_demand: Callable[[], dict[str, float]] = dict
         self.get_sensitive_demand: Callable[[], dict[str, float]] = dict
+        self.count_waiting: Callable[[], dict[str, int]] = dict
+        self.get_surpluses: Callable[[], dict[str, float]] = dict
         self.store_up: Callable[[], bool] = lambda: True
         self.list_unreachable: Callable[[], list[str]] = list
         self.is_stopping: Callable[[], bool] = lambda: False
@@ -296,6 +299,7 @@
             loads=self._loads.list_own_loads() if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
+            waiting=_drop_zeros(self.count_waiting()) if same_domain else None,
             usage=usage,
             hears=self.table.list_recently_heard(zone) if holder else [],
             holder=holder,
@@ -310,11 +314,21 @@
             tight_demand=_sum_by_name(
                 [self.get_sensitive_demand(), *(it.tight_demand for it in statuses)]
             ),
+            waiting=_drop_zeros(self.count_domain_waiting()),
+            surplus=_drop_zeros(self.get_surpluses()),
             n_nodes=self.table.count_domain_nodes(),
             interval=self.domains.decide_interval(),
             parts=self.domains.recent_parts(),
         )
 
+    def count_domain_waiting(self) -> dict[str, int]:
+        """Return the requests that wait at the nodes of this domain, by service."""
+        sums = dict(self.count_waiting())
+        for status in self._list_domain_statuses():
+            for service, n_waiting in (status.waiting or {}).items():
+                sums[service] = sums.get(service, 0) + n_waiting
+        return sums
+
     async def run_domains(self) -> None:
         """Send the failure domain's status while representing it, until cancelled."""
         while True:
@@ -408,6 +422,19 @@
             if peer.status is not None and not peer.status.stopping
         ]
 
+    def list_domain_reports(self, service: str) -> list[DomainReport]:
+        """Return what other failure domains last reported of a service."""
+        return [
+            DomainReport(
+                status.zone,
+                age,
+                status.interval,
+                (status.waiting or {}).get(service, 0),
+                None if status.surplus is None else status.surplus.get(service, 0.0),
+            )
+            for status, age in self.domains.list_reports()
+        ]
+
     # Brittle servers
 
     def observe_rejection(self, server_id: str, max_rejections: float) -> None:
@@ -751,6 +778,10 @@
     return Entry(row[0], base64.b64decode(row[1]), int(row[2]), 0)
 
 
+def _drop_zeros(row: Mapping[str, Any]) -> dict[str, Any]:
+    return {name: number for name, number in row.items() if number}
+
+
 def _sum_by_name(rows: Iterable[Mapping[str, float]]) -> dict[str, float]:
     """Return the sums of the values by name."""
     sums: dict[str, float] = {}
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -10,6 +10,7 @@
 
 from ..platform import PromptPart, ServerLoad
 from ..policy import (
+    LinkTimes,
     ServerState,
     ServiceTimes,
     draw_rejection_pause,
@@ -59,6 +60,8 @@
         Estimators of response times by service.
     count_nodes : callable
         Returns the number of nodes of the fleet; set when the node starts.
+    links : LinkTimes
+        Measured delay and failures of the links to failure domains.
     """
 
     def __init__(self, domain: str) -> None:
@@ -68,6 +71,7 @@
         self.views: dict[str, ServerView] = {}
         self.estimators: dict[str, ServiceTimesEstimator] = {}
         self.count_nodes: Callable[[], int] = lambda: 1
+        self.links = LinkTimes(domain)
 
     def get_view(self, server_id: str) -> ServerView:
         """Return the view of a server, creating it if the server is new."""
@@ -76,9 +80,16 @@
             view = self.views[server_id] = ServerView()
         return view
 
+    def _read_view(self, server_id: str) -> ServerView:
+        """Return the view of a server, or that of an unknown server."""
+        return self.views.get(server_id) or ServerView()
+
     def get_service_times(self, spec: ServiceSpec) -> ServiceTimes:
         """Return the estimated times of a service."""
-        times = self._get_estimator(spec).estimate()
+        estimator = self.estimators.get(spec.name) or ServiceTimesEstimator(
+            plain=spec.engine is None
+        )
+        times = estimator.estimate()
         if spec.engine is not None:
             return replace(times, per_fetched=spec.engine.transfer_time_per_token)
         return times
@@ -120,7 +131,7 @@
         now = time.monotonic()
         # Runs for each engine of the service and each decision, so that views and
         # suspensions are looked up once.
-        candidates = [(it, self.get_view(it.server_id)) for it in servers]
+        candidates = [(it, self._read_view(it.server_id)) for it in servers]
         cut_off = {name for name in self._partitions if self._is_cut_off(name, now)}
         available = [
             (server, view)
@@ -225,6 +236,7 @@
             n_uncached=state.n_prefill_tokens,
             unqueued=state.backlog < 0.005 and state.n_running < state.n_slots,
             parts=parts,
+            domain=state.domain,
         )
         if spec.engine is not None:
             view.cache_capacity = spec.engine.n_cache_tokens
@@ -260,6 +272,9 @@
                 partition.unreachable_servers.clear()
                 partition.suspended_until = float("-inf")
         if request.unqueued:
+            # The slowness of a server in another domain includes the delay of the link.
+            usual = request.predicted / max(view.slowness, MIN_SLOWNESS)
+            self.links.observe_answer(request.domain, elapsed - usual, now)
             ratio = elapsed / max(request.predicted, 0.005) * view.slowness
             sample = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
             view.slowness += SMOOTHING * (sample - view.slowness)
@@ -315,7 +330,7 @@
         now = time.monotonic()
         if self._is_cut_off(domain, now):
             return True
-        return self.get_view(server_id).suspended_until > now
+        return self._read_view(server_id).suspended_until > now
 
     def _is_cut_off(self, domain: str, now: float) -> bool:
         partition = self._partitions.get(domain)
@@ -337,6 +352,8 @@
         """
         view = self.get_view(server_id)
         now = time.monotonic()
+        if domain:
+            self.links.observe_connect_failure(domain, now)
         if domain not in ("", self.domain):
             partition = self._partitions.setdefault(domain, DomainPartition())
             partition.observe_unreachable(server_id, now)
@@ -360,7 +377,7 @@
 
     def get_refusal_time(self, server_id: str) -> float:
         """Return for how long a server still wants no requests, in seconds."""
-        view = self.get_view(server_id)
+        view = self._read_view(server_id)
         if view.on_trial and view.running:
             return TRIAL_WAIT
         return max(0.0, view.refuses_until - time.monotonic())
@@ -509,6 +526,35 @@
         prefill_time = view.own_prefill_time(time.monotonic())
         return len(view.running), round(prefill_time, 3)
 
+    def reports_speed(self, server_id: str) -> bool:
+        """Return whether a server has reported the speed of its machine."""
+        load = self._read_view(server_id).reported_load
+        return load is not None and load.slowness is not None
+
+    def count_by_source(self, server_id: str) -> dict[str, int]:
+        """Return the requests that run on a server, by who sent them.
+
+        Parameters
+        ----------
+        server_id : str
+            Server to look up.
+
+        Returns
+        -------
+        dict of str to int
+            Numbers of requests by failure domain or peer; this node's are under the
+            name of its failure domain.
+        """
+        view = self._read_view(server_id)
+        now = time.monotonic()
+        counts = {
+            peer: load.n_running
+            for peer, load in view.peer_loads.items()
+            if now < load.valid_until
+        }
+        counts[self.domain] = len(view.running)
+        return counts
+
     def list_own_loads(self) -> dict[str, tuple[int, float]]:
         """Return this node's load on each server.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -31,7 +31,7 @@
     decode_registration,
     decode_routing_config,
 )
-from ..policy import LONG_PREFILL_TIME, FleetRetryBudget
+from ..policy import LONG_PREFILL_TIME, FleetRetryBudget, SpillOptions
 from ..routing import IngressLimits, Registration
 from ..telemetry import DeferredMetrics, LineWriter
 from ..transport import (
@@ -131,6 +131,7 @@
             self._observe_dispatch,
             lambda service: self.fleet.sum_sensitive_demand(service),
             random_state=self.random_state,
+            spill_options=SpillOptions(**settings.spill.model_dump()),
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.wall_clock = PeerCheckedClock(self.clock, time.time)
@@ -333,6 +334,7 @@
         self.fleet.is_stopping = lambda: self.stopping
         self.fleet.list_unreachable = self.reach.list_unreachable
         self.reach.listeners.append(self._observe_reach_change)
+        self._connect_spillover()
         self.fleet.store_up = lambda: self.watcher.store_up
         self.duties = self._make_duties(store)
         store.restore_listeners.append(self.duties.observe_restore)
@@ -377,6 +379,15 @@
             self._spawn(job)
         log.info("node started", extra={"incarnation": self.incarnation})
 
+    def _connect_spillover(self) -> None:
+        spillover = self.request_queue.spillover
+        spillover.list_reports = self.fleet.list_domain_reports
+        spillover.count_domain_waiting = self.fleet.count_domain_waiting
+        spillover.count_domain_nodes = self.fleet.table.count_domain_nodes
+        spillover.observe_plan = self.metrics.observe_spill
+        self.fleet.count_waiting = self.request_queue.count_waiting
+        self.fleet.get_surpluses = spillover.get_surpluses
+
     async def _run_summaries(self) -> None:
         """Log a summary of the node's state periodically, until cancelled."""
         while True:
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -236,6 +236,7 @@
             raise
         finally:
             self._loads.observe_end(exch.exchange_id, assignment.server.server_id)
+            self._queue.spillover.observe_end(exch.exchange_id)
             self._queue.observe_change()
 
     async def _forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -15,6 +15,7 @@
     Refusal,
     ServerState,
     ServiceTimes,
+    SpillOptions,
     accepts_any_server,
     choose_short_prompt_engines,
     decide_placement,
@@ -28,16 +29,17 @@
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
+from ._spillover import TYPICAL_ANSWER_BYTES, Spillover
 
 # Loads that peers put on servers change without an event on this node, so the queues
 # are rechecked periodically.
 RECHECK_INTERVAL = 0.05  # seconds
 # Other nodes report their demand about this often.
 SHORT_PROMPT_ENGINES_INTERVAL = 0.25  # seconds
-TYPICAL_ANSWER_BYTES = 3000  # size of a typical answer with its headers
 # A restarting server is back within a few seconds. A request to a service without a
 # usable server is therefore not refused at once, but after NO_SERVER_WAIT.
 NO_SERVER_WAIT = 1.0  # seconds in the queue
+SPILL_OFF = SpillOptions("off")
 NO_SERVER_RETRY_AFTER = 0.7  # seconds, sent to the caller with the refusal
 
 
@@ -99,6 +101,13 @@
     random_state : random.Random or None
         Source of a random addition to the cost of servers for short prompts, so that
         nodes do not all choose the same server.
+    spill_options : SpillOptions, default=SpillOptions("off")
+        Settings of the spillover to other failure domains.
+
+    Attributes
+    ----------
+    spillover : Spillover
+        Decides which requests are sent to other failure domains.
     """
 
     def __init__(
@@ -111,7 +120,15 @@
         sum_sensitive_demand: Callable[[str], float],
         *,
         random_state: random.Random | None = None,
+        spill_options: SpillOptions = SPILL_OFF,
     ) -> None:
+        self.spillover = Spillover(
+            loads,
+            self.list_usable_servers,
+            self._list_waiting,
+            spill_options,
+            clock,
+        )
         self._random_state = random_state or random.Random()
         self._sum_sensitive_demand = sum_sensitive_demand
         self._short_prompt_engines: dict[str, tuple[float, frozenset[str]]] = {}
@@ -169,6 +186,9 @@
             for it in self._list_open_servers(exch.service.name)
         )
 
+    def _list_waiting(self, service: str) -> list[Exchange]:
+        return [it.exch for it in self._queues.get(service, ())]
+
     def count_waiting(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
         return {name: len(queue) for name, queue in self._queues.items()}
@@ -216,6 +236,7 @@
                 self._loads.observe_end(
                     exch.exchange_id, future.result().server.server_id
                 )
+                self.spillover.observe_end(exch.exchange_id)
             raise
         finally:
             if queued in queue:
@@ -230,6 +251,7 @@
         waited = self._clock() - exch.arrived_at
         accept_any = accepts_any_server(waited=waited, target=exch.rule.target)
         states = self._make_states(exch, servers, times)
+        states = self.spillover.select(exch, states, times, accept_any=accept_any)
         if accept_any or exch.service.engine is None:
             states = [it for it in states if _can_accept(exch, it, times, accept_any)]
         placement = decide_placement(
@@ -299,12 +321,29 @@
         now = self._clock()
         cached = self._short_prompt_engines.get(service)
         if cached is None or now - cached[0] > SHORT_PROMPT_ENGINES_INTERVAL:
-            reserved = choose_short_prompt_engines(
-                list(servers), sensitive_demand=self._sum_sensitive_demand(service)
-            )
+            reserved = self._choose_short_prompt_engines(service, servers)
             cached = self._short_prompt_engines[service] = (now, reserved)
         return cached[1]
 
+    def _choose_short_prompt_engines(
+        self, service: str, servers: Collection[str]
+    ) -> frozenset[str]:
+        """Choose the reserved engines; where requests stay, in each failure domain."""
+        demand = self._sum_sensitive_demand(service)
+        groups: dict[str, list[str]] = {}
+        stays = self.spillover.applies_to(service)
+        for name in servers:
+            domain = self._cluster_state.servers[name].zone if stays else ""
+            groups.setdefault(domain, []).append(name)
+        return frozenset().union(
+            *(
+                choose_short_prompt_engines(
+                    names, sensitive_demand=demand * len(names) / len(servers)
+                )
+                for names in groups.values()
+            )
+        )
+
     def _commit(self, exch: Exchange, assignment: ServerAssignment) -> ServerAssignment:
         now = self._clock()
         exch.placed_at = now
@@ -337,6 +376,7 @@
             placement.predicted,
         )
         self._limits.observe_send(placement.name)
+        self.spillover.observe_send(exch, assignment.state)
         if exch.service.engine is not None:
             prefill_sensitive = _is_prefill_sensitive(exch, times)
             self._observe_dispatch(
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -58,6 +58,8 @@
         Prompt parts of the request.
     has_started : bool
         Whether the first token or answer has arrived.
+    domain : str
+        Failure domain of the server.
     """
 
     prefill_time: float
@@ -67,6 +69,7 @@
     unqueued: bool
     parts: tuple[PromptPart, ...] = ()
     has_started: bool = False
+    domain: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
@@ -50,6 +50,21 @@
         self._n_observed += 1
         self._buffer.append(facts)
 
+    def observe_spill(self, service: str, share: float, gain: float) -> None:
+        """Record a spillover decision; dropped until the instruments exist.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        share : float
+            Part of the work that leaves, between 0 and 1.
+        gain : float
+            Seconds that a request gains by leaving.
+        """
+        if self._metrics is not None:
+            self._metrics.observe_spill(service, share, gain)
+
     def snapshot(self) -> bytes:
         """Return the metrics page.
 
--- a/packages/medlargate/medlargate/telemetry/_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_metrics.py
@@ -102,6 +102,27 @@
         self._events = meter.create_counter(
             "medlargate_events", "{event}", "Fleet events by kind"
         )
+        self._spill_share = meter.create_gauge(
+            "medlargate_spill_share", "1", "Part of the work that leaves the domain"
+        )
+        self._spill_gain = meter.create_gauge(
+            "medlargate_spill_gain", "s", "Time that a request gains by leaving"
+        )
+
+    def observe_spill(self, service: str, share: float, gain: float) -> None:
+        """Record the decision how much of a service's work leaves the domain.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        share : float
+            Part of the work that leaves, between 0 and 1.
+        gain : float
+            Seconds that a request gains by leaving; 0 if none leaves.
+        """
+        self._spill_share.set(share, {"service": service})
+        self._spill_gain.set(gain, {"service": service})
 
     def observe_request(
         self,
