--- a/packages/medlargate-standins/medlargate_standins/relay_testbed.py
+++ b/packages/medlargate-standins/medlargate_standins/relay_testbed.py
@@ -137,6 +137,8 @@
         Number of relay nodes.
     domains : sequence of str, default=("fd-a",)
         Failure domains, assigned to the nodes in turn.
+    settings : dict or None
+        Further sections of the nodes' settings.
 
     Attributes
     ----------
@@ -152,7 +154,14 @@
         Started nodes.
     """
 
-    def __init__(self, *, n_nodes: int = 1, domains: Sequence[str] = ("fd-a",)) -> None:
+    def __init__(
+        self,
+        *,
+        n_nodes: int = 1,
+        domains: Sequence[str] = ("fd-a",),
+        settings: dict[str, Any] | None = None,
+    ) -> None:
+        self._settings = settings or {}
         self.platform = Platform()
         self.servers = Servers()
         self.backends: dict[str, Backend] = {}
@@ -210,11 +219,13 @@
             "grace": 5.0,
             "duties": "metering,autoscale",
             "lease_ms": 1000,
+            "metrics_port": find_free_port(),
         }
         settings = {
             "node": {"name": name, "failure_domain": domain, "address": HOST},
             "platform": {"endpoint": f"{HOST}:{self.platform_port}", "timeout": 1.0},
             "ingress": ingress,
+            **self._settings,
         }
         node = RelayNode(
             Settings.model_validate(settings), LineWriter(self._null_file.fileno())
