A node says where a request would go now (medlargate where)

Cause: operators could see where a request went only after it was sent. Reads of views and limits no longer create entries. Spillover: also requests for a cached prefix or for want of a free slot count for spill.max_share.

--- a/packages/medlargate/medlargate/__main__.py
+++ b/packages/medlargate/medlargate/__main__.py
@@ -204,6 +204,46 @@
         sys.exit(1)
 
 
+@main.command()
+@click.option("--node", required=True, help="URL of the node's metrics port")
+@click.option("--route", required=True)
+@click.option("--customer", default="", help="none for a public route")
+@click.option("--tokens", default="", help="prompt and output tokens, as 900,40")
+@click.option("--prefix", default="", help="shared prompt parts, as ID:TOKENS,...")
+@click.option("--session", default="", help="id of the session's prompt part")
+@click.option("--bytes", "n_bytes", default=0, help="size of the body")
+@click.option("--json", "as_json", is_flag=True, help="print the answer as JSON")
+def where(
+    node: str,
+    route: str,
+    customer: str,
+    tokens: str,
+    prefix: str,
+    session: str,
+    n_bytes: int,
+    as_json: bool,
+) -> None:
+    """Show where a request would go now and why; nothing is sent."""
+    from ._where import ask_node, format_answer
+
+    query = {
+        "route": route,
+        "customer": customer,
+        "tokens": tokens,
+        "prefix": prefix,
+        "session": session,
+        "bytes": str(n_bytes) if n_bytes else "",
+    }
+    answer = ask_node(node, query)
+    if as_json:
+        import orjson
+
+        click.echo(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
+        return
+    for line in format_answer(answer):
+        click.echo(line)
+
+
 @main.command()
 @click.option("--port", default=8080, show_default=True, help="0 for any free port")
 @click.option("--log-level", default="WARNING", show_default=True)
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -17,6 +17,7 @@
     decode_response,
     make_forward_headers,
     make_forwarded_headers,
+    make_question_headers,
     make_refusal_headers,
     make_response_headers,
 )
@@ -94,6 +95,7 @@
     "get_era",
     "make_forward_headers",
     "make_forwarded_headers",
+    "make_question_headers",
     "make_refusal_headers",
     "make_response_headers",
 ]
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -273,6 +273,54 @@
     )
 
 
+def make_question_headers(
+    request_id: str, *, tokens: str, prefix: str, session: str
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Make the headers of a request that is only asked about.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the request.
+    tokens : str
+        Prompt tokens and maximum output tokens, as ``900,40``; empty if not given.
+    prefix : str
+        Shared prompt parts, as ``ID:TOKENS,...``; empty if not given.
+    session : str
+        Id of the prompt part of the request's session; empty if not given.
+
+    Returns
+    -------
+    tuple of (bytes, bytes)
+        Headers with names in lower case.
+
+    Raises
+    ------
+    ValueError
+        If ``tokens`` or ``prefix`` is not of that form.
+    """
+    counts = [_parse_int(item) for item in tokens.split(",")] if tokens else [0]
+    if None in counts or len(counts) > 2:
+        raise ValueError(f"tokens must be two numbers, as 900,40, not {tokens!r}")
+    items = [item for item in prefix.split(",") if item]
+    parts = _parse_prompt_parts(prefix)
+    if len(parts) != len(items):
+        raise ValueError(f"prefix must be ID:TOKENS,..., not {prefix!r}")
+    if session:
+        n_left = max(0, (counts[0] or 0) - sum(it.n_tokens for it in parts))
+        items.append(f"{session}:{n_left}")
+    fields = {
+        REQUEST_ID: request_id,
+        TOKEN_COUNTS: tokens,
+        PROMPT_PARTS: ",".join(items),
+    }
+    return tuple(
+        (name.lower().encode(), value.encode())
+        for name, value in fields.items()
+        if value
+    )
+
+
 def make_forward_headers(
     headers: Headers,
     *,
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -41,6 +41,7 @@
     predict_first_token,
 )
 from ._prefill_isolation import (
+    DECODE_STEP_TIME,
     LONG_PREFILL_TIME,
     choose_short_prompt_engines,
     is_prefill_sensitive,
@@ -110,6 +111,7 @@
 __all__ = [
     "BLOCK_TIME",
     "CROSS_DOMAIN_COST_PER_BYTE",
+    "DECODE_STEP_TIME",
     "LONG_PREFILL_TIME",
     "SHORT_PROMPT_JITTER",
     "VERSION_LIFETIME",
--- a/packages/medlargate/medlargate/policy/_domain_spill.py
+++ b/packages/medlargate/medlargate/policy/_domain_spill.py
@@ -294,12 +294,16 @@
     shares, gain = _divide_among_classes(
         by_domain, others, classes, hold_time, options.min_gain
     )
+    reason = _describe(surplus, candidates, fresh, rooms, by_domain)
+    n_away = sum(it.used_by.get(own.domain, 0.0) for it in others)
+    if n_away >= options.max_share * demand > 0 or not options.max_share:
+        candidates, open_domains = [], frozenset()
     return SpillPlan(
         shares,
         by_domain,
         surplus,
         gain,
-        _describe(surplus, candidates, fresh, rooms, by_domain),
+        reason,
         open_domains,
         {
             load.name: frozenset(
--- a/packages/medlargate/medlargate/policy/tests/test_domain_spill.py
+++ b/packages/medlargate/medlargate/policy/tests/test_domain_spill.py
@@ -183,6 +183,15 @@
     def test_bounds_of_the_settings_hold(self):
         options = replace(OPTIONS, max_share=0.1)
         self.assertLessEqual(decide(options=options).total_share, 0.1)
+        # Guards against requests that leave because of a cached prefix or for want of
+        # a free slot although the share is exhausted.
+        self.assertNotEqual(decide().roomy_domains["chat"], frozenset())
+        for away, max_share in ((20, 0.1), (0, 0.0)):
+            used = replace(FREE, used_by={"b": 20, "a": away})
+            bounded = replace(OPTIONS, max_share=max_share)
+            plan = decide(others=[used], options=bounded)
+            self.assertEqual(plan.open_domains, frozenset())
+            self.assertEqual(plan.roomy_domains["chat"], frozenset())
         options = replace(OPTIONS, min_gain=1.5)
         self.assertEqual(decide(options=options).by_domain, {})
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -11,6 +11,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import orjson
+
 from .._clock import read_boot_clock
 from .._settings import Settings, SettingsError
 from .._tasks import run_with_restarts
@@ -587,12 +589,39 @@
         await responder.send(status, [], b"ready\n" if status == 200 else b"no\n")
 
     async def _answer_metrics(self, req: IncomingRequest, responder: Responder) -> None:
+        if req.path == "/where":
+            await self._answer_where(req, responder)
+            return
         if req.path != "/metrics":
             await responder.send(404, [], b"")
             return
         text = self.metrics.snapshot()
         await responder.send(200, [(b"Content-Type", b"text/plain")], text)
 
+    async def _answer_where(self, req: IncomingRequest, responder: Responder) -> None:
+        """Answer where a request would go now; nothing is sent."""
+        # Only operators need it, so it does not delay a node's start.
+        from ._where import PlacementGuide, QuestionError
+
+        guide = PlacementGuide(
+            self.cluster_state,
+            self.request_queue,
+            self.crash_guard,
+            self.reach,
+            self.clock,
+        )
+        headers = [(b"Content-Type", b"application/json")]
+        if req.method != "GET":
+            await responder.send(405, [], b"")
+            return
+        try:
+            status, answer = 200, guide.answer(req.target)
+            answer = {"node": self.settings.node.name, **answer}
+        except QuestionError as exc:
+            error = {"code": exc.code, "message": str(exc)}
+            status, answer = exc.status, {"error": error}
+        await responder.send(status, headers, orjson.dumps(answer))
+
 
 async def _can_reach(server: Registration) -> bool:
     """Return whether a server accepts connections."""
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
+from copy import copy
 from dataclasses import dataclass, replace
 
 from ..fleet import ClusterState
@@ -66,10 +67,54 @@
     fetch_from: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Server of a service, for a request that is not sent.
+
+    Attributes
+    ----------
+    state : ServerState
+        State of the server for the request.
+    excluded : str or None
+        Why the server would not get the request; None if it could.
+    """
+
+    state: ServerState
+    excluded: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementOutlook:
+    """Where a request would go now.
+
+    Attributes
+    ----------
+    assignment : ServerAssignment or None
+        Server that it would be sent to; None if it would wait or be refused.
+    candidates : list of Candidate
+        Servers of the service that are not leaving.
+    times : ServiceTimes
+        Latency parameters of the service.
+    ahead : list of Exchange
+        Waiting requests that would be served before it.
+    predicted_answer : float
+        Time to the first token or answer if it waits, in seconds.
+    refusal : Refusal or None
+        Refusal that it would get; None if it would be sent or wait.
+    """
+
+    assignment: ServerAssignment | None
+    candidates: list[Candidate]
+    times: ServiceTimes
+    ahead: list[Exchange]
+    predicted_answer: float
+    refusal: Refusal | None
+
+
 @dataclass(eq=False)
 class _QueuedRequest:
     exch: Exchange
-    future: asyncio.Future[ServerAssignment]
+    future: asyncio.Future[ServerAssignment] | None
     queued_at: float
 
 
@@ -149,22 +194,31 @@
             if it.service == service and not it.draining and it.server_id not in leaving
         ]
 
-    def _list_open_servers(self, service: str) -> list[Registration]:
+    def _list_open_servers(
+        self, service: str, *, dry_run: bool = False
+    ) -> list[Registration]:
         """Return the usable servers to which a request may be sent now."""
         return [
             it
             for it in self.list_usable_servers(service)
-            if not self._get_server_wait(it.server_id)
+            if not self.get_server_wait(it.server_id, dry_run=dry_run)
         ]
 
-    def _get_server_wait(self, server_id: str) -> float:
+    def get_server_wait(self, server_id: str, *, dry_run: bool = False) -> float:
         """Return the time until a server may get a request, in seconds.
 
         A server may have asked this node for a pause or limit the rate of its requests.
+
+        Parameters
+        ----------
+        server_id : str
+            Server to look up.
+        dry_run : bool, default=False
+            Whether to leave this node's share of a limit as it is.
         """
-        return max(
-            self._loads.get_refusal_time(server_id), self._limits.get_wait(server_id)
-        )
+        limits = self._limits
+        wait = limits.peek_wait(server_id) if dry_run else limits.get_wait(server_id)
+        return max(self._loads.get_refusal_time(server_id), wait)
 
     def has_untried_server(self, exch: Exchange) -> bool:
         """Return whether a usable server has not yet received the request.
@@ -242,16 +296,24 @@
             if queued in queue:
                 queue.remove(queued)
 
-    def _try_place(self, exch: Exchange) -> ServerAssignment | None:
-        """Return the best server, or None if the request should wait for it."""
+    def _try_place(
+        self, exch: Exchange, *, dry_run: bool = False
+    ) -> ServerAssignment | None:
+        """Return the best server, or None if the request should wait for it.
+
+        A dry run changes no state, also not that of the random numbers.
+        """
         servers = {
-            it.server_id: it for it in self._list_open_servers(exch.service.name)
+            it.server_id: it
+            for it in self._list_open_servers(exch.service.name, dry_run=dry_run)
         }
         times = self._loads.get_service_times(exch.service)
         waited = self._clock() - exch.arrived_at
         accept_any = accepts_any_server(waited=waited, target=exch.rule.target)
-        states = self._make_states(exch, servers, times)
-        states = self.spillover.select(exch, states, times, accept_any=accept_any)
+        states = self._make_states(exch, servers, times, dry_run=dry_run)
+        states = self.spillover.select(
+            exch, states, times, accept_any=accept_any, dry_run=dry_run
+        )
         if accept_any or exch.service.engine is None:
             states = [it for it in states if _can_accept(exch, it, times, accept_any)]
         placement = decide_placement(
@@ -260,7 +322,7 @@
             domain=self._loads.domain,
             n_bytes=len(exch.req.body) + TYPICAL_ANSWER_BYTES,
             jitter=SHORT_PROMPT_JITTER if self._is_short_prompt(exch, times) else 0.0,
-            random_state=self._random_state,
+            random_state=copy(self._random_state) if dry_run else self._random_state,
         )
         if placement is None:
             return None
@@ -271,6 +333,82 @@
         fetch_from = holder.address if holder is not None else None
         return ServerAssignment(servers[placement.name], state, placement, fetch_from)
 
+    def explain(self, exch: Exchange) -> PlacementOutlook:
+        """Return where a request would go now, without a change of any state.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request that is not in the queue.
+
+        Returns
+        -------
+        PlacementOutlook
+            Result of the functions that place requests.
+        """
+        assignment = self._try_place(exch, dry_run=True)
+        times = self._loads.get_service_times(exch.service)
+        usable = [
+            it
+            for it in self.list_usable_servers(exch.service.name)
+            if exch.can_run_at(it)
+        ]
+        # Suspended servers are left out of the states of several servers.
+        states = [
+            state
+            for it in usable
+            for state in self._loads.make_states(
+                exch.service, [it], exch.facts.parts, exch.n_tokens
+            )
+        ]
+        allowed = self._make_states(
+            exch, {it.server_id: it for it in usable}, times, dry_run=True
+        )
+        kept = self.spillover.select(exch, allowed, times, dry_run=True)
+        rows = [
+            Candidate(state, self._find_exclusion(exch, state, times, allowed, kept))
+            for state in states
+        ]
+        ahead: list[Exchange] = []
+        refusal = None
+        if assignment is None:
+            queued = _QueuedRequest(exch, None, self._clock())
+            key = self._make_queue_key(queued)
+            ahead = [
+                it.exch
+                for it in self._queues.get(exch.service.name, ())
+                if self._make_queue_key(it) <= key
+            ]
+            refusal = self._decide_refusal(queued, len(ahead), dry_run=True)
+        wait = 0.0
+        if assignment is None and usable:
+            wait = self._predict_answer(exch, usable, len(ahead), dry_run=True)
+        return PlacementOutlook(assignment, rows, times, ahead, wait, refusal)
+
+    def _find_exclusion(
+        self,
+        exch: Exchange,
+        state: ServerState,
+        times: ServiceTimes,
+        allowed: list[ServerState],
+        kept: list[ServerState],
+    ) -> str | None:
+        """Return why a server does not get a request; None if it is a candidate."""
+        wait = self.get_server_wait(state.name, dry_run=True)
+        if wait:
+            return f"wants no request for {wait:.2f} s"
+        if self._loads.is_suspended(state.name, state.domain):
+            return "cannot be reached"
+        if all(it.name != state.name for it in allowed):
+            return "is reserved for short prompts"
+        if all(it.name != state.name for it in kept):
+            return (
+                "is in another failure domain, and the request stays or goes elsewhere"
+            )
+        if not _can_accept(exch, state, times, accept_any=False):
+            return "has no capacity"
+        return None
+
     def _is_short_prompt(self, exch: Exchange, times: ServiceTimes) -> bool:
         """Return whether prefill of the whole prompt takes at most LONG_PREFILL_TIME.
 
@@ -282,7 +420,12 @@
         return exch.n_tokens * times.prefill_per_token <= LONG_PREFILL_TIME
 
     def _make_states(
-        self, exch: Exchange, servers: dict[str, Registration], times: ServiceTimes
+        self,
+        exch: Exchange,
+        servers: dict[str, Registration],
+        times: ServiceTimes,
+        *,
+        dry_run: bool = False,
     ) -> list[ServerState]:
         """Return the states of the candidate servers of a request.
 
@@ -303,7 +446,9 @@
         )
         if exch.service.engine is None:
             return states
-        reserved = self._get_short_prompt_engines(exch.service.name, servers)
+        reserved = self._get_short_prompt_engines(
+            exch.service.name, servers, dry_run=dry_run
+        )
         prefill_sensitive = bool(reserved) and _is_prefill_sensitive(exch, times)
         allowed = [
             replace(state, risks_pauses=True)
@@ -316,13 +461,15 @@
         return allowed or states
 
     def _get_short_prompt_engines(
-        self, service: str, servers: Collection[str]
+        self, service: str, servers: Collection[str], *, dry_run: bool = False
     ) -> frozenset[str]:
         now = self._clock()
         cached = self._short_prompt_engines.get(service)
         if cached is None or now - cached[0] > SHORT_PROMPT_ENGINES_INTERVAL:
             reserved = self._choose_short_prompt_engines(service, servers)
-            cached = self._short_prompt_engines[service] = (now, reserved)
+            cached = (now, reserved)
+            if not dry_run:
+                self._short_prompt_engines[service] = cached
         return cached[1]
 
     def _choose_short_prompt_engines(
@@ -404,6 +551,7 @@
     def _process_queue(self, queue: list[_QueuedRequest]) -> None:
         n_ahead = 0
         for queued in sorted(queue, key=self._make_queue_key):
+            assert queued.future is not None
             if queued.future.done():
                 continue
             assignment = self._try_place(queued.exch)
@@ -418,7 +566,9 @@
                 queue.remove(queued)
                 queued.future.set_exception(refusal)
 
-    def _decide_refusal(self, queued: _QueuedRequest, n_ahead: int) -> Refusal | None:
+    def _decide_refusal(
+        self, queued: _QueuedRequest, n_ahead: int, *, dry_run: bool = False
+    ) -> Refusal | None:
         exch = queued.exch
         now = self._clock()
         servers = [
@@ -435,17 +585,10 @@
                 _describe_missing_server(exch),
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
-        states = self._loads.make_states(
-            exch.service, servers, exch.facts.parts, exch.n_tokens
-        )
-        times = self._loads.get_service_times(exch.service)
         decision = decide_wait(
-            predicted_first_token=min(
-                _predict_earliest_answer(exch, state, times)
-                + self._get_server_wait(state.name)
-                for state in states
-            )
-            + self._predict_queue_wait(servers, n_ahead),
+            predicted_first_token=self._predict_answer(
+                exch, servers, n_ahead, dry_run=dry_run
+            ),
             time_left=exch.deadline - now,
             time_to_target=exch.target_at - now,
         )
@@ -455,12 +598,35 @@
             503, "too_late", decision.reason, retry_after=decision.retry_after
         )
 
-    def _predict_queue_wait(self, servers: list[Registration], n_ahead: int) -> float:
+    def _predict_answer(
+        self,
+        exch: Exchange,
+        servers: list[Registration],
+        n_ahead: int,
+        *,
+        dry_run: bool = False,
+    ) -> float:
+        """Return an optimistic time to the first token or answer, in seconds."""
+        times = self._loads.get_service_times(exch.service)
+        states = self._loads.make_states(
+            exch.service, servers, exch.facts.parts, exch.n_tokens
+        )
+        earliest = min(
+            _predict_earliest_answer(exch, state, times)
+            + self.get_server_wait(state.name, dry_run=dry_run)
+            for state in states
+        )
+        return earliest + self._predict_queue_wait(servers, n_ahead, dry_run=dry_run)
+
+    def _predict_queue_wait(
+        self, servers: list[Registration], n_ahead: int, *, dry_run: bool = False
+    ) -> float:
         """Return the time that the limits of all servers add to a wait, in seconds.
 
         It is 0 if one of the servers does not limit the rate of its requests.
         """
-        total_rate = sum(self._limits.get_rate(it.server_id) for it in servers)
+        get_rate = self._limits.peek_rate if dry_run else self._limits.get_rate
+        total_rate = sum(get_rate(it.server_id) for it in servers)
         return n_ahead / total_rate if total_rate else 0.0
 
     async def run(self) -> None:
--- a/packages/medlargate/medlargate/relay/_server_limits.py
+++ b/packages/medlargate/medlargate/relay/_server_limits.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Collection, Mapping
+from copy import copy
 from dataclasses import dataclass
 
 from ..policy import TokenBucket, decide_rate
@@ -145,6 +146,14 @@
         bucket = self._find_bucket(server_id)
         return bucket.compute_wait(self._clock()) if bucket is not None else 0.0
 
+    def peek_wait(self, server_id: str) -> float:
+        """Return the time of ``get_wait`` without updating this node's share."""
+        notice = self._notices.get(server_id)
+        if notice is None or notice.max_rate is None:
+            return 0.0
+        bucket = self._buckets.get(server_id)
+        return copy(bucket).compute_wait(self._clock()) if bucket else float("inf")
+
     def get_rate(self, server_id: str) -> float:
         """Return the requests a second that this node may send to a server.
 
@@ -161,6 +170,14 @@
         bucket = self._find_bucket(server_id)
         return bucket.rate if bucket is not None else float("inf")
 
+    def peek_rate(self, server_id: str) -> float:
+        """Return the rate of ``get_rate`` without updating this node's share."""
+        notice = self._notices.get(server_id)
+        if notice is None or notice.max_rate is None:
+            return float("inf")
+        bucket = self._buckets.get(server_id)
+        return bucket.rate if bucket is not None else 0.0
+
     def _find_bucket(self, server_id: str) -> TokenBucket | None:
         """Return the bucket for a server's limit; None if it has none."""
         notice = self._notices.get(server_id)
