--- a/packages/medlargate/medlargate/relay/tests/test_where.py
+++ b/packages/medlargate/medlargate/relay/tests/test_where.py
@@ -61,7 +61,7 @@
                 queue._limits._shared_at,
                 self.node.crash_guard.parts,
                 self.node.usage.snapshot(self.node.incarnation, since=0),
-                self.node.demand.get_rates(0.0),
+                self.node.demand.__dict__,
             )
         )
 
