--- a/packages/medlargate-standins/medlargate_standins/relay_testbed.py
+++ b/packages/medlargate-standins/medlargate_standins/relay_testbed.py
@@ -139,8 +139,10 @@
         Number of relay nodes.
     domains : sequence of str, default=("fd-a",)
         Failure domains, assigned to the nodes in turn.
+    settings : dict or None
+        Further sections of the nodes' settings.
     ingress : dict of str to object
-        Settings of the nodes in addition to the defaults.
+        Settings of the nodes' section ``ingress`` in addition to the defaults.
 
     Attributes
     ----------
@@ -161,8 +163,10 @@
         *,
         n_nodes: int = 1,
         domains: Sequence[str] = ("fd-a",),
+        settings: dict[str, Any] | None = None,
         **ingress: Any,
     ) -> None:
+        self._settings = settings or {}
         self._ingress = ingress
         self.platform = Platform()
         self.servers = Servers()
@@ -239,12 +243,14 @@
             "grace": 5.0,
             "duties": "metering,autoscale",
             "lease_ms": 1000,
+            "metrics_port": find_free_port(),
             **self._ingress,
         }
         settings = {
             "node": {"name": name, "failure_domain": domain, "address": HOST},
             "platform": {"endpoint": f"{HOST}:{self.platform_port}", "timeout": 1.0},
             "ingress": ingress,
+            **self._settings,
         }
         node = RelayNode(
             Settings.model_validate(settings), LineWriter(self._null_file.fileno())
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -56,6 +56,8 @@
     slow_engines : (float, list of str)
         Time of day of the last decision which engines have a lasting speed below that
         of the others, and these engines.
+    waiting : dict of str to int, or None
+        Requests that wait for a server, by service; None if not reported.
     """
 
     name: str
@@ -80,6 +82,7 @@
     cold: dict[str, float] = Field(default_factory=dict)
     traffic_age: float | None = None
     slow_engines: tuple[float, list[str]] = (0.0, [])
+    waiting: dict[str, int] | None = None
 
 
 class PeerStatus(StatusMessage):
@@ -120,7 +123,7 @@
 class DomainStatus(StatusMessage):
     """Status of a failure domain, sent by its representative to other domains.
 
-    Loads and demand are sums over the nodes of the domain.
+    Loads, demand and waiting requests are sums over the nodes of the domain.
 
     Attributes
     ----------
@@ -131,6 +134,9 @@
     parts : list of (str, list of (str, int))
         Servers with the prompt parts recently sent to them: part ids and numbers of
         tokens.
+    surplus : dict of str to float, or None
+        Slots of work for which the domain has no capacity, by service; None if not
+        reported.
     relayed : bool
         Whether the status was forwarded within the receiver's failure domain.
     """
@@ -140,6 +146,7 @@
     n_nodes: int
     interval: float = 0.0
     parts: list[tuple[str, list[tuple[str, int]]]] = Field(default_factory=list)
+    surplus: dict[str, float] | None = None
     relayed: bool = False
 
 
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -17,10 +17,23 @@
 from ._cold_servers import ColdShare, decide_cold_end, decide_cold_share
 from ._crash_history import CrashHistory, make_request_digest
 from ._demand import DecayingRate
+from ._domain_spill import (
+    ClassLoad,
+    DomainLoad,
+    LinkTimes,
+    PrefixTrips,
+    SpillOptions,
+    SpillPlan,
+    choose_destination,
+    compute_use,
+    decide_spill,
+    select_candidates,
+)
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
 from ._part_crashes import BLOCK_TIME, PartCrashes
 from ._placement import (
+    CROSS_DOMAIN_COST_PER_BYTE,
     SHORT_PROMPT_JITTER,
     Placement,
     ResponseLimits,
@@ -108,6 +121,7 @@
 
 __all__ = [
     "BLOCK_TIME",
+    "CROSS_DOMAIN_COST_PER_BYTE",
     "LONG_PREFILL_TIME",
     "SHORT_PROMPT_JITTER",
     "VERSION_LIFETIME",
@@ -115,16 +129,19 @@
     "BackendView",
     "Candidate",
     "CapacityOrder",
+    "ClassLoad",
     "ColdShare",
     "ConcurrencyLimit",
     "CrashDecision",
     "CrashHistory",
     "CrashTracker",
     "DecayingRate",
+    "DomainLoad",
     "FairQueue",
     "FleetRetryBudget",
     "ForwardPeer",
     "Job",
+    "LinkTimes",
     "OutputEstimator",
     "PartCrashes",
     "Placement",
@@ -133,6 +150,7 @@
     "PoolScaler",
     "PoolScheduler",
     "Preemption",
+    "PrefixTrips",
     "ProbeBudget",
     "Refusal",
     "RequestStates",
@@ -146,6 +164,8 @@
     "Shed",
     "SlowEngines",
     "SpeedEstimate",
+    "SpillOptions",
+    "SpillPlan",
     "StreamOrigin",
     "TokenBucket",
     "Verdict",
@@ -153,12 +173,14 @@
     "WaitDecision",
     "ZoneEngines",
     "accepts_any_server",
+    "choose_destination",
     "choose_forward_peer",
     "choose_origin_keepers",
     "choose_short_prompt_engines",
     "choose_similar",
     "compute_late_probability",
     "compute_max_demand",
+    "compute_use",
     "compute_work",
     "decide_capacity",
     "decide_cold_end",
@@ -169,6 +191,7 @@
     "decide_rate",
     "decide_retry",
     "decide_share",
+    "decide_spill",
     "decide_suspect_placement",
     "decide_wait",
     "draw_rejection_pause",
@@ -182,6 +205,7 @@
     "predict_pause",
     "rank_backends",
     "rank_by_hash",
+    "select_candidates",
     "select_speeds",
 ]
 
--- a/packages/medlargate/medlargate/relay/_cold_servers.py
+++ b/packages/medlargate/medlargate/relay/_cold_servers.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Collection, Mapping
+from copy import copy
 
 from ..fleet import ClusterState
 from ..policy import TokenBucket, decide_cold_end, decide_cold_share
@@ -245,6 +246,22 @@
         now = self._clock()
         return min(bucket.compute_wait(now), self._find_end(server_id) - now)
 
+    def peek_wait(self, server_id: str) -> float:
+        """Return the time of ``get_wait`` without updating this node's share."""
+        if not self.is_cold(server_id):
+            return 0.0
+        now = self._clock()
+        time_left = self._find_end(server_id) - now
+        bucket = self._buckets.get(server_id)
+        return min(copy(bucket).compute_wait(now), time_left) if bucket else time_left
+
+    def peek_rate(self, server_id: str) -> float:
+        """Return the rate of ``get_rate`` without updating this node's share."""
+        if not self.is_cold(server_id):
+            return float("inf")
+        bucket = self._buckets.get(server_id)
+        return bucket.rate if bucket is not None else 0.0
+
     def get_rate(self, server_id: str) -> float:
         """Return the requests a second that this node may send to a server.
 
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -11,6 +11,7 @@
 
 from ..platform import PromptPart, ServerLoad
 from ..policy import (
+    LinkTimes,
     ProbeBudget,
     ServerSpeed,
     ServerState,
@@ -79,6 +80,8 @@
         Source of the choice of servers to probe.
     slow_engines : SlowEngines
         Engines that are reserved for short prompts last.
+    links : LinkTimes
+        Measured delay and failures of the links to failure domains.
     """
 
     def __init__(self, domain: str) -> None:
@@ -93,6 +96,7 @@
         self.slow_engines = SlowEngines()
         self._probe_budgets: dict[str, ProbeBudget] = {}
         self._invalid_speeds: set[str] = set()
+        self.links = LinkTimes(domain)
 
     def get_view(self, server_id: str) -> ServerView:
         """Return the view of a server, creating it if the server is new."""
@@ -101,9 +105,16 @@
             view = self.views[server_id] = ServerView()
         return view
 
+    def _read_view(self, server_id: str) -> ServerView:
+        """Return the view of a server, or that of an unknown server."""
+        return self.views.get(server_id) or ServerView()
+
     def get_service_times(self, spec: ServiceSpec) -> ServiceTimes:
         """Return the estimated times of a service."""
-        times = self._get_estimator(spec).estimate()
+        estimator = self.estimators.get(spec.name) or ServiceTimesEstimator(
+            plain=spec.engine is None
+        )
+        times = estimator.estimate()
         if spec.engine is not None:
             return replace(times, per_fetched=spec.engine.transfer_time_per_token)
         return times
@@ -122,6 +133,8 @@
         servers: Iterable[Registration],
         parts: tuple[PromptPart, ...],
         n_tokens: int,
+        *,
+        may_probe: bool = True,
     ) -> list[ServerState]:
         """Return the states of the candidate servers of a request.
 
@@ -135,6 +148,8 @@
             Prompt parts of the request.
         n_tokens : int
             Length of the prompt in tokens.
+        may_probe : bool, default=True
+            Whether the request may be sent to an avoided server to learn its speed.
 
         Returns
         -------
@@ -145,7 +160,7 @@
         now = time.monotonic()
         # Runs for each engine of the service and each decision, so that views and
         # suspensions are looked up once.
-        candidates = [(it, self.get_view(it.server_id)) for it in servers]
+        candidates = [(it, self._read_view(it.server_id)) for it in servers]
         cut_off = {name for name in self._partitions if self._is_cut_off(name, now)}
         available = [
             (server, view)
@@ -156,7 +171,9 @@
         source = self._find_prefix_source(spec, parts)
         n_slots = spec.engine.n_slots if spec.engine else None
         reports_speed = any(view.speed.has_reports for _, view in available)
-        probe = self._choose_probe(spec, available, now) if reports_speed else None
+        probe = None
+        if may_probe and reports_speed:
+            probe = self._choose_probe(spec, available, now)
         states = []
         for server, view in available:
             speed = view.speed.estimate(now) if reports_speed else None
@@ -285,6 +302,7 @@
             unqueued=state.backlog < 0.005 and state.n_running < state.n_slots,
             parts=parts,
             log_slowness=view.speed.compute_log_reported(now),
+            domain=state.domain,
         )
         if spec.engine is not None:
             view.cache_capacity = spec.engine.n_cache_tokens
@@ -319,6 +337,13 @@
             if server_id in partition.unreachable_servers:
                 partition.unreachable_servers.clear()
                 partition.suspended_until = float("-inf")
+        if request.unqueued:
+            # The slowness of a server in another domain includes the delay of the link.
+            slowness = view.slowness
+            if view.speed.has_reports:
+                slowness = view.speed.estimate(now).fixed_slowness
+            usual = request.predicted / max(slowness, MIN_SLOWNESS)
+            self.links.observe_answer(request.domain, elapsed - usual, now)
         if view.speed.has_reports:
             self._observe_time(spec, view, request, elapsed, now)
             return
@@ -424,7 +449,7 @@
         now = time.monotonic()
         if self._is_cut_off(domain, now):
             return True
-        return self.get_view(server_id).suspended_until > now
+        return self._read_view(server_id).suspended_until > now
 
     def _is_cut_off(self, domain: str, now: float) -> bool:
         partition = self._partitions.get(domain)
@@ -446,6 +471,8 @@
         """
         view = self.get_view(server_id)
         now = time.monotonic()
+        if domain:
+            self.links.observe_connect_failure(domain, now)
         if domain not in ("", self.domain):
             partition = self._partitions.setdefault(domain, DomainPartition())
             partition.observe_unreachable(server_id, now)
@@ -493,7 +520,7 @@
 
     def get_refusal_time(self, server_id: str) -> float:
         """Return for how long a server still wants no requests, in seconds."""
-        view = self.get_view(server_id)
+        view = self._read_view(server_id)
         if view.on_trial and view.running:
             return TRIAL_WAIT
         return max(0.0, view.refuses_until - time.monotonic())
@@ -721,6 +748,35 @@
         prefill_time = view.own_prefill_time(time.monotonic())
         return len(view.running), round(prefill_time, 3)
 
+    def reports_speed(self, server_id: str) -> bool:
+        """Return whether a server has reported the speed of its machine."""
+        load = self._read_view(server_id).reported_load
+        return load is not None and load.slowness is not None
+
+    def count_by_source(self, server_id: str) -> dict[str, int]:
+        """Return the requests that run on a server, by who sent them.
+
+        Parameters
+        ----------
+        server_id : str
+            Server to look up.
+
+        Returns
+        -------
+        dict of str to int
+            Numbers of requests by failure domain or peer; this node's are under the
+            name of its failure domain.
+        """
+        view = self._read_view(server_id)
+        now = time.monotonic()
+        counts = {
+            peer: load.n_running
+            for peer, load in view.peer_loads.items()
+            if now < load.valid_until
+        }
+        counts[self.domain] = len(view.running)
+        return counts
+
     def list_own_loads(self) -> dict[str, tuple[int, float]]:
         """Return this node's load on each server.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -11,6 +11,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import orjson
+
 from .._clock import read_boot_clock
 from .._settings import Settings, SettingsError
 from .._tasks import run_with_restarts
@@ -32,7 +34,7 @@
     decode_registration,
     decode_routing_config,
 )
-from ..policy import LONG_PREFILL_TIME, FleetRetryBudget
+from ..policy import LONG_PREFILL_TIME, FleetRetryBudget, SpillOptions
 from ..routing import IngressLimits, Registration
 from ..telemetry import DeferredMetrics, LineWriter
 from ..transport import (
@@ -138,6 +140,7 @@
             list_connected=lambda recent: self.pool.list_connected(recent_only=recent),
             connection_preference=settings.load.connection_preference,
             random_state=self.random_state,
+            spill_options=SpillOptions(**settings.spill.model_dump()),
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.crash_guard = CrashGuard(self.clock)
@@ -367,6 +370,7 @@
         self.fleet.is_stopping = lambda: self.stopping
         self.fleet.list_unreachable = self.reach.list_unreachable
         self.reach.listeners.append(self._observe_reach_change)
+        self._connect_spillover()
         self.fleet.store_up = lambda: self.watcher.store_up
         self.duties = self._make_duties(store)
         store.restore_listeners.append(self.duties.observe_restore)
@@ -416,6 +420,17 @@
         bounds = (self.ingress.config_bound_ms, self.ingress.evacuate_bound_ms)
         return min(filter(None, bounds)) / 1000
 
+    def _connect_spillover(self) -> None:
+        spillover = self.request_queue.spillover
+        spillover.get_excluded = lambda: self.cluster_state.evacuated
+        spillover.is_cold = self.cold.is_cold
+        spillover.list_reports = self.fleet.list_domain_reports
+        spillover.count_domain_waiting = self.fleet.count_domain_waiting
+        spillover.count_domain_nodes = self.fleet.table.count_domain_nodes
+        spillover.observe_plan = self.metrics.observe_spill
+        self.fleet.count_waiting = self.request_queue.count_waiting
+        self.fleet.get_surpluses = spillover.get_surpluses
+
     async def _run_summaries(self) -> None:
         """Log a summary of the node's state periodically, until cancelled."""
         while True:
@@ -620,12 +635,39 @@
         await responder.send(status, [], b"ready\n" if status == 200 else b"no\n")
 
     async def _answer_metrics(self, req: IncomingRequest, responder: Responder) -> None:
+        if req.path == "/where":
+            await self._answer_where(req, responder)
+            return
         if req.path != "/metrics":
             await responder.send(404, [], b"")
             return
         text = self.metrics.snapshot()
         await responder.send(200, [(b"Content-Type", b"text/plain")], text)
 
+    async def _answer_where(self, req: IncomingRequest, responder: Responder) -> None:
+        """Answer where a request would go now; nothing is sent."""
+        # Only operators need it, so it does not delay a node's start.
+        from ._where import PlacementGuide, QuestionError
+
+        guide = PlacementGuide(
+            self.cluster_state,
+            self.request_queue,
+            self.crash_guard,
+            self.reach,
+            self.clock,
+        )
+        headers = [(b"Content-Type", b"application/json")]
+        if req.method != "GET":
+            await responder.send(405, [], b"")
+            return
+        try:
+            status, answer = 200, guide.answer(req.target)
+            answer = {"node": self.settings.node.name, **answer}
+        except QuestionError as exc:
+            error = {"code": exc.code, "message": str(exc)}
+            status, answer = exc.status, {"error": error}
+        await responder.send(status, headers, orjson.dumps(answer))
+
 
 async def _can_reach(server: Registration) -> bool:
     """Return whether a server accepts connections."""
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
+from copy import copy
 from dataclasses import dataclass, replace
 
 from ..fleet import ClusterState
@@ -16,6 +17,7 @@
     ResponseLimits,
     ServerState,
     ServiceTimes,
+    SpillOptions,
     accepts_any_server,
     choose_short_prompt_engines,
     decide_placement,
@@ -30,16 +32,17 @@
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._server_limits import ServerLimits
+from ._spillover import TYPICAL_ANSWER_BYTES, Spillover
 
 # Loads that peers put on servers change without an event on this node, so the queues
 # are rechecked periodically.
 RECHECK_INTERVAL = 0.05  # seconds
 # Other nodes report their demand about this often.
 SHORT_PROMPT_ENGINES_INTERVAL = 0.25  # seconds
-TYPICAL_ANSWER_BYTES = 3000  # size of a typical answer with its headers
 # A restarting server is back within a few seconds. A request to a service without a
 # usable server is therefore not refused at once, but after NO_SERVER_WAIT.
 NO_SERVER_WAIT = 1.0  # seconds in the queue
+SPILL_OFF = SpillOptions("off")
 NO_SERVER_RETRY_AFTER = 0.7  # seconds, sent to the caller with the refusal
 
 
@@ -66,10 +69,54 @@
     fetch_from: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Server of a service, for a request that is not sent.
+
+    Attributes
+    ----------
+    state : ServerState
+        State of the server for the request.
+    excluded : str or None
+        Why the server would not get the request; None if it could.
+    """
+
+    state: ServerState
+    excluded: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementOutlook:
+    """Where a request would go now.
+
+    Attributes
+    ----------
+    assignment : ServerAssignment or None
+        Server that it would be sent to; None if it would wait or be refused.
+    candidates : list of Candidate
+        Servers of the service that are not leaving.
+    times : ServiceTimes
+        Latency parameters of the service.
+    ahead : list of Exchange
+        Waiting requests that would be served before it.
+    predicted_answer : float
+        Time to the first token or answer if it waits, in seconds.
+    refusal : Refusal or None
+        Refusal that it would get; None if it would be sent or wait.
+    """
+
+    assignment: ServerAssignment | None
+    candidates: list[Candidate]
+    times: ServiceTimes
+    ahead: list[Exchange]
+    predicted_answer: float
+    refusal: Refusal | None
+
+
 @dataclass(eq=False)
 class _QueuedRequest:
     exch: Exchange
-    future: asyncio.Future[ServerAssignment]
+    future: asyncio.Future[ServerAssignment] | None
     queued_at: float
 
 
@@ -108,6 +155,13 @@
     random_state : random.Random or None
         Source of a random addition to the cost of servers for short prompts, so that
         nodes do not all choose the same server.
+    spill_options : SpillOptions, default=SpillOptions("off")
+        Settings of the spillover to other failure domains.
+
+    Attributes
+    ----------
+    spillover : Spillover
+        Decides which requests are sent to other failure domains.
     """
 
     def __init__(
@@ -123,9 +177,17 @@
         list_connected: Callable[[bool], Collection[str]] = lambda _: (),
         connection_preference: float = 0.0,
         random_state: random.Random | None = None,
+        spill_options: SpillOptions = SPILL_OFF,
     ) -> None:
         self._list_connected = list_connected
         self._connection_preference = connection_preference
+        self.spillover = Spillover(
+            loads,
+            self.list_usable_servers,
+            self._list_waiting,
+            spill_options,
+            clock,
+        )
         self._random_state = random_state or random.Random()
         self._sum_sensitive_demand = sum_sensitive_demand
         self._short_prompt_engines: dict[str, tuple[float, frozenset[str]]] = {}
@@ -155,24 +217,32 @@
             and not self._loads.is_replaced(it.server_id)
         ]
 
-    def _list_open_servers(self, service: str) -> list[Registration]:
+    def _list_open_servers(
+        self, service: str, *, dry_run: bool = False
+    ) -> list[Registration]:
         """Return the usable servers to which a request may be sent now."""
         return [
             it
             for it in self.list_usable_servers(service)
-            if not self._get_server_wait(it.server_id)
+            if not self.get_server_wait(it.server_id, dry_run=dry_run)
         ]
 
-    def _get_server_wait(self, server_id: str) -> float:
+    def get_server_wait(self, server_id: str, *, dry_run: bool = False) -> float:
         """Return the time until a server may get a request, in seconds.
 
         A server may have asked this node for a pause or limit the rate of its requests.
+
+        Parameters
+        ----------
+        server_id : str
+            Server to look up.
+        dry_run : bool, default=False
+            Whether to leave this node's share of a limit as it is.
         """
-        return max(
-            self._loads.get_refusal_time(server_id),
-            self._limits.get_wait(server_id),
-            self._cold.get_wait(server_id),
-        )
+        limits, cold = self._limits, self._cold
+        wait = limits.peek_wait(server_id) if dry_run else limits.get_wait(server_id)
+        cold_wait = cold.peek_wait(server_id) if dry_run else cold.get_wait(server_id)
+        return max(self._loads.get_refusal_time(server_id), wait, cold_wait)
 
     def has_untried_server(self, exch: Exchange) -> bool:
         """Return whether a usable server has not yet received the request.
@@ -194,6 +264,9 @@
             for it in self._list_open_servers(exch.service.name)
         )
 
+    def _list_waiting(self, service: str) -> list[Exchange]:
+        return [it.exch for it in self._queues.get(service, ())]
+
     def count_waiting(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
         return {name: len(queue) for name, queue in self._queues.items()}
@@ -241,20 +314,30 @@
                 self._loads.observe_end(
                     exch.exchange_id, future.result().server.server_id
                 )
+                self.spillover.observe_end(exch.exchange_id)
             raise
         finally:
             if queued in queue:
                 queue.remove(queued)
 
-    def _try_place(self, exch: Exchange) -> ServerAssignment | None:
-        """Return the best server, or None if the request should wait for it."""
+    def _try_place(
+        self, exch: Exchange, *, dry_run: bool = False
+    ) -> ServerAssignment | None:
+        """Return the best server, or None if the request should wait for it.
+
+        A dry run changes no state, also not that of the random numbers.
+        """
         servers = {
-            it.server_id: it for it in self._list_open_servers(exch.service.name)
+            it.server_id: it
+            for it in self._list_open_servers(exch.service.name, dry_run=dry_run)
         }
         times = self._loads.get_service_times(exch.service)
         waited = self._clock() - exch.arrived_at
         accept_any = accepts_any_server(waited=waited, target=exch.rule.target)
-        states = self._make_states(exch, servers, times)
+        states = self._make_states(exch, servers, times, dry_run=dry_run)
+        states = self.spillover.select(
+            exch, states, times, accept_any=accept_any, dry_run=dry_run
+        )
         if accept_any or exch.service.engine is None:
             states = [it for it in states if _can_accept(exch, it, times, accept_any)]
         placement = decide_placement(
@@ -264,7 +347,7 @@
             n_bytes=len(exch.req.body) + TYPICAL_ANSWER_BYTES,
             limits=_make_limits(exch, waited),
             jitter=SHORT_PROMPT_JITTER if self._is_short_prompt(exch, times) else 0.0,
-            random_state=self._random_state,
+            random_state=copy(self._random_state) if dry_run else self._random_state,
             connected=self._list_connected(exch.needs_recent_connection),
             connection_preference=self._connection_preference,
         )
@@ -279,6 +362,82 @@
         fetch_from = holder.address if holder is not None else None
         return ServerAssignment(servers[placement.name], state, placement, fetch_from)
 
+    def explain(self, exch: Exchange) -> PlacementOutlook:
+        """Return where a request would go now, without a change of any state.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request that is not in the queue.
+
+        Returns
+        -------
+        PlacementOutlook
+            Result of the functions that place requests.
+        """
+        assignment = self._try_place(exch, dry_run=True)
+        times = self._loads.get_service_times(exch.service)
+        usable = [
+            it
+            for it in self.list_usable_servers(exch.service.name)
+            if exch.can_run_at(it)
+        ]
+        # Suspended servers are left out of the states of several servers.
+        states = [
+            state
+            for it in usable
+            for state in self._loads.make_states(
+                exch.service, [it], exch.facts.parts, exch.n_tokens, may_probe=False
+            )
+        ]
+        allowed = self._make_states(
+            exch, {it.server_id: it for it in usable}, times, dry_run=True
+        )
+        kept = self.spillover.select(exch, allowed, times, dry_run=True)
+        rows = [
+            Candidate(state, self._find_exclusion(exch, state, times, allowed, kept))
+            for state in states
+        ]
+        ahead: list[Exchange] = []
+        refusal = None
+        if assignment is None:
+            queued = _QueuedRequest(exch, None, self._clock())
+            key = self._make_queue_key(queued)
+            ahead = [
+                it.exch
+                for it in self._queues.get(exch.service.name, ())
+                if self._make_queue_key(it) <= key
+            ]
+            refusal = self._decide_refusal(queued, len(ahead), dry_run=True)
+        wait = 0.0
+        if assignment is None and usable:
+            wait = self._predict_answer(exch, usable, len(ahead), dry_run=True)
+        return PlacementOutlook(assignment, rows, times, ahead, wait, refusal)
+
+    def _find_exclusion(
+        self,
+        exch: Exchange,
+        state: ServerState,
+        times: ServiceTimes,
+        allowed: list[ServerState],
+        kept: list[ServerState],
+    ) -> str | None:
+        """Return why a server does not get a request; None if it is a candidate."""
+        wait = self.get_server_wait(state.name, dry_run=True)
+        if wait:
+            return f"wants no request for {wait:.2f} s"
+        if self._loads.is_suspended(state.name, state.domain):
+            return "cannot be reached"
+        if all(it.name != state.name for it in allowed):
+            return "is reserved for short prompts"
+        if all(it.name != state.name for it in kept):
+            return (
+                "is in another failure domain, and the request stays or goes elsewhere"
+            )
+        if not _can_accept(exch, state, times, accept_any=False):
+            return "has no capacity"
+        return None
+
     def _is_short_prompt(self, exch: Exchange, times: ServiceTimes) -> bool:
         """Return whether prefill of the whole prompt takes at most LONG_PREFILL_TIME.
 
@@ -290,7 +449,12 @@
         return exch.n_tokens * times.prefill_per_token <= LONG_PREFILL_TIME
 
     def _make_states(
-        self, exch: Exchange, servers: dict[str, Registration], times: ServiceTimes
+        self,
+        exch: Exchange,
+        servers: dict[str, Registration],
+        times: ServiceTimes,
+        *,
+        dry_run: bool = False,
     ) -> list[ServerState]:
         """Return the states of the candidate servers of a request.
 
@@ -308,10 +472,13 @@
             untried or allowed_servers,
             exch.facts.parts,
             exch.n_tokens,
+            may_probe=not dry_run,
         )
         if exch.service.engine is None:
             return states
-        reserved = self._get_short_prompt_engines(exch.service.name, servers)
+        reserved = self._get_short_prompt_engines(
+            exch.service.name, servers, dry_run=dry_run
+        )
         prefill_sensitive = bool(reserved) and _is_prefill_sensitive(exch, times)
         allowed = [
             replace(state, risks_pauses=True)
@@ -324,19 +491,38 @@
         return allowed or states
 
     def _get_short_prompt_engines(
-        self, service: str, servers: Collection[str]
+        self, service: str, servers: Collection[str], *, dry_run: bool = False
     ) -> frozenset[str]:
         now = self._clock()
         cached = self._short_prompt_engines.get(service)
         if cached is None or now - cached[0] > SHORT_PROMPT_ENGINES_INTERVAL:
-            reserved = choose_short_prompt_engines(
-                list(servers),
-                sensitive_demand=self._sum_sensitive_demand(service),
-                slow=self._loads.slow_engines.names,
-            )
-            cached = self._short_prompt_engines[service] = (now, reserved)
+            reserved = self._choose_short_prompt_engines(service, servers)
+            cached = (now, reserved)
+            if not dry_run:
+                self._short_prompt_engines[service] = cached
         return cached[1]
 
+    def _choose_short_prompt_engines(
+        self, service: str, servers: Collection[str]
+    ) -> frozenset[str]:
+        """Choose the reserved engines; where requests stay, in each failure domain."""
+        demand = self._sum_sensitive_demand(service)
+        groups: dict[str, list[str]] = {}
+        stays = self.spillover.applies_to(service)
+        for name in servers:
+            domain = self._cluster_state.servers[name].zone if stays else ""
+            groups.setdefault(domain, []).append(name)
+        return frozenset().union(
+            *(
+                choose_short_prompt_engines(
+                    names,
+                    sensitive_demand=demand * len(names) / len(servers),
+                    slow=self._loads.slow_engines.names,
+                )
+                for names in groups.values()
+            )
+        )
+
     def _commit(self, exch: Exchange, assignment: ServerAssignment) -> ServerAssignment:
         now = self._clock()
         exch.placed_at = now
@@ -372,6 +558,7 @@
         )
         self._limits.observe_send(placement.name)
         self._cold.observe_send(placement.name)
+        self.spillover.observe_send(exch, assignment.state)
         if exch.service.engine is not None:
             prefill_sensitive = _is_prefill_sensitive(exch, times)
             self._observe_dispatch(
@@ -399,6 +586,7 @@
     def _process_queue(self, queue: list[_QueuedRequest]) -> None:
         n_ahead = 0
         for queued in sorted(queue, key=self._make_queue_key):
+            assert queued.future is not None
             if queued.future.done():
                 continue
             assignment = self._try_place(queued.exch)
@@ -413,7 +601,9 @@
                 queue.remove(queued)
                 queued.future.set_exception(refusal)
 
-    def _decide_refusal(self, queued: _QueuedRequest, n_ahead: int) -> Refusal | None:
+    def _decide_refusal(
+        self, queued: _QueuedRequest, n_ahead: int, *, dry_run: bool = False
+    ) -> Refusal | None:
         exch = queued.exch
         now = self._clock()
         servers = [
@@ -435,17 +625,10 @@
                 _describe_missing_server(exch),
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
-        states = self._loads.make_states(
-            exch.service, servers, exch.facts.parts, exch.n_tokens
-        )
-        times = self._loads.get_service_times(exch.service)
         decision = decide_wait(
-            predicted_first_token=min(
-                _predict_earliest_answer(exch, state, times)
-                + self._get_server_wait(state.name)
-                for state in states
-            )
-            + self._predict_queue_wait(servers, n_ahead),
+            predicted_first_token=self._predict_answer(
+                exch, servers, n_ahead, dry_run=dry_run
+            ),
             time_left=exch.deadline - now,
             time_to_target=exch.target_at - now,
         )
@@ -455,14 +638,38 @@
             503, "too_late", decision.reason, retry_after=decision.retry_after
         )
 
-    def _predict_queue_wait(self, servers: list[Registration], n_ahead: int) -> float:
+    def _predict_answer(
+        self,
+        exch: Exchange,
+        servers: list[Registration],
+        n_ahead: int,
+        *,
+        dry_run: bool = False,
+    ) -> float:
+        """Return an optimistic time to the first token or answer, in seconds."""
+        times = self._loads.get_service_times(exch.service)
+        states = self._loads.make_states(
+            exch.service, servers, exch.facts.parts, exch.n_tokens, may_probe=False
+        )
+        earliest = min(
+            _predict_earliest_answer(exch, state, times)
+            + self.get_server_wait(state.name, dry_run=dry_run)
+            for state in states
+        )
+        return earliest + self._predict_queue_wait(servers, n_ahead, dry_run=dry_run)
+
+    def _predict_queue_wait(
+        self, servers: list[Registration], n_ahead: int, *, dry_run: bool = False
+    ) -> float:
         """Return the time that the limits of all servers add to a wait, in seconds.
 
         It is 0 if one of the servers does not limit the rate of its requests.
         """
+        limits, cold = self._limits, self._cold
+        get_rate = limits.peek_rate if dry_run else limits.get_rate
+        get_cold_rate = cold.peek_rate if dry_run else cold.get_rate
         total_rate = sum(
-            min(self._limits.get_rate(it.server_id), self._cold.get_rate(it.server_id))
-            for it in servers
+            min(get_rate(it.server_id), get_cold_rate(it.server_id)) for it in servers
         )
         return n_ahead / total_rate if total_rate else 0.0
 
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -63,6 +63,8 @@
         Whether the first token or answer has arrived.
     log_slowness : float
         Logarithm of the slowness that the machine reported before the request was sent.
+    domain : str
+        Failure domain of the server.
     """
 
     prefill_time: float
@@ -73,6 +75,7 @@
     parts: tuple[PromptPart, ...] = ()
     has_started: bool = False
     log_slowness: float = 0.0
+    domain: str = ""
 
 
 @dataclass(frozen=True, slots=True)
