A server counts as reached only if it responds

Cause: relay/_reach.py took an accepted connection for a reached server. Behind a proxy or NAT that accepts and then resets or hangs, a node served nothing. Change: policy/_reachability.py decides by responses when to probe; probes are GET on HealthPath; requests wait for a check in progress; silent attempts are abandoned throughout the cut.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -15,6 +15,7 @@
 import orjson
 
 SEAL = "seal"
+HEALTH_PATH = "/healthz"
 ENDLESS_PART = b"endless " * 2048
 # An endless response ends here, so that a test can't run forever.
 MAX_ENDLESS_BYTES = 64_000_000
@@ -97,6 +98,8 @@
         than once if its numbers on all servers add up to more than 1.
     received_requests : list of ReceivedRequest
         All requests received, refused ones included.
+    n_probes : int
+        Number of health checks, which are answered at once whatever the behaviour.
     n_connections : int
         Number of connections accepted so far.
     n_disconnects : int
@@ -124,6 +127,7 @@
     pause: float = 0.0
     runs: Counter = field(default_factory=Counter)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
+    n_probes: int = 0
     n_connections: int = 0
     n_disconnects: int = 0
     extra_headers: dict[str, str] = field(default_factory=dict)
@@ -176,6 +180,11 @@
         self.n_connections += 1
         try:
             while (req := await _read_request(reader)) is not None:
+                if req.target == HEALTH_PATH:
+                    self.n_probes += 1
+                    writer.write(_encode_head(req, 200, 0, ""))
+                    await writer.drain()
+                    continue
                 self.received_requests.append(req)
                 if not await self._respond(req, reader, writer):
                     break
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -33,6 +33,12 @@
     is_prefill_sensitive,
 )
 from ._rate_limits import TokenBucket, decide_rate
+from ._reachability import (
+    OpenAttempt,
+    ReachEvidence,
+    choose_probed_services,
+    compute_recheck_pause,
+)
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._stream_versions import (
     VERSION_LIFETIME,
@@ -112,6 +118,7 @@
     "FleetRetryBudget",
     "ForwardPeer",
     "Job",
+    "OpenAttempt",
     "OutputEstimator",
     "PartCrashes",
     "Placement",
@@ -120,6 +127,7 @@
     "PoolScaler",
     "PoolScheduler",
     "Preemption",
+    "ReachEvidence",
     "Refusal",
     "RequestStates",
     "RetryBudget",
@@ -137,8 +145,10 @@
     "accepts_any_server",
     "choose_forward_peer",
     "choose_origin_keepers",
+    "choose_probed_services",
     "choose_short_prompt_engines",
     "compute_max_demand",
+    "compute_recheck_pause",
     "compute_work",
     "decide_capacity",
     "decide_ejections",
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -36,10 +36,6 @@
 # Number of servers to which all nodes prefer to send prompts with the same prefix.
 N_PREFERRED_SERVERS = 2
 TRIAL_WAIT = 0.05  # seconds until a server on trial is looked at again
-# A first token or answer that takes longer than this is a reason to find out whether
-# the servers can still be reached.
-MIN_OVERDUE = 0.7  # seconds
-OVERDUE_FACTOR = 3.0  # relative to the prediction
 MIN_FETCH_TOKENS = 1_500  # shortest prefix, in tokens, that is worth fetching
 
 
@@ -266,25 +262,6 @@
         if request.unqueued and view.slowness < 2.0:
             self._get_estimator(spec).observe(request.n_uncached, elapsed)
 
-    def list_overdue_servers(self) -> list[str]:
-        """Return the servers that owe this node a first token or an answer.
-
-        Returns
-        -------
-        list of str
-            Ids of servers with a request whose answer takes far longer than predicted.
-        """
-        now = time.monotonic()
-        return [
-            server_id
-            for server_id, view in self.views.items()
-            if any(
-                not it.has_started
-                and now - it.sent_at > max(MIN_OVERDUE, OVERDUE_FACTOR * it.predicted)
-                for it in view.running.values()
-            )
-        ]
-
     def observe_end(self, exchange_id: int, server_id: str) -> None:
         """Remove a request whose attempt has ended.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -32,7 +32,7 @@
     decode_routing_config,
 )
 from ..policy import LONG_PREFILL_TIME, FleetRetryBudget
-from ..routing import IngressLimits, Registration
+from ..routing import IngressLimits, Registration, ServiceSpec
 from ..telemetry import DeferredMetrics, LineWriter
 from ..transport import (
     CONNECT_TIMEOUT,
@@ -59,7 +59,7 @@
 from ._forwarding import Forwarder, decode_forwarded
 from ._load_tracker import LoadTracker
 from ._origin_store import OriginStore
-from ._reach import ReachMonitor
+from ._reach import ReachMonitor, responds_to_probe
 from ._reload import decide_reload
 from ._request_handler import RequestHandler
 from ._request_queue import RequestQueue
@@ -138,7 +138,7 @@
         self.reach = ReachMonitor(
             self.request_queue.list_usable_servers,
             self._list_services,
-            _can_reach,
+            self._responds_to_probe,
             self.clock,
             random_state=self.random_state,
         )
@@ -263,13 +263,12 @@
     def _list_services(self) -> set[str]:
         return {it.service for it in self.cluster_state.servers.values()}
 
-    def _list_overdue_services(self) -> set[str]:
-        servers = self.cluster_state.servers
-        return {
-            servers[server_id].service
-            for server_id in self.loads.list_overdue_servers()
-            if server_id in servers
-        }
+    async def _responds_to_probe(self, server: Registration) -> bool:
+        table = self.cluster_state.route_table
+        specs = table.routing_config.services if table else {}
+        spec = specs.get(server.service)
+        path = spec.health_path if spec else ServiceSpec.health_path
+        return await responds_to_probe(server, path)
 
     def _observe_reach_change(self, service: str) -> None:
         if self.reach.is_unreachable(service):
@@ -360,7 +359,9 @@
             self.watcher.run_polls,
             self.request_queue.run,
             self.reach.run,
-            lambda: self.reach.run_checks(self._list_overdue_services),
+            lambda: self.reach.run_checks(
+                self.sender.list_attempts, self.sender.abandon_silent
+            ),
             self.fleet.run_registration,
             self.fleet.messenger.run_intra_domain,
             self.fleet.messenger.run_cross_domain,
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -209,6 +209,7 @@
             exch.origin = await self._origins.find(exch)
         while True:
             self._raise_if_blocked(exch)
+            await self._reach.wait_for_check(exch.service.name)
             try:
                 peer = self._forwarder.choose_peer(exch)
                 if peer is not None:
@@ -224,6 +225,7 @@
 
     async def _serve_here(self, exch: Exchange) -> Outcome:
         """Send a request to one of the servers that this node reaches."""
+        service = exch.service.name
         assignment = await self._queue.acquire(exch)
         try:
             # The block may have come while the request waited.
@@ -231,8 +233,8 @@
             return await self._attempt(exch, assignment)
         except AttemptError as fault:
             self._observe_fault(exch, assignment, fault)
-            if fault.kind == "connect":
-                await self._reach.check(exch.service.name)
+            if fault.kind == "connect" or fault.kind in CONNECTION_LOSSES:
+                await self._reach.check(service, since=exch.placed_at or 0.0)
             raise
         finally:
             self._loads.observe_end(exch.exchange_id, assignment.server.server_id)
@@ -285,6 +287,9 @@
             exch, assignment, time_left=time_left, may_abandon=may_abandon
         ) as open_answer:
             exch.attempt.has_head = True
+            self._reach.observe_response(
+                exch.service.name, is_new_connection=open_answer.conn.n_requests == 1
+            )
             if exch.rule.streams and open_answer.facts.status in SUCCESS_STATUSES:
                 return await self._relay_stream(
                     exch, assignment, open_answer, may_abandon
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..platform import ResponseInfo, decode_response, make_forward_headers
-from ..policy import Verdict
+from ..policy import OpenAttempt, Verdict
 from ..routing import RequestType
 from ..transport import (
     BackendConnection,
@@ -177,7 +177,22 @@
         self._limits = limits
         self._observe_leaving = observe_leaving
         self._observe_rejection = observe_rejection
-        self._open: dict[int, tuple[Exchange, BackendConnection]] = {}
+        self._open: dict[int, tuple[Exchange, BackendConnection, ServerAssignment]] = {}
+
+    def list_attempts(self) -> list[OpenAttempt]:
+        """Return the attempts whose answers are not complete."""
+        return [
+            OpenAttempt(
+                service=exch.service.name,
+                server_id=assignment.server.server_id,
+                active_at=conn.active_at,
+                predicted=assignment.placement.predicted,
+                max_pause=exch.rule.max_pause,
+                has_events=exch.attempt.n_events > 0,
+                is_new_connection=conn.n_requests == 1,
+            )
+            for exch, conn, assignment in self._open.values()
+        ]
 
     def abandon_silent(self, service: str) -> None:
         """Abandon silent attempts at a service of which no server can be reached.
@@ -190,7 +205,7 @@
             Name of the service.
         """
         now = _now()
-        for exch, conn in list(self._open.values()):
+        for exch, conn, _ in list(self._open.values()):
             if (
                 exch.service.name == service
                 and exch.rule.repeatable
@@ -234,7 +249,7 @@
         """
         server = assignment.server
         conn = await self._connect(exch, assignment)
-        self._open[exch.exchange_id] = exch, conn
+        self._open[exch.exchange_id] = exch, conn, assignment
         released = False
         try:
             self._write(exch, conn, assignment, time_left)
