Failure reports: late copies, planned stop, dripping streams, versions

Change: a response without a request id on a connection that named ids is a fault; the listener's queue is emptied before it closes; only whole events restart the limit of silence, and a late timer restarts the wait; a 504 at the deadline states whether the request may have run; the versions that serve are kept in the store; forwarded requests go to the less loaded of two nodes.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -69,13 +69,15 @@
         listening.
 
         For full responses only: ``error`` sends 500; ``half`` omits the end of the
-        body; ``strange`` first sends a response with another request's id; ``extra``
+        body; ``strange`` first sends a response with another request's id, and
+        ``strange-unnamed`` one without an id; ``extra``
         sends the response twice; ``unframed`` sends neither a length nor chunks.
 
         For streams only: ``late:S`` sends the head S seconds before the first event;
         ``cut:N`` aborts the connection inside event N; ``end:N`` closes it after
         event N, without the end of the body; ``begun`` closes it after the head,
-        ``crash-begun`` also stops listening; ``unframed`` sends no chunks,
+        ``crash-begun`` also stops listening; ``drip:N`` sends event N one byte every
+        200 ms, without its end; ``unframed`` sends no chunks,
         ``unframed-half:N`` ends so inside event N, and ``unframed-empty`` before the
         first.
 
@@ -281,10 +283,13 @@
             writer.write(response[:-5])
             await writer.drain()
             return False
-        if kind == "strange":
+        if kind.startswith("strange"):
             other = ReceivedRequest("GET", "/", {"attempt-id": "another"}, b"")
             strange_body = b"not yours"
-            writer.write(_encode_head(other, 200, len(strange_body), "") + strange_body)
+            head = _encode_head(other, 200, len(strange_body), extra)
+            if kind == "strange-unnamed":
+                head = head.replace(b"Attempt-Id: another\r\n", b"")
+            writer.write(head + strange_body)
         writer.write(response)
         if kind == "extra":
             writer.write(response)
@@ -320,6 +325,10 @@
                 await writer.drain()
                 writer.transport.abort()
                 return False
+            if kind == "drip" and event == event_number:
+                drip = _encode_chunk(b" ")
+                writer.write(_encode_chunk(text[:-2]))
+                return await self._send_endless(writer, b"", drip, pause=0.2)
             if kind == "unframed-half" and event == event_number:
                 writer.write(text[: len(text) // 2])
                 return False
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -77,6 +77,8 @@
         Services of which the sender reaches no server.
     stopping : bool
         Whether the sender is about to stop.
+    active : int
+        Number of requests in progress at the sender.
     usage : dict of int to dict
         Usage counts of the sender, by window and customer.
     hears : list of str
@@ -90,6 +92,7 @@
     store_up: bool = True
     unreachable: list[str] = Field(default_factory=list)
     stopping: bool = False
+    active: int = 0
     usage: dict[int, dict[str, int]] = Field(default_factory=dict)
     hears: list[str] = Field(default_factory=list)
     holder: bool = False
--- a/packages/medlargate/medlargate/policy/_forwarding.py
+++ b/packages/medlargate/medlargate/policy/_forwarding.py
@@ -22,12 +22,16 @@
         Node name, failure domain and ``IP:PORT`` for messages between nodes.
     reaches_service : bool
         Whether the node, by its last status, reaches a server of the service.
+    n_requests : int
+        Number of requests in progress: those of its last status, or those that this
+        node has forwarded to it if there are more.
     """
 
     name: str
     domain: str
     address: str
     reaches_service: bool = True
+    n_requests: int = 0
 
 
 def choose_forward_peer(
@@ -41,7 +45,9 @@
 
     Nodes of the same failure domain are preferred, since traffic between domains is
     billed, as long as at least half of the domain's nodes reach the service. Otherwise
-    the load is spread over all nodes that do.
+    the load is spread over all nodes that do. Of two random nodes the one with fewer
+    requests is chosen: nodes that learn the same at the same time do not all choose the
+    same node, and one that has just stopped answering gets few requests.
 
     Parameters
     ----------
@@ -62,6 +68,6 @@
     open_peers = [it for it in peers if it.reaches_service and it.name not in tried]
     near = [it for it in open_peers if it.domain == domain]
     n_domain = 1 + sum(it.domain == domain for it in peers)
-    if near and 2 * len(near) >= n_domain:
-        return random_state.choice(near)
-    return random_state.choice(open_peers) if open_peers else None
+    group = near if near and 2 * len(near) >= n_domain else open_peers
+    drawn = random_state.sample(group, min(2, len(group)))
+    return min(drawn, key=lambda it: it.n_requests, default=None)
--- a/packages/medlargate/medlargate/policy/_stream_versions.py
+++ b/packages/medlargate/medlargate/policy/_stream_versions.py
@@ -105,13 +105,17 @@
         """Return whether several versions of a service serve or served recently."""
         return len(self.list_versions(service, now=now)) > 1
 
-    def snapshot(self, *, now: float) -> dict[str, dict[str, float]]:
+    def snapshot(
+        self, *, now: float, min_versions: int = 2
+    ) -> dict[str, dict[str, float]]:
         """Return the versions of services with several of them.
 
         Parameters
         ----------
         now : float
             Current time, in seconds.
+        min_versions : int, default=2
+            Services with fewer versions are left out.
 
         Returns
         -------
@@ -121,7 +125,7 @@
         rows = {}
         for service in self._registered.keys() | self._served_at.keys():
             versions = self.list_versions(service, now=now)
-            if len(versions) < 2:
+            if len(versions) < min_versions:
                 continue
             registered = self._registered.get(service, frozenset())
             rows[service] = {
--- a/packages/medlargate/medlargate/relay/_event_relay.py
+++ b/packages/medlargate/medlargate/relay/_event_relay.py
@@ -66,8 +66,10 @@
             await exch.responder.write(event.data)
             exch.observe_event(clock())
             exch.last_event_id = event.event_id
-        if started:
+        if events:
             limit.start_waiting()
+        elif started:
+            limit.resume_waiting()
     is_delimited = open_answer.head.is_delimited
     is_cut = not started and not (is_delimited and exch.responder.started)
     if splitter.has_partial_event or is_cut:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -152,6 +152,7 @@
         self.store_up: Callable[[], bool] = lambda: True
         self.list_unreachable: Callable[[], list[str]] = list
         self.is_stopping: Callable[[], bool] = lambda: False
+        self.count_active: Callable[[], int] = lambda: 0
         self.get_limits: Callable[[], IngressLimits] = IngressLimits
         self.handle_forwarded: Callable[
             [IncomingRequest, Responder], Awaitable[bool]
@@ -293,6 +294,7 @@
             store_up=self.store_up(),
             unreachable=self.list_unreachable(),
             stopping=self.is_stopping(),
+            active=self.count_active(),
             loads=self._loads.list_own_loads() if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
@@ -403,6 +405,7 @@
                 peer.zone,
                 peer.address,
                 reaches_service=service not in peer.status.unreachable,
+                n_requests=peer.status.active,
             )
             for peer in self.table.list_alive()
             if peer.status is not None and not peer.status.stopping
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import NoReturn
@@ -162,6 +163,7 @@
         self._clock = clock
         self._random_state = random_state
         self._pool = ConnectionPool()
+        self._n_forwarded: Counter[str] = Counter()
 
     def close(self) -> None:
         """Close the connections to other nodes."""
@@ -192,7 +194,7 @@
         peer = None
         if exch.forwarded is None:
             peer = choose_forward_peer(
-                self._list_peers(service),
+                [self._count_forwarded(it) for it in self._list_peers(service)],
                 domain=self._domain,
                 tried=exch.tried_peers,
                 random_state=self._random_state,
@@ -201,6 +203,10 @@
             self._raise_cut_off(exch)
         return peer
 
+    def _count_forwarded(self, peer: ForwardPeer) -> ForwardPeer:
+        n_requests = max(peer.n_requests, self._n_forwarded[peer.name])
+        return replace(peer, n_requests=n_requests)
+
     def _raise_cut_off(self, exch: Exchange) -> NoReturn:
         is_not_run = exch.verdict is Verdict.NOT_RUN
         raise Refusal(
@@ -236,6 +242,13 @@
         exch.tried_peers.add(peer.name)
         exch.placed_at = self._clock()
         exch.record("forward", peer=peer.name, domain=peer.domain, n_sent=exch.n_sent)
+        self._n_forwarded[peer.name] += 1
+        try:
+            return await self._exchange(exch, peer)
+        finally:
+            self._n_forwarded[peer.name] -= 1
+
+    async def _exchange(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
         conn = await self._send(exch, peer)
         released = False
         try:
@@ -287,7 +300,7 @@
         answer = OpenAnswer(
             conn, replace(head, headers=tuple(_strip_headers(head.headers))), facts
         )
-        if facts.request_id and facts.request_id != exch.facts.request_id:
+        if not conn.is_answer_to(exch.facts.request_id, facts.request_id):
             raise ExchangeFaultError("invalid", "an answer to another request")
         code = head.get(REFUSAL_CODE)
         if code is not None:
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -330,6 +330,7 @@
         self.fleet.get_limits = self._get_limits
         self.fleet.handle_forwarded = self._handle_forwarded
         self.fleet.is_stopping = lambda: self.stopping
+        self.fleet.count_active = lambda: self.request_handler.n_active
         self.fleet.list_unreachable = self.reach.list_unreachable
         self.reach.listeners.append(self._observe_reach_change)
         self.fleet.store_up = lambda: self.watcher.store_up
@@ -369,6 +370,7 @@
             block_store.run_reads,
             block_store.run_writes,
             origin_store.run_writes,
+            origin_store.run_version_writes,
             self.duties.run_lease,
             self.duties.run_usage,
             self.duties.run_scale,
@@ -542,9 +544,13 @@
         stop_at = started_at + self.ingress.grace - CLOSE_RESERVE
         await asyncio.sleep(BALANCER_REMOVAL_TIME)
         # A request that arrives later could not be answered within the grace period.
-        self.ingress_server.stop_listening()
-        while self.clock() < stop_at and self.request_handler.n_active > 0:
+        await self.ingress_server.stop_listening()
+        while self.clock() < stop_at:
             self.ingress_server.close_idle()
+            if not self.request_handler.n_active and not any(
+                it.awaits_request for it in self.ingress_server.connections
+            ):
+                break
             await asyncio.sleep(STOP_CHECK_INTERVAL)
         log.info("node stopped", extra={"n_active": self.request_handler.n_active})
         await self.close()
--- a/packages/medlargate/medlargate/relay/_origin_store.py
+++ b/packages/medlargate/medlargate/relay/_origin_store.py
@@ -24,8 +24,15 @@
 log = logging.getLogger(__name__)
 
 ORIGINS_PREFIX = "medlargate/streams/"
+# Versions that served when they last changed. After all nodes stopped at once, a
+# version whose last server left meanwhile is known from here only.
+VERSIONS_KEY = "medlargate/stream-versions"
 # Origins that are not yet written are lost if all nodes stop; calls are billed.
 WRITE_INTERVAL = 0.5  # seconds
+# A version that is not yet written is unknown if all nodes stop and its servers leave.
+VERSIONS_INTERVAL = (
+    0.05  # seconds between looks at the versions; no call without change
+)
 MIN_READ_INTERVAL = 0.2  # seconds between two reads of all batches
 MAX_DELETES = 31  # per call, beside one batch
 
@@ -77,6 +84,8 @@
     _n_batches: int = 0
     _read_at: float = float("-inf")
     _reading: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _has_read_versions: bool = False
+    _written_versions: dict[str, list[str]] | None = None
 
     async def run_writes(self) -> None:
         """Append new origins to the store while representing the domain."""
@@ -84,6 +93,57 @@
             await asyncio.sleep(WRITE_INTERVAL)
             await self._write_batch()
 
+    async def run_version_writes(self) -> None:
+        """Write the versions whenever they change while representing the domain."""
+        while True:
+            await asyncio.sleep(VERSIONS_INTERVAL)
+            await self._write_versions()
+
+    async def _write_versions(self) -> None:
+        """Write the versions after a change, once those of earlier nodes are read."""
+        versions = self.origins.snapshot_all_versions()
+        names = {service: sorted(row) for service, row in versions.items()}
+        if names == self._written_versions or not self.is_representative():
+            return
+        if not await self._read_versions():
+            await asyncio.sleep(WRITE_INTERVAL)
+            return
+        versions = self.origins.snapshot_all_versions()
+        batch = OriginBatch(
+            written_at=round(self.wall_clock(), 2), versions=versions, origins={}
+        )
+        put = Put(VERSIONS_KEY, orjson.dumps(batch.model_dump()))
+        if isinstance(await self.store.write([], [put]), Failure):
+            await asyncio.sleep(WRITE_INTERVAL)
+            return
+        self._written_versions = {
+            service: sorted(row) for service, row in versions.items()
+        }
+
+    async def _read_versions(self) -> bool:
+        """Read the versions that served before this node started, once."""
+        if self._has_read_versions:
+            return True
+        result = await self.store.read(VERSIONS_KEY)
+        if isinstance(result, Failure):
+            return False
+        self._has_read_versions = True
+        for _, batch in iter_stored_models(
+            result.unwrap().entries, OriginBatch, log, "stored versions not decodable"
+        ):
+            age = max(0.0, self.wall_clock() - batch.written_at)
+            # A version that served at the time of the write may have served until now.
+            self.origins.merge_versions(
+                {
+                    service: {
+                        version: seconds + age if seconds else 0.0
+                        for version, seconds in row.items()
+                    }
+                    for service, row in batch.versions.items()
+                }
+            )
+        return True
+
     async def _write_batch(self) -> None:
         now = self.clock()
         expired = [key for at, key in self._written if now - at > VERSION_LIFETIME]
@@ -127,6 +187,8 @@
         async with self._reading:
             if self._read_at > asked_at - MIN_READ_INTERVAL:
                 return True
+            if not await self._read_versions():
+                return False
             result = await self.store.read(ORIGINS_PREFIX, prefix=True)
             if isinstance(result, Failure):
                 log.info(
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -200,7 +200,10 @@
                 retry_after=NOT_RUN_RETRY_AFTER,
             )
         return Refusal(
-            504, "timeout", "the deadline passed before the answer was complete"
+            504,
+            "timeout",
+            "the deadline passed before the answer was complete",
+            exch.verdict,
         )
 
     async def _serve(self, exch: Exchange) -> Outcome:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -340,8 +340,10 @@
             async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
                 facts = decode_response(head.status, head.headers)
-                if not facts.request_id or facts.request_id == exch.facts.request_id:
+                if conn.is_answer_to(exch.facts.request_id, facts.request_id):
                     return OpenAnswer(conn, head, facts)
+                if not facts.request_id:
+                    raise ExchangeFaultError("invalid", "an answer without request id")
                 exch.record("strange_answer", answers=facts.request_id)
                 await OpenAnswer(conn, head, facts).read_whole()
                 conn.skip_stale_response()
--- a/packages/medlargate/medlargate/relay/_silence.py
+++ b/packages/medlargate/medlargate/relay/_silence.py
@@ -8,6 +8,9 @@
 
 from ..transport import ExchangeFaultError
 
+# A timer that is later than this shows that the process was paused or overloaded.
+MAX_TIMER_DELAY = 0.25  # seconds
+
 
 class SilenceLimit:
     """Context manager that abandons an attempt whose server is silent for too long.
@@ -36,6 +39,7 @@
         self._timeout = asyncio.timeout(None)
         self._handle: asyncio.TimerHandle | None = None
         self._waiting_since = 0.0
+        self._check_at = 0.0
         self.waiting = True
 
     async def __aenter__(self) -> SilenceLimit:
@@ -44,7 +48,7 @@
         self._loop = asyncio.get_running_loop()
         self.start_waiting()
         if self._seconds is not None:
-            self._handle = self._loop.call_later(self._seconds, self._check)
+            self._schedule_check(self._seconds)
         return self
 
     async def __aexit__(
@@ -72,10 +76,20 @@
         """Record that data has arrived."""
         self.waiting = False
 
+    def resume_waiting(self) -> None:
+        """Record that the data was no complete event: the silence goes on.
+
+        A server that sends a byte now and then would otherwise never be abandoned.
+        """
+        self.waiting = True
+
     def _check(self) -> None:
         assert self._seconds is not None
         now = self._loop.time()
         left = self._seconds
+        if self.waiting and now - self._check_at > MAX_TIMER_DELAY:
+            # This process was paused. Data that arrived meanwhile is read first.
+            self._waiting_since = now
         if self.waiting:
             left = self._waiting_since + self._seconds - now
             if left <= 0 and self._may_abandon():
@@ -83,4 +97,8 @@
                 return
             if left <= 0:
                 left = self._seconds
-        self._handle = self._loop.call_later(left, self._check)
+        self._schedule_check(left)
+
+    def _schedule_check(self, delay: float) -> None:
+        self._check_at = self._loop.time() + delay
+        self._handle = self._loop.call_later(delay, self._check)
--- a/packages/medlargate/medlargate/relay/_stream_origins.py
+++ b/packages/medlargate/medlargate/relay/_stream_origins.py
@@ -107,6 +107,10 @@
             self.history.merge(ages, now=self._clock())
             self._announce_mixed()
 
+    def snapshot_all_versions(self) -> dict[str, dict[str, float]]:
+        """Return the recent versions of all services."""
+        return self.history.snapshot(now=self._clock(), min_versions=1)
+
     def snapshot_versions(self) -> dict[str, dict[str, float]]:
         """Return the recent versions of services with several of them."""
         return self.history.snapshot(now=self._clock())
@@ -141,10 +145,12 @@
         origin : StreamOrigin
             Where its first event comes from.
         """
-        request_id = exch.facts.resumed_id or exch.facts.request_id
-        self._store(request_id, origin, began_here=True)
+        # The caller may name either attempt when it takes the stream up again.
+        ids = {exch.facts.resumed_id, exch.facts.request_id} - {None, ""}
+        for request_id in ids:
+            self._store(request_id, origin, began_here=True)
         if origin.service in self._mixed:
-            self.peers.send_origins({request_id: origin})
+            self.peers.send_origins(dict.fromkeys(ids, origin))
 
     def merge(self, rows: OriginRows) -> None:
         """Store origins that peers or the store know.
@@ -212,10 +218,13 @@
             origin = await self._search(request_id)
         if origin is not None:
             exch.record("resume", began_at=origin.service, version=origin.version)
+            self.observe_begin(exch, origin)
             return origin
         versions = self.history.list_versions(service, now=self._clock())
         exch.record("resume", began_at=None, versions=sorted(versions))
-        if len(versions) < 2:
+        # A node that has just started, and can't read the store, does not know which
+        # versions served before.
+        if len(versions) < 2 and self._knows_past():
             return None
         raise Refusal(
             503,
@@ -226,10 +235,13 @@
 
     def _is_single_version(self, service: str) -> bool:
         """Return whether this node is sure that there was only one version."""
-        now = self._clock()
-        if self.history.is_mixed(service, now=now):
-            return False
-        return self._has_read_store or now - self._started_at > ORIGIN_LIFETIME
+        is_mixed = self.history.is_mixed(service, now=self._clock())
+        return not is_mixed and self._knows_past()
+
+    def _knows_past(self) -> bool:
+        """Return whether this node knows all versions that served recently."""
+        is_old = self._clock() - self._started_at > ORIGIN_LIFETIME
+        return self._has_read_store or is_old
 
     async def _search(self, request_id: str) -> StreamOrigin | None:
         event = self._searches.setdefault(request_id, asyncio.Event())
--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import http
 import logging
+import select
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -18,6 +20,8 @@
 
 BODY_STALL_TIMEOUT = 10.0  # seconds without a byte of an incomplete request body
 BACKLOG = 1024  # connections that wait to be accepted
+# A caller that has just connected sends its request within this time.
+FIRST_REQUEST_TIME = 0.5  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,9 +165,29 @@
         self._body = bytearray()
         self._responder: Responder | None = None
         self._task: asyncio.Task[None] | None = None
+        self._connected_at = self._loop.time()
+        self._n_requests = 0
         self._writable = asyncio.Event()
         self._writable.set()
 
+    @property
+    def awaits_request(self) -> bool:
+        """Whether a request is expected: unread, incomplete, in progress or the first.
+
+        Bytes that wait in the socket belong to a request that the caller has sent.
+        """
+        if not self.is_idle:
+            return True
+        is_new = self._loop.time() - self._connected_at < FIRST_REQUEST_TIME
+        return (self._n_requests == 0 and is_new) or self._has_unread_bytes()
+
+    def _has_unread_bytes(self) -> bool:
+        if self._transport is None or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received or handled."""
@@ -272,6 +296,7 @@
             arrived_at=self._loop.time(),
         )
         self._body.clear()
+        self._n_requests += 1
         responder = self._responder = Responder(self)
         task = self._loop.create_task(self._handle(req, responder))
         self._server.tasks.add(task)
@@ -427,19 +452,45 @@
         )
         return self._server.sockets[0].getsockname()[1]
 
-    def stop_listening(self) -> None:
-        """Stop accepting connections. Open connections are kept."""
-        if self._server is not None:
-            self._server.close()
+    async def stop_listening(self) -> None:
+        """Stop accepting connections. Open connections are kept.
+
+        Connections whose handshake is complete are accepted first: closing a listening
+        socket resets those that wait in its queue, with the requests that their callers
+        have already sent.
+        """
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        server, self._server = self._server, None
+        listeners = []
+        for sock in server.sockets:
+            loop.remove_reader(sock.fileno())
+            listeners.append(sock.dup())
+        # The event loop attaches a connection one turn after it has accepted it, and
+        # fails to do so once the server is closed.
+        for _ in range(2):
+            await asyncio.sleep(0)
+        server.close()
+        for listener in listeners:
+            listener.setblocking(False)
+            with listener, contextlib.suppress(BlockingIOError):
+                while True:
+                    accepted, _ = listener.accept()
+                    accepted.setblocking(False)
+                    await loop.connect_accepted_socket(
+                        lambda: CallerConnection(self), accepted
+                    )
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+        """Close the connections from which no request is expected."""
         for conn in list(self.connections):
-            conn.close_if_idle()
+            if not conn.awaits_request:
+                conn.close_if_idle()
 
     async def close(self) -> None:
         """Stop listening, abort open connections and cancel requests in progress."""
-        self.stop_listening()
+        await self.stop_listening()
         for conn in list(self.connections):
             conn.abort()
         for task in list(self.tasks):
