Nothing is sent after a deadline that passed during a pause

Cause: the time left was computed before the connection was opened. A process paused meanwhile sent the request after its deadline. Change: the time left is computed at the write, also of forwarded requests.

--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -28,6 +28,7 @@
 from ._request_queue import RequestQueue, ServerAssignment
 from ._request_recorder import RequestRecorder
 from ._sender import (
+    MIN_TIME_LEFT,
     Answer,
     AttemptError,
     OpenAnswer,
@@ -41,8 +42,6 @@
 log = logging.getLogger(__name__)
 
 MAX_CONNECT_TRIES = 4  # unreachable servers per request
-# An attempt with less time than this cannot return an answer before the deadline.
-MIN_TIME_LEFT = 0.01  # seconds
 NOT_RUN_RETRY_AFTER = 0.3  # seconds; sent when a request was not run
 CRASHING_RETRY_AFTER = 30.0  # seconds; the request is not run before that
 # After a broken connection, a new connection is tried after this delay: it fails if the
@@ -245,6 +244,8 @@
 
     async def _forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
         """Let another node serve a request."""
+        if self._get_time_left(exch) < MIN_TIME_LEFT:
+            raise self._make_timeout(exch)
         exch.attempt = AttemptProgress()
         try:
             return await self._forwarder.forward(exch, peer)
@@ -276,8 +277,7 @@
     # One attempt
 
     async def _attempt(self, exch: Exchange, assignment: ServerAssignment) -> Outcome:
-        time_left = exch.deadline - self._clock()
-        if time_left < MIN_TIME_LEFT:
+        if self._get_time_left(exch) < MIN_TIME_LEFT:
             raise self._make_timeout(exch)
         exch.attempt = AttemptProgress()
         if exch.n_sent == 0 and not (exch.forwarded and exch.forwarded.n_sent):
@@ -287,7 +287,10 @@
             return self._may_abandon(exch)
 
         async with self._sender.open(
-            exch, assignment, time_left=time_left, may_abandon=may_abandon
+            exch,
+            assignment,
+            get_time_left=lambda: self._get_time_left(exch),
+            may_abandon=may_abandon,
         ) as open_answer:
             exch.attempt.has_head = True
             self._reach.observe_response(
@@ -301,6 +304,9 @@
                 answer = await open_answer.read_whole()
         return await self._relay_whole(exch, assignment, answer)
 
+    def _get_time_left(self, exch: Exchange) -> float:
+        return exch.deadline - self._clock()
+
     def _may_abandon(self, exch: Exchange) -> bool:
         """Return whether another attempt can follow a silent one."""
         return (
@@ -463,7 +469,7 @@
             return None
         if exch.n_sent >= exch.rule.max_attempts:
             return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
-        if exch.deadline - self._clock() < MIN_TIME_LEFT:
+        if self._get_time_left(exch) < MIN_TIME_LEFT:
             return "no time left"
         budget = self._get_budget(exch.service.name)
         if not budget.spend(self._clock(), n_nodes=self._count_nodes()):
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -39,6 +39,8 @@
 PAUSE_SILENCE_FACTOR = 2.0  # relative to the route's maximum pause
 # Open connections may live on while new ones fail; those with recent data are kept.
 MIN_ABANDONED_SILENCE = 0.4  # seconds
+# An attempt with less time than this cannot return an answer before the deadline.
+MIN_TIME_LEFT = 0.01  # seconds
 MAX_MISMATCHED_ANSWERS = 3  # answers read per attempt, those to other requests included
 # A server in trouble can send bytes without end. The limit keeps the answers that a
 # small VM buffers at the same time within its memory.
@@ -219,7 +221,7 @@
         exch: Exchange,
         assignment: ServerAssignment,
         *,
-        time_left: float,
+        get_time_left: Callable[[], float],
         may_abandon: Callable[[], bool],
     ) -> AsyncIterator[OpenAnswer]:
         """Send a request and wait for the head of its answer.
@@ -230,8 +232,8 @@
             Request to send.
         assignment : ServerAssignment
             Server assigned to the request.
-        time_left : float
-            Time until the request's deadline, in seconds.
+        get_time_left : callable
+            Returns the time until the request's deadline, in seconds.
         may_abandon : callable
             Returns whether a silent attempt may be abandoned.
 
@@ -246,12 +248,19 @@
         AttemptError
             If there is no usable answer; ``verdict`` states whether the request may
             have run.
+        TimeoutError
+            If too little time is left when the connection is open. The process may have
+            been paused meanwhile, and the request would run after its deadline.
         """
         server = assignment.server
         conn = await self._connect(exch, assignment)
         self._open[exch.exchange_id] = exch, conn, assignment
         released = False
         try:
+            time_left = get_time_left()
+            if time_left < MIN_TIME_LEFT:
+                exch.states.observe("connect_failure")
+                raise TimeoutError
             self._write(exch, conn, assignment, time_left)
             answer = await self._read_head(exch, conn, may_abandon)
             self._observe_headers(exch, server.server_id, answer.facts)
--- a/packages/medlargate/medlargate/relay/tests/test_reports.py
+++ b/packages/medlargate/medlargate/relay/tests/test_reports.py
@@ -9,6 +9,8 @@
 from medlargate_standins.backend import Backend
 from medlargate_standins.relay_testbed import make_request, read_reply
 
+from medlargate.platform import FencingCredentials, OrdersClient
+from medlargate.policy import Verdict
 from medlargate.routing import IngressLimits
 from medlargate.transport import IngressServer
 
@@ -123,6 +125,43 @@
         self.assertEqual(len(self.list_received("engine")), 1)
 
 
+class PausedNodeTest(RelayCase):
+    """Report 6."""
+
+    async def test_request_is_not_sent_after_a_pause_beyond_its_deadline(self):
+        acquire = self.node.pool.acquire
+
+        async def acquire_and_pause(*args, **kwargs):
+            conn = await acquire(*args, **kwargs)
+            time.sleep(0.5)
+            return conn
+
+        self.node.pool.acquire = acquire_and_pause
+        request_id = self.world.make_request_id()
+        reply = await self.world.call(
+            "/book/x", request_id=request_id, Deadline_Ms="300"
+        )
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.n_runs(request_id), 0)
+
+    async def test_lease_is_checked_after_a_pause_and_before_the_write(self):
+        answers = iter((True, False))
+        call = FencingCredentials("n1", 1, lambda: next(answers))
+        client = OrdersClient(f"http://127.0.0.1:{self.world.platform_port}")
+        connect = client._calls._connect
+
+        async def connect_and_pause(**kwargs):
+            conn = await connect(**kwargs)
+            call.guard()  # still held before the pause
+            return conn
+
+        client._calls._connect = connect_and_pause
+        result = await client.send_usage(1, {"alpha": 1}, call)
+        self.assertEqual(result.failure().verdict, Verdict.NOT_RUN)
+        self.assertNotIn(1, self.world.platform.usage)
+        await client.close()
+
+
 class TruthOfRefusalsTest(RelayCase):
     async def test_timeout_of_a_request_that_may_have_run_does_not_deny_it(self):
         self.set_behaviour("plain", lambda _: "silent")
