Open connections that deliver responses keep their attempts

Cause: read in review: while only new connections fail, attempts on live ones were abandoned after 0.4 s; times of two clocks were compared. Change: policy.is_abandoned looks at responses of the last second; times of connections are converted to the node's clock.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -38,6 +38,7 @@
     ReachEvidence,
     choose_probed_services,
     compute_recheck_pause,
+    is_abandoned,
 )
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._stream_versions import (
@@ -162,6 +163,7 @@
     "draw_rejection_pause",
     "has_brittle_room",
     "has_capacity",
+    "is_abandoned",
     "is_prefill_sensitive",
     "make_fingerprint",
     "make_queue_key",
--- a/packages/medlargate/medlargate/policy/_reachability.py
+++ b/packages/medlargate/medlargate/policy/_reachability.py
@@ -24,6 +24,10 @@
 # Evidence counts for this time while an attempt stays silent. Probes are billed, and a
 # slow server of a sound service may be silent for as long as its route allows.
 EVIDENCE_LIFETIME = 3.0  # seconds
+# Attempts at an unreachable service are abandoned after this silence.
+MIN_ABANDONED_SILENCE = 0.4  # seconds
+# A response within this time shows that open connections live on while new ones fail.
+LIVE_CONNECTIONS_TIME = 1.0  # seconds
 # The pause between attempts to reach an unreachable service grows from the minimum to
 # the maximum. The maximum and the time of a probe stay below ``ContactMs``.
 MIN_RECHECK_PAUSE = 0.5  # seconds
@@ -124,6 +128,31 @@
     }
 
 
+def is_abandoned(attempt: OpenAttempt, evidence: ReachEvidence, *, now: float) -> bool:
+    """Return whether an attempt at an unreachable service is abandoned.
+
+    Parameters
+    ----------
+    attempt : OpenAttempt
+        Attempt that may be repeated.
+    evidence : ReachEvidence
+        What this node has heard from the service.
+    now : float
+        Current time, in seconds.
+
+    Returns
+    -------
+    bool
+        False if the attempt is not silent for long, or if it uses one of the open
+        connections and they still deliver responses.
+    """
+    usual = PAUSE_FACTOR * attempt.max_pause if attempt.has_events else 0.0
+    if now - attempt.active_at <= max(MIN_ABANDONED_SILENCE, usual):
+        return False
+    is_first = attempt.is_new_connection and not attempt.has_events
+    return is_first or now - evidence.heard_at > LIVE_CONNECTIONS_TIME
+
+
 def _is_contradicted(attempt: OpenAttempt, evidence: ReachEvidence, now: float) -> bool:
     """Return whether servers have responded since an attempt fell silent.
 
--- a/packages/medlargate/medlargate/policy/tests/test_reachability.py
+++ b/packages/medlargate/medlargate/policy/tests/test_reachability.py
@@ -11,6 +11,7 @@
     choose_forward_peer,
     choose_probed_services,
     compute_recheck_pause,
+    is_abandoned,
 )
 
 CONTACT_TIME = 3.0  # seconds
@@ -57,6 +58,15 @@
             latest = CONTACT_TIME - PROBE_TIME - 0.2
             self.assertTrue(self.is_probed(latest, make_attempt(**changes)))
 
+    def test_live_open_connections_are_kept_while_new_ones_fail(self):
+        evidence = ReachEvidence(heard_at=0.9)
+        self.assertFalse(is_abandoned(make_attempt(), evidence, now=1.0))
+        new = make_attempt(is_new_connection=True)
+        self.assertTrue(is_abandoned(new, evidence, now=1.0))
+        self.assertTrue(is_abandoned(make_attempt(), ReachEvidence(), now=1.0))
+        stream = make_attempt(has_events=True, max_pause=0.6)
+        self.assertFalse(is_abandoned(stream, ReachEvidence(), now=1.0))
+
     def test_pauses_between_attempts_to_come_back_grow_and_are_bounded(self):
         pauses = [compute_recheck_pause(n_failed) for n_failed in range(5000)]
         self.assertEqual(pauses, sorted(pauses))
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -271,8 +271,7 @@
         return await responds_to_probe(server, path)
 
     def _observe_reach_change(self, service: str) -> None:
-        if self.reach.is_unreachable(service):
-            self.sender.abandon_silent(service)
+        del service
         self.fleet.messenger.broadcast_status()
 
     async def _handle_forwarded(
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -258,8 +258,8 @@
 
     async def run_checks(
         self,
-        list_attempts: Callable[[], Iterable[OpenAttempt]],
-        abandon_silent: Callable[[str], None],
+        list_attempts: Callable[[float], Iterable[OpenAttempt]],
+        abandon_silent: Callable[[str, ReachEvidence, float], None],
     ) -> None:
         """Check services whose servers are silent, until cancelled.
 
@@ -268,17 +268,18 @@
         Parameters
         ----------
         list_attempts : callable
-            Returns the attempts without a complete answer.
+            Returns the attempts without a complete answer, given the current time.
         abandon_silent : callable
-            Abandons the silent attempts at an unreachable service.
+            Abandons the silent attempts at an unreachable service, given what was heard
+            from it and the current time.
         """
         while True:
             await asyncio.sleep(SILENCE_CHECK_INTERVAL)
+            now = self._clock()
             for service in self.list_unreachable():
-                # Some attempts were too young when the service became unreachable.
-                abandon_silent(service)
+                abandon_silent(service, self._get_evidence(service), now)
             services = choose_probed_services(
-                list_attempts(), self._evidence, now=self._clock()
+                list_attempts(now), self._evidence, now=now
             )
             for service in services - self._unreachable.keys():
                 # A single server may just be silent for a while.
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..platform import ResponseInfo, decode_response, make_forward_headers
-from ..policy import OpenAttempt, Verdict
+from ..policy import OpenAttempt, ReachEvidence, Verdict, is_abandoned
 from ..routing import RequestType
 from ..transport import (
     BackendConnection,
@@ -37,8 +37,6 @@
 FIRST_EVENT_SILENCE_FACTOR = 2.5  # relative to the route's target
 MIN_PAUSE_SILENCE = 1.5  # seconds
 PAUSE_SILENCE_FACTOR = 2.0  # relative to the route's maximum pause
-# Open connections may live on while new ones fail; those with recent data are kept.
-MIN_ABANDONED_SILENCE = 0.4  # seconds
 # An attempt with less time than this cannot return an answer before the deadline.
 MIN_TIME_LEFT = 0.01  # seconds
 MAX_MISMATCHED_ANSWERS = 3  # answers read per attempt, those to other requests included
@@ -181,22 +179,22 @@
         self._observe_rejection = observe_rejection
         self._open: dict[int, tuple[Exchange, BackendConnection, ServerAssignment]] = {}
 
-    def list_attempts(self) -> list[OpenAttempt]:
-        """Return the attempts whose answers are not complete."""
+    def list_attempts(self, now: float) -> list[OpenAttempt]:
+        """Return the attempts whose answers are not complete.
+
+        Parameters
+        ----------
+        now : float
+            Current time on the node's clock, in seconds.
+        """
+        # Connections use the event loop's clock, which stands still during suspension.
+        offset = now - _now()
         return [
-            OpenAttempt(
-                service=exch.service.name,
-                server_id=assignment.server.server_id,
-                active_at=conn.active_at,
-                predicted=assignment.placement.predicted,
-                max_pause=exch.rule.max_pause,
-                has_events=exch.attempt.n_events > 0,
-                is_new_connection=conn.n_requests == 1,
-            )
+            _make_attempt(exch, conn, assignment, offset)
             for exch, conn, assignment in self._open.values()
         ]
 
-    def abandon_silent(self, service: str) -> None:
+    def abandon_silent(self, service: str, evidence: ReachEvidence, now: float) -> None:
         """Abandon silent attempts at a service of which no server can be reached.
 
         Requests that may not be repeated wait on.
@@ -205,13 +203,18 @@
         ----------
         service : str
             Name of the service.
+        evidence : ReachEvidence
+            What this node has heard from the service.
+        now : float
+            Current time on the node's clock, in seconds.
         """
-        now = _now()
-        for exch, conn, _ in list(self._open.values()):
+        offset = now - _now()
+        for exch, conn, assignment in list(self._open.values()):
+            attempt = _make_attempt(exch, conn, assignment, offset)
             if (
-                exch.service.name == service
+                attempt.service == service
                 and exch.rule.repeatable
-                and now - conn.active_at > MIN_ABANDONED_SILENCE
+                and is_abandoned(attempt, evidence, now=now)
             ):
                 conn.abandon("no server of the service can be reached")
 
@@ -375,6 +378,23 @@
         raise AttemptError(kind, message, Verdict.NOT_RUN)
 
 
+def _make_attempt(
+    exch: Exchange,
+    conn: BackendConnection,
+    assignment: ServerAssignment,
+    clock_offset: float,
+) -> OpenAttempt:
+    return OpenAttempt(
+        service=exch.service.name,
+        server_id=assignment.server.server_id,
+        active_at=conn.active_at + clock_offset,
+        predicted=assignment.placement.predicted,
+        max_pause=exch.rule.max_pause,
+        has_events=exch.attempt.n_events > 0,
+        is_new_connection=conn.n_requests == 1,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
