--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -15,6 +15,7 @@
 import orjson
 
 SEAL = "seal"
+HEALTH_PATH = "/healthz"
 ENDLESS_PART = b"endless " * 2048
 # An endless response ends here, so that a test can't run forever.
 MAX_ENDLESS_BYTES = 64_000_000
@@ -68,13 +69,15 @@
         listening.
 
         For full responses only: ``error`` sends 500; ``half`` omits the end of the
-        body; ``strange`` first sends a response with another request's id; ``extra``
+        body; ``strange`` first sends a response with another request's id, and
+        ``strange-unnamed`` one without an id; ``extra``
         sends the response twice; ``unframed`` sends neither a length nor chunks.
 
         For streams only: ``late:S`` sends the head S seconds before the first event;
         ``cut:N`` aborts the connection inside event N; ``end:N`` closes it after
         event N, without the end of the body; ``begun`` closes it after the head,
-        ``crash-begun`` also stops listening; ``unframed`` sends no chunks,
+        ``crash-begun`` also stops listening; ``drip:N`` sends event N one byte every
+        200 ms, without its end; ``unframed`` sends no chunks,
         ``unframed-half:N`` ends so inside event N, and ``unframed-empty`` before the
         first.
 
@@ -102,6 +105,8 @@
         than once if its numbers on all servers add up to more than 1.
     received_requests : list of ReceivedRequest
         All requests received, refused ones included.
+    n_probes : int
+        Number of health checks, which are answered at once whatever the behaviour.
     n_connections : int
         Number of connections accepted so far.
     n_disconnects : int
@@ -133,6 +138,7 @@
     speed_text: str | None = None
     runs: Counter = field(default_factory=Counter)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
+    n_probes: int = 0
     n_connections: int = 0
     n_disconnects: int = 0
     extra_headers: dict[str, str] = field(default_factory=dict)
@@ -188,6 +194,11 @@
         self.n_connections += 1
         try:
             while (req := await _read_request(reader)) is not None:
+                if req.target == HEALTH_PATH:
+                    self.n_probes += 1
+                    writer.write(_encode_head(req, 200, 0, ""))
+                    await writer.drain()
+                    continue
                 self.received_requests.append(req)
                 if not await self._respond_in_slot(req, reader, writer):
                     break
@@ -309,10 +320,13 @@
             writer.write(response[:-5])
             await writer.drain()
             return False
-        if kind == "strange":
+        if kind.startswith("strange"):
             other = ReceivedRequest("GET", "/", {"attempt-id": "another"}, b"")
             strange_body = b"not yours"
-            writer.write(_encode_head(other, 200, len(strange_body), "") + strange_body)
+            head = _encode_head(other, 200, len(strange_body), extra)
+            if kind == "strange-unnamed":
+                head = head.replace(b"Attempt-Id: another\r\n", b"")
+            writer.write(head + strange_body)
         writer.write(response)
         if kind == "extra":
             writer.write(response)
@@ -348,6 +362,10 @@
                 await writer.drain()
                 writer.transport.abort()
                 return False
+            if kind == "drip" and event == event_number:
+                drip = _encode_chunk(b" ")
+                writer.write(_encode_chunk(text[:-2]))
+                return await self._send_endless(writer, b"", drip, pause=0.2)
             if kind == "unframed-half" and event == event_number:
                 writer.write(text[: len(text) // 2])
                 return False
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -50,6 +50,13 @@
     is_prefill_sensitive,
 )
 from ._rate_limits import TokenBucket, decide_rate
+from ._reachability import (
+    OpenAttempt,
+    ReachEvidence,
+    choose_probed_services,
+    compute_recheck_pause,
+    is_abandoned,
+)
 from ._server_speed import (
     ProbeBudget,
     ServerSpeed,
@@ -142,6 +149,7 @@
     "ForwardPeer",
     "Job",
     "LinkTimes",
+    "OpenAttempt",
     "OutputEstimator",
     "PartCrashes",
     "Placement",
@@ -152,6 +160,7 @@
     "Preemption",
     "PrefixTrips",
     "ProbeBudget",
+    "ReachEvidence",
     "Refusal",
     "RequestStates",
     "ResponseLimits",
@@ -176,10 +185,12 @@
     "choose_destination",
     "choose_forward_peer",
     "choose_origin_keepers",
+    "choose_probed_services",
     "choose_short_prompt_engines",
     "choose_similar",
     "compute_late_probability",
     "compute_max_demand",
+    "compute_recheck_pause",
     "compute_use",
     "compute_work",
     "decide_capacity",
@@ -197,6 +208,7 @@
     "draw_rejection_pause",
     "has_brittle_room",
     "has_capacity",
+    "is_abandoned",
     "is_prefill_sensitive",
     "make_fingerprint",
     "make_queue_key",
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -35,7 +35,7 @@
     decode_routing_config,
 )
 from ..policy import LONG_PREFILL_TIME, FleetRetryBudget, SpillOptions
-from ..routing import IngressLimits, Registration
+from ..routing import IngressLimits, Registration, ServiceSpec
 from ..telemetry import DeferredMetrics, LineWriter
 from ..transport import (
     CONNECT_TIMEOUT,
@@ -63,7 +63,7 @@
 from ._forwarding import Forwarder, decode_forwarded
 from ._load_tracker import LoadTracker
 from ._origin_store import OriginStore
-from ._reach import ReachMonitor
+from ._reach import ReachMonitor, responds_to_probe
 from ._reload import decide_reload
 from ._request_handler import RequestHandler
 from ._request_queue import RequestQueue
@@ -147,7 +147,7 @@
         self.reach = ReachMonitor(
             self.request_queue.list_usable_servers,
             self._list_services,
-            _can_reach,
+            self._responds_to_probe,
             self.clock,
             random_state=self.random_state,
         )
@@ -296,17 +296,15 @@
     def _list_services(self) -> set[str]:
         return {it.service for it in self.cluster_state.servers.values()}
 
-    def _list_overdue_services(self) -> set[str]:
-        servers = self.cluster_state.servers
-        return {
-            servers[server_id].service
-            for server_id in self.loads.list_overdue_servers()
-            if server_id in servers
-        }
+    async def _responds_to_probe(self, server: Registration) -> bool:
+        table = self.cluster_state.route_table
+        specs = table.routing_config.services if table else {}
+        spec = specs.get(server.service)
+        path = spec.health_path if spec else ServiceSpec.health_path
+        return await responds_to_probe(server, path)
 
     def _observe_reach_change(self, service: str) -> None:
-        if self.reach.is_unreachable(service):
-            self.sender.abandon_silent(service)
+        del service
         self.fleet.messenger.broadcast_status()
 
     async def _handle_forwarded(
@@ -368,6 +366,7 @@
         self.fleet.get_limits = self._get_limits
         self.fleet.handle_forwarded = self._handle_forwarded
         self.fleet.is_stopping = lambda: self.stopping
+        self.fleet.count_active = lambda: self.request_handler.n_active
         self.fleet.list_unreachable = self.reach.list_unreachable
         self.reach.listeners.append(self._observe_reach_change)
         self._connect_spillover()
@@ -398,7 +397,9 @@
             self.watcher.run_polls,
             self.request_queue.run,
             self.reach.run,
-            lambda: self.reach.run_checks(self._list_overdue_services),
+            lambda: self.reach.run_checks(
+                self.sender.list_attempts, self.sender.abandon_silent
+            ),
             self.fleet.run_registration,
             self.fleet.messenger.run_intra_domain,
             self.fleet.messenger.run_cross_domain,
@@ -406,6 +407,7 @@
             block_store.run_reads,
             block_store.run_writes,
             origin_store.run_writes,
+            origin_store.run_version_writes,
             self.duties.run_lease,
             self.duties.run_usage,
             self.duties.run_scale,
@@ -600,9 +602,13 @@
         stop_at = started_at + self.ingress.grace - CLOSE_RESERVE
         await asyncio.sleep(BALANCER_REMOVAL_TIME)
         # A request that arrives later could not be answered within the grace period.
-        self.ingress_server.stop_listening()
-        while self.clock() < stop_at and self.request_handler.n_active > 0:
+        await self.ingress_server.stop_listening()
+        while self.clock() < stop_at:
             self.ingress_server.close_idle()
+            if not self.request_handler.n_active and not any(
+                it.awaits_request for it in self.ingress_server.connections
+            ):
+                break
             await asyncio.sleep(STOP_CHECK_INTERVAL)
         log.info("node stopped", extra={"n_active": self.request_handler.n_active})
         await self.close()
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -28,6 +28,7 @@
 from ._request_queue import RequestQueue, ServerAssignment
 from ._request_recorder import RequestRecorder
 from ._sender import (
+    MIN_TIME_LEFT,
     Answer,
     AttemptError,
     OpenAnswer,
@@ -43,8 +44,6 @@
 MAX_CONNECT_TRIES = 4  # unreachable servers per request
 # Retries of one request after answers 421, each of which costs a round trip.
 MAX_MISDIRECTED_RETRIES = 3
-# An attempt with less time than this cannot return an answer before the deadline.
-MIN_TIME_LEFT = 0.01  # seconds
 NOT_RUN_RETRY_AFTER = 0.3  # seconds; sent when a request was not run
 CRASHING_RETRY_AFTER = 30.0  # seconds; the request is not run before that
 # After a broken connection, a new connection is tried after this delay: it fails if the
@@ -202,7 +201,10 @@
                 retry_after=NOT_RUN_RETRY_AFTER,
             )
         return Refusal(
-            504, "timeout", "the deadline passed before the answer was complete"
+            504,
+            "timeout",
+            "the deadline passed before the answer was complete",
+            exch.verdict,
         )
 
     async def _serve(self, exch: Exchange) -> Outcome:
@@ -211,6 +213,7 @@
             exch.origin = await self._origins.find(exch)
         while True:
             self._raise_if_blocked(exch)
+            await self._reach.wait_for_check(exch.service.name)
             try:
                 peer = self._forwarder.choose_peer(exch)
                 if peer is not None:
@@ -226,6 +229,7 @@
 
     async def _serve_here(self, exch: Exchange) -> Outcome:
         """Send a request to one of the servers that this node reaches."""
+        service = exch.service.name
         assignment = await self._queue.acquire(exch)
         if assignment.state.probe_age is not None:
             self._recorder.observe_event("speed_probe")
@@ -237,8 +241,8 @@
             return await self._attempt(exch, assignment)
         except AttemptError as fault:
             self._observe_fault(exch, assignment, fault)
-            if fault.kind == "connect":
-                await self._reach.check(exch.service.name)
+            if fault.kind == "connect" or fault.kind in CONNECTION_LOSSES:
+                await self._reach.check(service, since=exch.placed_at or 0.0)
             raise
         finally:
             self._loads.observe_end(exch.exchange_id, assignment.server.server_id)
@@ -247,6 +251,8 @@
 
     async def _forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
         """Let another node serve a request."""
+        if self._get_time_left(exch) < MIN_TIME_LEFT:
+            raise self._make_timeout(exch)
         exch.attempt = AttemptProgress()
         try:
             return await self._forwarder.forward(exch, peer)
@@ -278,8 +284,7 @@
     # One attempt
 
     async def _attempt(self, exch: Exchange, assignment: ServerAssignment) -> Outcome:
-        time_left = exch.deadline - self._clock()
-        if time_left < MIN_TIME_LEFT:
+        if self._get_time_left(exch) < MIN_TIME_LEFT:
             raise self._make_timeout(exch)
         exch.attempt = AttemptProgress()
         if exch.n_sent == 0 and not (exch.forwarded and exch.forwarded.n_sent):
@@ -289,9 +294,15 @@
             return self._may_abandon(exch)
 
         async with self._sender.open(
-            exch, assignment, time_left=time_left, may_abandon=may_abandon
+            exch,
+            assignment,
+            get_time_left=lambda: self._get_time_left(exch),
+            may_abandon=may_abandon,
         ) as open_answer:
             exch.attempt.has_head = True
+            self._reach.observe_response(
+                exch.service.name, is_new_connection=open_answer.conn.n_requests == 1
+            )
             if exch.rule.streams and open_answer.facts.status in SUCCESS_STATUSES:
                 return await self._relay_stream(
                     exch, assignment, open_answer, may_abandon
@@ -300,6 +311,9 @@
                 answer = await open_answer.read_whole()
         return await self._relay_whole(exch, assignment, answer)
 
+    def _get_time_left(self, exch: Exchange) -> float:
+        return exch.deadline - self._clock()
+
     def _may_abandon(self, exch: Exchange) -> bool:
         """Return whether another attempt can follow a silent one."""
         return (
@@ -485,7 +499,7 @@
                 return f"{len(exch.misdirected_servers)} servers had restarted"
         elif exch.n_attempts >= exch.rule.max_attempts:
             return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
-        if exch.deadline - self._clock() < MIN_TIME_LEFT:
+        if self._get_time_left(exch) < MIN_TIME_LEFT:
             return "no time left"
         budget = self._get_budget(exch.service.name)
         if not budget.spend(self._clock(), n_nodes=self._count_nodes()):
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..platform import ResponseInfo, decode_response, make_forward_headers
-from ..policy import Verdict
+from ..policy import OpenAttempt, ReachEvidence, Verdict, is_abandoned
 from ..transport import (
     BackendConnection,
     ConnectFaultError,
@@ -37,8 +37,8 @@
 FIRST_EVENT_SILENCE_FACTOR = 2.5  # relative to the route's target
 MIN_PAUSE_SILENCE = 1.5  # seconds
 PAUSE_SILENCE_FACTOR = 2.0  # relative to the route's maximum pause
-# Open connections may live on while new ones fail; those with recent data are kept.
-MIN_ABANDONED_SILENCE = 0.4  # seconds
+# An attempt with less time than this cannot return an answer before the deadline.
+MIN_TIME_LEFT = 0.01  # seconds
 MAX_MISMATCHED_ANSWERS = 3  # answers read per attempt, those to other requests included
 # A server in trouble can send bytes without end. The limit keeps the answers that a
 # small VM buffers at the same time within its memory.
@@ -181,9 +181,24 @@
         self._cold = cold
         self._observe_leaving = observe_leaving
         self._observe_rejection = observe_rejection
-        self._open: dict[int, tuple[Exchange, BackendConnection]] = {}
+        self._open: dict[int, tuple[Exchange, BackendConnection, ServerAssignment]] = {}
 
-    def abandon_silent(self, service: str) -> None:
+    def list_attempts(self, now: float) -> list[OpenAttempt]:
+        """Return the attempts whose answers are not complete.
+
+        Parameters
+        ----------
+        now : float
+            Current time on the node's clock, in seconds.
+        """
+        # Connections use the event loop's clock, which stands still during suspension.
+        offset = now - _now()
+        return [
+            _make_attempt(exch, conn, assignment, offset)
+            for exch, conn, assignment in self._open.values()
+        ]
+
+    def abandon_silent(self, service: str, evidence: ReachEvidence, now: float) -> None:
         """Abandon silent attempts at a service of which no server can be reached.
 
         Requests that may not be repeated wait on.
@@ -192,13 +207,18 @@
         ----------
         service : str
             Name of the service.
+        evidence : ReachEvidence
+            What this node has heard from the service.
+        now : float
+            Current time on the node's clock, in seconds.
         """
-        now = _now()
-        for exch, conn in list(self._open.values()):
+        offset = now - _now()
+        for exch, conn, assignment in list(self._open.values()):
+            attempt = _make_attempt(exch, conn, assignment, offset)
             if (
-                exch.service.name == service
+                attempt.service == service
                 and exch.rule.repeatable
-                and now - conn.active_at > MIN_ABANDONED_SILENCE
+                and is_abandoned(attempt, evidence, now=now)
             ):
                 conn.abandon("no server of the service can be reached")
 
@@ -208,7 +228,7 @@
         exch: Exchange,
         assignment: ServerAssignment,
         *,
-        time_left: float,
+        get_time_left: Callable[[], float],
         may_abandon: Callable[[], bool],
     ) -> AsyncIterator[OpenAnswer]:
         """Send a request and wait for the head of its answer.
@@ -219,8 +239,8 @@
             Request to send.
         assignment : ServerAssignment
             Server assigned to the request.
-        time_left : float
-            Time until the request's deadline, in seconds.
+        get_time_left : callable
+            Returns the time until the request's deadline, in seconds.
         may_abandon : callable
             Returns whether a silent attempt may be abandoned.
 
@@ -235,12 +255,19 @@
         AttemptError
             If there is no usable answer; ``verdict`` states whether the request may
             have run.
+        TimeoutError
+            If too little time is left when the connection is open. The process may have
+            been paused meanwhile, and the request would run after its deadline.
         """
         server = assignment.server
         conn = await self._connect(exch, assignment)
-        self._open[exch.exchange_id] = exch, conn
+        self._open[exch.exchange_id] = exch, conn, assignment
         released = False
         try:
+            time_left = get_time_left()
+            if time_left < MIN_TIME_LEFT:
+                exch.states.observe("connect_failure")
+                raise TimeoutError
             self._write(exch, conn, assignment, time_left)
             answer = await self._read_head(exch, conn, may_abandon)
             self._observe_headers(exch, server.server_id, answer.facts)
@@ -332,8 +359,10 @@
             async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
                 facts = decode_response(head.status, head.headers)
-                if not facts.request_id or facts.request_id == exch.facts.request_id:
+                if conn.is_answer_to(exch.facts.request_id, facts.request_id):
                     return OpenAnswer(conn, head, facts)
+                if not facts.request_id:
+                    raise ExchangeFaultError("invalid", "an answer without request id")
                 exch.record("strange_answer", answers=facts.request_id)
                 await OpenAnswer(conn, head, facts).read_whole()
                 conn.skip_stale_response()
@@ -356,6 +385,23 @@
         raise AttemptError(kind, message, Verdict.NOT_RUN)
 
 
+def _make_attempt(
+    exch: Exchange,
+    conn: BackendConnection,
+    assignment: ServerAssignment,
+    clock_offset: float,
+) -> OpenAttempt:
+    return OpenAttempt(
+        service=exch.service.name,
+        server_id=assignment.server.server_id,
+        active_at=conn.active_at + clock_offset,
+        predicted=assignment.placement.predicted,
+        max_pause=exch.rule.max_pause,
+        has_events=exch.attempt.n_events > 0,
+        is_new_connection=conn.n_requests == 1,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
