Bound the tokens held at engines, learn the slots of brittle servers (unfinished)

Cause: all nodes together exceeded the memory of engines; brittle servers were taken for as large as configured. Change: turns of nodes at contended servers, held tokens in messages, reservations for large requests, learned slots.

--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -43,6 +43,15 @@
     limits : dict of str to (float or None, float)
         Requests a second that servers accept from all nodes together, None if a limit
         was lifted, and seconds since a node learned it, by server.
+    held : dict of str to (float, float, float, float)
+        Tokens that requests hold in the memory of engines, by server: with each prompt
+        in full, with each shared part once, reserved, and of prompts started and
+        produced.
+    capacities : dict of str to (int, float)
+        Slots of brittle servers as their rejections show, and seconds since, by server.
+    memory_facts : dict of str to (bool or None, int or None, float)
+        Whether engines hold a shared prompt part once, their memory in tokens if less
+        than configured, and seconds since a node learned it, by service.
     """
 
     name: str
@@ -62,6 +71,11 @@
     sound_parts: dict[str, float] = Field(default_factory=dict)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
+    held: dict[str, tuple[float, float, float, float]] = Field(default_factory=dict)
+    capacities: dict[str, tuple[int, float]] = Field(default_factory=dict)
+    memory_facts: dict[str, tuple[bool | None, int | None, float]] = Field(
+        default_factory=dict
+    )
 
 
 class PeerStatus(StatusMessage):
@@ -122,7 +136,7 @@
 
 
 class LoadUpdate(BaseModel):
-    """One node's load on a server, sent when it has just grown considerably.
+    """One node's load on a server, sent when it has just changed considerably.
 
     Attributes
     ----------
@@ -137,6 +151,10 @@
     parts : list of (str, int)
         Prompt parts that the server caches from now on: part ids and numbers of
         tokens.
+    zone : str
+        Failure domain of the node; empty if not reported.
+    held : tuple of float or None
+        Tokens that the requests hold, as in a status; None if not reported.
     """
 
     sender: str
@@ -144,6 +162,8 @@
     n_running: int
     reading: float
     parts: list[tuple[str, int]] = Field(default_factory=list)
+    zone: str = ""
+    held: tuple[float, float, float, float] | None = None
 
 
 class StreamNotes(BaseModel):
@@ -180,9 +200,12 @@
     ----------
     rejecting : dict of str to float
         Rejections a second that the servers bear, by server.
+    capacities : dict of str to (int, float)
+        Slots of the servers as their rejections show, and seconds since, by server.
     """
 
     rejecting: dict[str, float]
+    capacities: dict[str, tuple[int, float]] = Field(default_factory=dict)
 
 
 def encode_node(zone: str, address: str, incarnation: str) -> bytes:
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -12,6 +12,7 @@
 import asyncio
 import logging
 import random
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -51,6 +52,7 @@
 DROP_TIME = 900.0
 SILENT_PEER_SEND_PROBABILITY = 0.1  # per round, for a peer that counts as down
 MAX_DATAGRAM = 60_000  # bytes
+MAX_DATAGRAMS_AT_ONCE = 100
 
 
 @dataclass
@@ -262,6 +264,7 @@
 class _Endpoint(asyncio.DatagramProtocol):
     def __init__(
         self,
+        sock: socket.socket,
         on_status: Callable[[PeerStatus], None],
         on_load_update: Callable[[LoadUpdate], None],
         on_domain_status: Callable[[DomainStatus], None],
@@ -269,6 +272,7 @@
         on_stream_query: Callable[[StreamQuery], None],
         on_rejection: Callable[[RejectionNotice], None],
     ) -> None:
+        self._sock = sock
         self._on_status = on_status
         # Each kind of message but a node's status is recognized by a field.
         self._handlers: dict[str, tuple[type[BaseModel], Callable[[Any], None]]] = {
@@ -280,6 +284,17 @@
         }
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._handle(data, addr)
+        # The event loop delivers one datagram in each iteration. A node that was paused
+        # would decide with a view of the load that is many iterations old.
+        for _ in range(MAX_DATAGRAMS_AT_ONCE):
+            try:
+                data, addr = self._sock.recvfrom(MAX_DATAGRAM + 1)
+            except OSError:
+                return
+            self._handle(data, addr)
+
+    def _handle(self, data: bytes, addr: Any) -> None:
         try:
             row = orjson.loads(data)
             for field_name, (model, handle) in self._handlers.items():
@@ -353,8 +368,12 @@
     async def start(self, host: str, port: int) -> None:
         """Listen for datagrams."""
         loop = asyncio.get_running_loop()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind((host, port))
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Endpoint(
+                sock,
                 self._receive_status,
                 self._on_load_update,
                 self._on_domain_status,
@@ -362,7 +381,7 @@
                 self._on_stream_query,
                 self._on_rejection,
             ),
-            local_addr=(host, port),
+            sock=sock,
         )
 
     def _receive_status(self, status: PeerStatus) -> None:
@@ -390,7 +409,11 @@
 
     def send(
         self,
-        message: DomainStatus | StreamNotes | StreamQuery | RejectionNotice,
+        message: DomainStatus
+        | LoadUpdate
+        | StreamNotes
+        | StreamQuery
+        | RejectionNotice,
         addresses: list[str],
     ) -> None:
         """Send a message to some nodes, of any failure domain."""
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -7,7 +7,12 @@
 from typing import TYPE_CHECKING
 
 from .._lazy import make_lazy_getattr
-from ._brittle import draw_rejection_pause, has_brittle_room
+from ._brittle import (
+    MAX_TRIAL_INTERVAL,
+    SlotCapacity,
+    draw_rejection_pause,
+    has_brittle_room,
+)
 from ._capacity import (
     CapacityOrder,
     ZoneEngines,
@@ -33,6 +38,21 @@
     is_prefill_sensitive,
 )
 from ._rate_limits import TokenBucket, decide_rate
+from ._server_room import (
+    FULL_SHARE,
+    SUSPECT_SHARE,
+    HeldRequest,
+    OutputLengths,
+    compute_memory_bound,
+    count_held,
+    count_shared,
+    count_started,
+    fits,
+    has_turn,
+    may_reserve,
+    predict_release,
+    should_announce,
+)
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._stream_versions import (
     VERSION_LIFETIME,
@@ -96,8 +116,11 @@
 
 __all__ = [
     "BLOCK_TIME",
+    "FULL_SHARE",
     "LONG_PREFILL_TIME",
+    "MAX_TRIAL_INTERVAL",
     "SHORT_PROMPT_JITTER",
+    "SUSPECT_SHARE",
     "VERSION_LIFETIME",
     "Assignment",
     "BackendView",
@@ -111,8 +134,10 @@
     "FairQueue",
     "FleetRetryBudget",
     "ForwardPeer",
+    "HeldRequest",
     "Job",
     "OutputEstimator",
+    "OutputLengths",
     "PartCrashes",
     "Placement",
     "PoolLoad",
@@ -128,6 +153,7 @@
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "SlotCapacity",
     "StreamOrigin",
     "TokenBucket",
     "Verdict",
@@ -139,7 +165,11 @@
     "choose_origin_keepers",
     "choose_short_prompt_engines",
     "compute_max_demand",
+    "compute_memory_bound",
     "compute_work",
+    "count_held",
+    "count_shared",
+    "count_started",
     "decide_capacity",
     "decide_ejections",
     "decide_placement",
@@ -150,15 +180,20 @@
     "decide_suspect_placement",
     "decide_wait",
     "draw_rejection_pause",
+    "fits",
     "has_brittle_room",
     "has_capacity",
+    "has_turn",
     "is_prefill_sensitive",
     "make_fingerprint",
     "make_queue_key",
     "make_request_digest",
+    "may_reserve",
     "predict_first_token",
+    "predict_release",
     "rank_backends",
     "rank_by_hash",
+    "should_announce",
 ]
 
 __getattr__ = make_lazy_getattr(__name__, _LAZY)
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -76,7 +76,10 @@
         Whether the server may run prefill of long prompts that would delay the
         request's stream beyond its longest tolerated pause.
     has_room : bool
-        False for a server that must not reject requests and may be full.
+        False for a server that must not reject requests and may be full, and for one
+        whose memory has no room for the request.
+    n_free_tokens : float or None
+        Tokens of the server's memory that requests may still fill; None if not bounded.
     """
 
     name: str
@@ -92,6 +95,7 @@
     home_rank: int | None = None
     risks_pauses: bool = False
     has_room: bool = True
+    n_free_tokens: float | None = None
 
     @property
     def n_prefill_tokens(self) -> int:
--- /dev/null
+++ b/packages/medlargate/medlargate/policy/_server_room.py
@@ -0,0 +1,354 @@
+"""Room in the memory of engines that several nodes fill at the same time.
+
+Load pattern: requests of very different size, together larger than the servers' memory,
+arrive at nodes that learn of each other's requests some milliseconds to a second late.
+A server crashes if the requests that it holds exceed its memory.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from functools import lru_cache
+
+import xxhash
+
+TURN_TIME = 0.2  # seconds for which one node may fill a server
+# Time at the end of a turn in which its node sends nothing. The next node has by then
+# heard of all requests; clocks differ by a few milliseconds.
+TURN_GUARD = 0.05  # seconds
+# Other nodes that may send to a server within the time that messages take. All of a
+# small fleet do after a server has come back or a node has been paused.
+MAX_SIMULTANEOUS_NODES = 8
+# Nodes without the turn fill servers only to this share of the bound; the rest is for
+# the node that has it.
+OPEN_SHARE = 0.5
+# Requests above this share of the memory are announced to the other nodes at once.
+LARGE_SHARE = 0.05
+# From this share of the memory on, all requests are announced at once.
+CONTENDED_SHARE = 0.5
+# A server that crashes above this share of its memory was full. The rest covers
+# requests that this node did not hear of.
+FULL_SHARE = 0.9
+# Below this share, memory that is smaller than stated is an unlikely cause of a crash.
+SUSPECT_SHARE = 0.4
+MAX_OVERTAKE_TIME = 0.5  # seconds
+MAX_OVERTAKE_FRACTION = 1 / 3  # of the time to the deadline
+QUANTILE = 0.95  # of output lengths; the margin of the bound covers the rest
+MIN_SAMPLES = 20  # answers before the measured lengths are used
+QUANTILE_STEP = 0.05  # relative change of the quantile after each answer
+MAX_HINT_ERROR = 20.0  # measured over hinted length
+# Output of a request without a hint, a declared maximum and measured answers.
+DEFAULT_OUTPUT = 256  # tokens
+HASH_CACHE_SIZE = 10_000  # servers
+OVERRUN_MARGIN = 1.1  # expected over actual length of an answer longer than expected
+
+
+def has_turn(server_id: str, *, rank: int, n_nodes: int, wall_time: float) -> bool:
+    """Return whether a node may fill a server now.
+
+    Parameters
+    ----------
+    server_id : str
+        Server to which the node wants to send a request.
+    rank : int
+        Number of live nodes with a lower name.
+    n_nodes : int
+        Number of live nodes, this one included.
+    wall_time : float
+        Time of day, in seconds.
+
+    Returns
+    -------
+    bool
+        Whether it is the node's turn, and its end is not near. Always True for a node
+        without peers.
+    """
+    if n_nodes <= 1:
+        return True
+    number, elapsed = divmod(wall_time, TURN_TIME)
+    if elapsed > TURN_TIME - TURN_GUARD:
+        return False
+    return (int(number) + _hash_server(server_id)) % n_nodes == rank
+
+
+@lru_cache(HASH_CACHE_SIZE)
+def _hash_server(server_id: str) -> int:
+    return xxhash.xxh32_intdigest(server_id.encode())
+
+
+def compute_memory_bound(
+    capacity: int, *, max_share: float, n_alive: int, n_nodes: int
+) -> float:
+    """Return the tokens that all nodes together may hold at a server.
+
+    Parameters
+    ----------
+    capacity : int
+        Tokens that the server's memory holds.
+    max_share : float
+        Share of it that requests may fill.
+    n_alive, n_nodes : int
+        Live nodes, this one included, and nodes that were heard in the last minutes.
+        The missing ones may send requests to the server unseen.
+
+    Returns
+    -------
+    float
+        Number of tokens.
+    """
+    return capacity * max_share * min(1.0, n_alive / max(1, n_nodes))
+
+
+def fits(
+    size: float,
+    *,
+    n_held: float,
+    bound: float,
+    capacity: int,
+    turn: bool,
+    n_others: int,
+) -> bool:
+    """Return whether a node may send a request to a server.
+
+    Parameters
+    ----------
+    size : float
+        Tokens that the request occupies.
+    n_held : float
+        Tokens that all nodes hold at the server, as far as known.
+    bound : float
+        Tokens that they may hold.
+    capacity : int
+        Tokens that the server's memory holds.
+    turn : bool
+        Whether the node has the turn at the server.
+    n_others : int
+        Number of other live nodes.
+
+    Returns
+    -------
+    bool
+        In its turn, whether the request fits, or is alone on the server. Otherwise,
+        whether it fits into a part of the memory beside requests of the same size from
+        some other nodes.
+    """
+    if turn:
+        return n_held + size <= bound or (n_held == 0 and size <= capacity)
+    n_simultaneous = 1 + min(n_others, MAX_SIMULTANEOUS_NODES)
+    return n_held + size * n_simultaneous <= OPEN_SHARE * bound
+
+
+def should_announce(size: float, *, n_held: float, bound: float) -> bool:
+    """Return whether other nodes should hear of a request on a server at once.
+
+    Parameters
+    ----------
+    size : float
+        Tokens that the request occupies.
+    n_held : float
+        Tokens that all nodes hold at the server, the request included.
+    bound : float
+        Tokens that they may hold.
+
+    Returns
+    -------
+    bool
+        Whether the request is large or the server is filled to a good part.
+    """
+    return size >= LARGE_SHARE * bound or n_held >= CONTENDED_SHARE * bound
+
+
+def may_reserve(
+    size: float, *, mean_size: float, waited: float, time_to_deadline: float
+) -> bool:
+    """Return whether smaller requests have overtaken a waiting one for long enough.
+
+    Parameters
+    ----------
+    size, mean_size : float
+        Tokens of the request, and mean of those that were placed lately.
+    waited : float
+        Time since its arrival, in seconds.
+    time_to_deadline : float
+        Time between its arrival and its deadline, in seconds.
+
+    Returns
+    -------
+    bool
+        Whether room is reserved for the request.
+    """
+    limit = min(MAX_OVERTAKE_TIME, MAX_OVERTAKE_FRACTION * time_to_deadline)
+    return size > mean_size and waited >= limit
+
+
+def predict_release(n_tokens: float, release_rate: float) -> float:
+    """Return the time until a number of tokens is released.
+
+    Parameters
+    ----------
+    n_tokens : float
+        Tokens that must be released.
+    release_rate : float
+        Tokens released per second; 0 if none was released lately.
+
+    Returns
+    -------
+    float
+        Seconds. 0 without a measured rate, as nothing is known then.
+    """
+    return max(0.0, n_tokens) / release_rate if release_rate > 0 else 0.0
+
+
+def count_started(requests: Iterable[HeldRequest]) -> int:
+    """Return the least tokens that a server holds that counts shared parts in full."""
+    return sum(it.n_prompt + it.n_produced for it in requests if it.has_started)
+
+
+@dataclass(slots=True)
+class HeldRequest:
+    """Request of this node that occupies memory of a server.
+
+    Attributes
+    ----------
+    n_prompt : int
+        Tokens of the prompt.
+    n_expected : float
+        Tokens of the answer, as expected when the request was sent.
+    max_output : int or None
+        Declared maximum length of the answer in tokens.
+    parts : tuple of (str, int)
+        Ids and tokens of the prompt parts that other requests may have too.
+    n_produced : int
+        Tokens of the answer so far.
+    has_started : bool
+        Whether the prompt has been processed.
+    """
+
+    n_prompt: int
+    n_expected: float
+    max_output: int | None = None
+    parts: tuple[tuple[str, int], ...] = ()
+    n_produced: int = 0
+    has_started: bool = False
+
+    @property
+    def n_tokens(self) -> float:
+        """Tokens that the request will occupy at its end."""
+        expected = self.n_expected
+        if self.n_produced > expected:
+            expected = self.n_produced * OVERRUN_MARGIN
+            if self.max_output is not None:
+                expected = max(self.n_produced, min(expected, self.max_output))
+        return self.n_prompt + expected
+
+
+def count_held(requests: Sequence[HeldRequest]) -> tuple[float, float]:
+    """Return the tokens of requests on a server.
+
+    Parameters
+    ----------
+    requests : sequence of HeldRequest
+        Requests on the server.
+
+    Returns
+    -------
+    tuple of (float, float)
+        Tokens with each prompt in full, and with each shared part once.
+    """
+    n_full = sum(it.n_tokens for it in requests)
+    known: set[str] = set()
+    n_saved = 0
+    for request in requests:
+        n_saved += count_shared(request.parts, known)
+        known.update(part_id for part_id, _ in request.parts)
+    return n_full, n_full - n_saved
+
+
+def count_shared(parts: Iterable[tuple[str, int]], known: Collection[str]) -> int:
+    """Return the tokens of a prompt's leading parts that are already on a server."""
+    n_tokens = 0
+    for part_id, n_part_tokens in parts:
+        if part_id not in known:
+            break
+        n_tokens += n_part_tokens
+    return n_tokens
+
+
+@dataclass(slots=True)
+class _QuantileTracker:
+    """Quantile of a stream of positive numbers, by steps up and down."""
+
+    value: float = 0.0
+    n_samples: int = 0
+
+    def observe(self, sample: float) -> None:
+        self.n_samples += 1
+        if self.n_samples <= MIN_SAMPLES:
+            # The first samples only set a safe starting point.
+            self.value = max(self.value, sample)
+            return
+        step = QUANTILE_STEP * max(self.value, 1e-3)
+        self.value += step * (QUANTILE if sample > self.value else QUANTILE - 1)
+
+    def get(self) -> float | None:
+        return self.value if self.n_samples >= MIN_SAMPLES else None
+
+
+@dataclass
+class OutputLengths:
+    """Lengths of the answers of a route, and the errors of its callers' hints.
+
+    Examples
+    --------
+    >>> lengths = OutputLengths()
+    >>> lengths.predict(hint=None, max_output=160)
+    160.0
+    >>> for _ in range(20):
+    ...     lengths.observe(80, hint=40)
+    >>> lengths.predict(hint=50, max_output=160), lengths.predict(None, 60)
+    (100.0, 60.0)
+    """
+
+    lengths: _QuantileTracker = field(default_factory=_QuantileTracker)
+    hint_errors: _QuantileTracker = field(default_factory=_QuantileTracker)
+
+    def observe(self, n_tokens: int, *, hint: int | None) -> None:
+        """Record the length of a complete answer.
+
+        Parameters
+        ----------
+        n_tokens : int
+            Length of the answer in tokens.
+        hint : int or None
+            The caller's estimate of it.
+        """
+        self.lengths.observe(n_tokens)
+        if hint is not None and hint > 0:
+            self.hint_errors.observe(min(n_tokens / hint, MAX_HINT_ERROR))
+
+    def predict(self, hint: int | None, max_output: int | None) -> float:
+        """Return a length that few answers exceed.
+
+        Parameters
+        ----------
+        hint : int or None
+            The caller's estimate, in tokens; None or 0 if there is none.
+        max_output : int or None
+            Declared maximum in tokens; None or 0 if there is none.
+
+        Returns
+        -------
+        float
+            Tokens, at most the declared maximum.
+        """
+        limit = float(max_output) if max_output else math.inf
+        error, length = self.hint_errors.get(), self.lengths.get()
+        if hint and error is not None:
+            return min(hint * error, limit)
+        if length is not None:
+            return min(length, limit)
+        if limit < math.inf:
+            return limit
+        return float(max(hint or 0, DEFAULT_OUTPUT))
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -79,6 +79,8 @@
         server: Registration,
         attempt: AttemptProgress,
         crashed_at: float,
+        *,
+        memory_full: bool = False,
     ) -> None:
         """Blame a request, and its parts if it was being answered, for a crash.
 
@@ -92,7 +94,13 @@
             What had arrived of the answer.
         crashed_at : float
             Time on the node's clock at which the answer broke off, in seconds.
+        memory_full : bool, default=False
+            Whether the server's memory was full, which explains the crash: no request
+            or part is blamed.
         """
+        if memory_full:
+            exch.record("crash_by_memory", server=server.server_id)
+            return
         # A server may start again under the id that it had.
         server_run = f"{server.server_id}/{server.born}"
         self.requests.observe_crash(exch.request_digest, server_run)
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -9,7 +9,13 @@
 from typing import TYPE_CHECKING, Any
 
 from ..platform import RequestInfo
-from ..policy import RequestStates, StreamOrigin, Verdict, make_request_digest
+from ..policy import (
+    HeldRequest,
+    RequestStates,
+    StreamOrigin,
+    Verdict,
+    make_request_digest,
+)
 from ..routing import CustomerSpec, Registration, RouteRule, ServiceSpec
 from ..transport import IncomingRequest, Responder
 
@@ -109,6 +115,8 @@
         What the node says that forwarded the request; None if a caller sent it.
     tried_peers : set of str
         Names of the nodes that the request was forwarded to.
+    held : HeldRequest or None
+        Tokens that the current attempt occupies at a server; None if not bounded.
     """
 
     req: IncomingRequest
@@ -135,6 +143,7 @@
     origin: StreamOrigin | None = None
     forwarded: ForwardedRequest | None = None
     tried_peers: set[str] = field(default_factory=set)
+    held: HeldRequest | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -275,6 +275,8 @@
             **self._crash_guard.make_status_fields(),
             "versions": self._origins.snapshot_versions(),
             "limits": self._limits.snapshot(),
+            "capacities": self._loads.list_capacities(),
+            "memory_facts": self._loads.memory.list_facts(),
         }
 
     def _make_peer_status(self, zone: str, to_holder: bool) -> PeerStatus:
@@ -294,6 +296,7 @@
             unreachable=self.list_unreachable(),
             stopping=self.is_stopping(),
             loads=self._loads.list_own_loads() if same_domain else {},
+            held=self._loads.memory.list_rows() if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
             usage=usage,
@@ -306,6 +309,7 @@
         return DomainStatus(
             **self._make_common_fields(),
             loads=self._loads.sum_loads(status.name for status in statuses),
+            held=self._loads.memory.sum_rows(status.name for status in statuses),
             demand=_sum_by_name([self.get_demand(), *(it.demand for it in statuses)]),
             tight_demand=_sum_by_name(
                 [self.get_sensitive_demand(), *(it.tight_demand for it in statuses)]
@@ -360,6 +364,26 @@
         )
         self.messenger.broadcast_to_domain(load_update)
 
+    def announce_load(self, server_id: str) -> None:
+        """Tell all nodes at once what this node's requests hold at a server.
+
+        Parameters
+        ----------
+        server_id : str
+            Server on which a request has started or ended.
+        """
+        n_running, prefill_time = self._loads.get_own_load(server_id)
+        load_update = LoadUpdate(
+            sender=self.table.name,
+            server=server_id,
+            n_running=n_running,
+            reading=prefill_time,
+            zone=self.table.zone,
+            held=self._loads.memory.get_row(server_id) or (0, 0, 0, 0),
+        )
+        addresses = [peer.address for peer in self.table.list_alive()]
+        self.messenger.send(load_update, addresses)
+
     def broadcast_soon(self) -> None:
         """Send one status to all peers of the domain for a burst of changes."""
         if self._broadcast_pending:
@@ -420,18 +444,23 @@
         max_rejections : float
             Rejections a second that the server bears.
         """
-        notice = RejectionNotice(rejecting={server_id: max_rejections})
+        n_slots = self._loads.learn_capacity(server_id)
+        notice = RejectionNotice(
+            rejecting={server_id: max_rejections}, capacities={server_id: (n_slots, 0)}
+        )
         self._receive_rejection(notice)
         peers = self.table.list_alive()
         self.messenger.send(notice, [peer.address for peer in peers])
 
     def _receive_rejection(self, notice: RejectionNotice) -> None:
+        self._loads.merge_capacities(notice.capacities)
         for server_id, max_rejections in notice.rejecting.items():
-            if server_id in self._cluster_state.servers:
+            server = self._cluster_state.servers.get(server_id)
+            if server is not None:
+                self._loads.observe_answer(server_id, server.service, max_rejections)
                 self._loads.observe_rejection(
                     server_id,
                     max_rejections,
-                    n_nodes=self.count_nodes(),
                     random_state=self.table.random_state,
                 )
 
@@ -523,6 +552,10 @@
                 LOAD_LIFETIME_ROUNDS * self.table.compute_intra_domain_round(),
             )
             self._loads.observe_peer_loads(status.name, status.loads, lifetime=lifetime)
+            self._loads.memory.observe_peer(
+                status.name, status.loads, status.held, lifetime=lifetime
+            )
+        self._merge_capacity(status)
         self._compare_state(status)
 
     def _receive_domain_status(self, status: DomainStatus) -> None:
@@ -539,10 +572,22 @@
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
         )
         self._loads.observe_peer_loads(status.zone, status.loads, lifetime=lifetime)
+        self._loads.memory.observe_peer(
+            status.zone,
+            status.loads,
+            status.held,
+            lifetime=lifetime,
+            zone=status.zone,
+        )
+        self._merge_capacity(status)
         for server_id, rows in status.parts:
             self._loads.observe_parts(server_id, [PromptPart(*row) for row in rows])
         self._compare_state(status)
 
+    def _merge_capacity(self, status: StatusMessage) -> None:
+        self._loads.merge_capacities(status.capacities)
+        self._loads.memory.merge_facts(status.memory_facts)
+
     def count_nodes(self) -> int:
         """Return the number of nodes of the fleet, recently lost ones included."""
         return self.table.count_domain_nodes() + self.domains.count_remote_nodes()
@@ -586,7 +631,21 @@
         return [peer.status for peer in peers if peer.status is not None]
 
     def _receive_load_update(self, load_update: LoadUpdate) -> None:
-        self.domains.observe_parts(load_update.server, load_update.parts)
+        zone = load_update.zone
+        is_remote = zone not in ("", self.table.zone)
+        if load_update.held is not None:
+            self._loads.memory.observe_update(
+                load_update.sender,
+                zone if is_remote else None,
+                load_update.server,
+                load_update.n_running,
+                load_update.held,
+            )
+        if is_remote:
+            # The status of its domain has the load, in a sum.
+            return
+        if load_update.parts:
+            self.domains.observe_parts(load_update.server, load_update.parts)
         parts = [PromptPart(*row) for row in load_update.parts]
         self._loads.observe_load_update(
             load_update.sender,
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -10,13 +10,17 @@
 
 from ..platform import PromptPart, ServerLoad
 from ..policy import (
+    MAX_TRIAL_INTERVAL,
+    HeldRequest,
     ServerState,
     ServiceTimes,
+    SlotCapacity,
     draw_rejection_pause,
     has_brittle_room,
     rank_by_hash,
 )
 from ..routing import Registration, ServiceSpec
+from ._memory_tracker import MemoryTracker
 from ._server_view import (
     INITIAL_SUSPENSION,
     MAX_SLOWNESS,
@@ -36,6 +40,9 @@
 # Number of servers to which all nodes prefer to send prompts with the same prefix.
 N_PREFERRED_SERVERS = 2
 TRIAL_WAIT = 0.05  # seconds until a server on trial is looked at again
+MAX_REPORTED = 200  # servers of which a node reports the learned slots
+# Ages in messages are rounded and do not include the time of the transfer.
+CAPACITY_AGE_ERROR = 0.1  # seconds
 # A first token or answer that takes longer than this is a reason to find out whether
 # the servers can still be reached.
 MIN_OVERDUE = 0.7  # seconds
@@ -57,8 +64,10 @@
         Estimated states by server id.
     estimators : dict of str to ServiceTimesEstimator
         Estimators of response times by service.
-    count_nodes : callable
-        Returns the number of nodes of the fleet; set when the node starts.
+    memory : MemoryTracker
+        Tokens that requests of all nodes hold at the engines.
+    count_waiting : callable
+        Returns the number of requests of a service that wait at this node.
     """
 
     def __init__(self, domain: str) -> None:
@@ -67,7 +76,9 @@
         self._loaded_by_peer: dict[str, set[str]] = {}
         self.views: dict[str, ServerView] = {}
         self.estimators: dict[str, ServiceTimesEstimator] = {}
-        self.count_nodes: Callable[[], int] = lambda: 1
+        self.memory = MemoryTracker()
+        self.count_waiting: Callable[[str], int] = lambda _: 0
+        self._brittle_services: dict[str, float] = {}
 
     def get_view(self, server_id: str) -> ServerView:
         """Return the view of a server, creating it if the server is new."""
@@ -97,6 +108,7 @@
         servers: Iterable[Registration],
         parts: tuple[PromptPart, ...],
         n_tokens: int,
+        request: HeldRequest | None = None,
     ) -> list[ServerState]:
         """Return the states of the candidate servers of a request.
 
@@ -110,6 +122,8 @@
             Prompt parts of the request.
         n_tokens : int
             Length of the prompt in tokens.
+        request : HeldRequest or None
+            Tokens that the request will occupy; None sets no bound.
 
         Returns
         -------
@@ -130,8 +144,16 @@
         preferred_ranks = _rank_preferred_servers([it for it, _ in available], parts)
         source = self._find_prefix_source(spec, parts)
         n_slots = spec.engine.n_slots if spec.engine else None
+        trial = self.memory.choose_trial_server(
+            spec, request, [it.server_id for it, _ in candidates]
+        )
         states = []
         for server, view in available:
+            has_memory, n_free_tokens = True, None
+            if request is not None:
+                has_memory, n_free_tokens = self.memory.compute_room(
+                    spec, server.server_id, request, server.server_id == trial
+                )
             cached = view.count_cached(parts) if view.cached_parts else 0
             # Fewer tokens than MIN_FETCH_TOKENS are not fetched (`source` is None), but
             # they still count as fetchable: the predictions include the time of a
@@ -152,17 +174,40 @@
                     slowness=view.slowness,
                     failure_share=view.failure_share(now),
                     home_rank=preferred_ranks.get(server.server_id),
-                    has_room=self._has_room(view, n_slots or server.n_slots, now),
+                    has_room=has_memory and self._has_slot(server, view, n_slots),
+                    n_free_tokens=n_free_tokens,
                 )
             )
         return states
 
-    def _has_room(self, view: ServerView, n_slots: int, now: float) -> bool:
-        return view.max_rejections is None or has_brittle_room(
-            n_running=view.count_running(now),
-            n_own=len(view.running),
-            n_slots=n_slots,
-            n_nodes=self.count_nodes(),
+    def _has_slot(
+        self, server: Registration, view: ServerView, n_slots: int | None
+    ) -> bool:
+        """Return whether this node may send a request to a server that is brittle.
+
+        Slots are the least of those that the configuration, the registration, the
+        server and its rejections state. A registration of one slot may lack the number.
+        """
+        if not view.has_answered and server.service in self._brittle_services:
+            # A server that failed comes back under a new id.
+            view.max_rejections = self._brittle_services[server.service]
+        if view.max_rejections is None:
+            return True
+        server_id, now = server.server_id, time.monotonic()
+        turn = self.memory.has_turn(server_id)
+        if view.on_trial and not turn:
+            return False
+        limits = [it for it in (n_slots, server.n_slots) if it is not None and it > 1]
+        if view.reported_load is not None and view.reported_load.n_slots > 0:
+            limits.append(view.reported_load.n_slots)
+        if view.slot_capacity is None:
+            view.slot_capacity = SlotCapacity.start(min(limits, default=1), now)
+        limits.append(view.slot_capacity.get_limit(now, turn=turn))
+        return has_brittle_room(
+            n_running=self.memory.count_running(server_id, len(view.running)),
+            n_slots=min(limits),
+            turn=turn,
+            contended=self.count_waiting(server.service) > 1,
         )
 
     def _find_prefix_source(
@@ -229,6 +274,8 @@
         if spec.engine is not None:
             view.cache_capacity = spec.engine.n_cache_tokens
             view.observe_parts(parts, ready_at=now + predicted)
+        if view.max_rejections is not None:
+            self.memory.announce(state.name)
 
     def observe_response_start(
         self, exchange_id: int, spec: ServiceSpec, server_id: str
@@ -252,6 +299,8 @@
         now = time.monotonic()
         elapsed = now - request.sent_at
         view.on_trial = False
+        self.memory.observe_started(server_id)
+        self._observe_slot(server_id, view, now)
         view.observe_prefill_done(request.parts, now)
         view.observe_prediction_error(elapsed - request.predicted, now)
         view.suspension = INITIAL_SUSPENSION
@@ -295,7 +344,15 @@
         server_id : str
             Server that the request was sent to.
         """
-        self.get_view(server_id).running.pop(exchange_id, None)
+        view = self.get_view(server_id)
+        view.running.pop(exchange_id, None)
+        self.memory.observe_end(exchange_id, server_id)
+        if view.max_rejections is not None:
+            self.memory.announce(server_id)
+
+    def is_memory_full(self, server_id: str) -> bool:
+        """Return whether a server's memory was full within the last second."""
+        return self.memory.is_full(server_id)
 
     def is_suspended(self, server_id: str, domain: str) -> bool:
         """Return whether a server gets no requests after failed connections.
@@ -365,6 +422,25 @@
             return TRIAL_WAIT
         return max(0.0, view.refuses_until - time.monotonic())
 
+    def observe_answer(
+        self, server_id: str, service: str, max_rejections: float | None
+    ) -> None:
+        """Store how many rejections a second a server and its service bear.
+
+        Parameters
+        ----------
+        server_id, service : str
+            Server that answered, and its service.
+        max_rejections : float or None
+            Rejections a second; None if the server does not limit them.
+        """
+        self.get_view(server_id).has_answered = True
+        if max_rejections is None:
+            self._brittle_services.pop(service, None)
+        else:
+            self._brittle_services[service] = max_rejections
+        self.observe_brittle(server_id, max_rejections)
+
     def observe_brittle(self, server_id: str, max_rejections: float | None) -> None:
         """Store how many rejections a second a server bears, by its last answer.
 
@@ -388,7 +464,6 @@
         server_id: str,
         max_rejections: float,
         *,
-        n_nodes: int,
         random_state: random.Random,
     ) -> None:
         """Send nothing to a brittle server for a while after it rejected a request.
@@ -399,13 +474,12 @@
             Server that rejected a request of any node.
         max_rejections : float
             Rejections a second that the server bears.
-        n_nodes : int
-            Number of nodes of the fleet.
         random_state : random.Random
             Source of the variation between nodes.
         """
+        # One node at a time has the turn to try again.
         pause = draw_rejection_pause(
-            max_rejections, n_nodes=n_nodes, random_state=random_state
+            max_rejections, n_nodes=1, random_state=random_state
         )
         self.observe_brittle(server_id, max_rejections)
         self.observe_retry_after(server_id, pause)
@@ -423,6 +497,83 @@
         """
         view = self.get_view(server_id)
         view.reported_load, view.reported_at = load, time.monotonic()
+        self.memory.observe_report(
+            server_id,
+            self.memory.count_running(server_id, len(view.running)),
+            load.n_running + load.n_waiting,
+        )
+
+    def learn_capacity(self, server_id: str) -> int:
+        """Lower the slots of a server that has rejected a request of this node.
+
+        Returns
+        -------
+        int
+            Number of requests that the server is believed to run concurrently.
+        """
+        view, now = self.get_view(server_id), time.monotonic()
+        n_running = self.memory.count_running(server_id, len(view.running))
+        report = view.reported_load
+        if report is not None and report.n_running and now - view.reported_at < 0.05:
+            # The rejection states how many requests run.
+            n_running = min(n_running, report.n_running + 1)
+        self._set_capacity(
+            server_id,
+            SlotCapacity.learn(view.slot_capacity, n_running=n_running, now=now),
+        )
+        assert view.slot_capacity is not None
+        return view.slot_capacity.n_slots
+
+    def _observe_slot(self, server_id: str, view: ServerView, now: float) -> None:
+        """Raise the slots of a server that accepted one request more."""
+        capacity = view.slot_capacity
+        if capacity is None or view.max_rejections is None:
+            return
+        n_running = self.memory.count_running(server_id, len(view.running))
+        if capacity.observe_accepted(n_running, now):
+            self._log_capacity(server_id, capacity.n_slots)
+
+    def _set_capacity(self, server_id: str, capacity: SlotCapacity) -> None:
+        view = self.get_view(server_id)
+        before, view.slot_capacity = view.slot_capacity, capacity
+        if before is None or before.n_slots != capacity.n_slots:
+            self._log_capacity(server_id, capacity.n_slots)
+
+    def _log_capacity(self, server_id: str, n_slots: int) -> None:
+        log.warning(
+            "capacity of a brittle server changed",
+            extra={"server": server_id, "slots": n_slots},
+        )
+
+    def list_capacities(self) -> dict[str, tuple[int, float]]:
+        """Return the learned slots of servers and their ages in seconds."""
+        now = time.monotonic()
+        rows = {
+            server_id: (view.slot_capacity.n_slots, now - view.slot_capacity.changed_at)
+            for server_id, view in self.views.items()
+            if view.slot_capacity is not None and view.slot_capacity.trial_interval
+        }
+        return {
+            server_id: (n_slots, round(age, 2))
+            for server_id, (n_slots, age) in list(rows.items())[-MAX_REPORTED:]
+        }
+
+    def merge_capacities(self, rows: Mapping[str, tuple[int, float]]) -> None:
+        """Take over slots of servers that other nodes have learned more recently."""
+        now = time.monotonic()
+        for server_id, (n_slots, age) in rows.items():
+            view = self.views.get(server_id)
+            if view is None or n_slots < 1:
+                continue
+            known, learned_at = view.slot_capacity, now - max(0.0, age)
+            if known is None or not known.trial_interval:
+                self._set_capacity(server_id, SlotCapacity(n_slots, learned_at))
+            elif learned_at > known.changed_at + CAPACITY_AGE_ERROR:
+                interval = known.trial_interval
+                if n_slots < known.n_slots:
+                    interval = min(MAX_TRIAL_INTERVAL, 2 * interval)
+                capacity = SlotCapacity(n_slots, learned_at, interval)
+                self._set_capacity(server_id, capacity)
 
     def observe_peer_loads(
         self,
@@ -562,6 +713,7 @@
         view = self.views.get(server_id)
         if view is not None and not view.running:
             del self.views[server_id]
+        self.memory.forget(server_id)
 
 
 def _rank_preferred_servers(
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -115,6 +115,8 @@
             max_label_values=settings.limits.max_label_values
         )
         self.loads = LoadTracker(settings.node.failure_domain)
+        self.loads.memory.max_share = settings.load.max_memory_share
+        self.loads.memory.name = settings.node.name
         self.limits = ServerLimits(
             settings.node.name,
             self.clock,
@@ -327,7 +329,12 @@
             config_bound=self.ingress.config_bound_ms / 1000,
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
-        self.loads.count_nodes = self._count_nodes
+        memory = self.loads.memory
+        memory.count_nodes = self._count_nodes
+        memory.list_peers = lambda: [it.name for it in self.fleet.table.list_alive()]
+        memory.get_wall_time = self.wall_clock.now
+        memory.announce = self.fleet.announce_load
+        memory.announce_facts = self.fleet.messenger.broadcast_status
         self.fleet.get_limits = self._get_limits
         self.fleet.handle_forwarded = self._handle_forwarded
         self.fleet.is_stopping = lambda: self.stopping
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -362,6 +362,7 @@
             # A shorter stream may have ended because its server crashed.
             self._crash_guard.observe_completed(exch)
         self._loads.get_view(server.server_id).observe_result(False, _now())
+        self._loads.memory.observe_completed(exch)
         exch.states.observe("finish")
         await exch.responder.finish()
         return Outcome(open_answer.facts.status, "ok")
@@ -420,8 +421,9 @@
 
     def _spawn_crash_check(self, exch: Exchange, server: Registration) -> None:
         # The next attempt replaces the progress of this one.
+        memory_full = self._loads.is_memory_full(server.server_id)
         task = asyncio.create_task(
-            self._check_crash(exch, server, exch.attempt, self._clock())
+            self._check_crash(exch, server, exch.attempt, self._clock(), memory_full)
         )
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
@@ -432,6 +434,7 @@
         server: Registration,
         attempt: AttemptProgress,
         broken_at: float,
+        memory_full: bool,
     ) -> None:
         """Record a crash if a server that broke the connection is unreachable.
 
@@ -441,7 +444,11 @@
         if await self._can_reach(server):
             return
         if await self._reach.reaches_any_server(exch.service.name):
-            self._crash_guard.observe_crash(exch, server, attempt, broken_at)
+            run = f"{server.server_id}/{server.born}"
+            self._loads.memory.observe_crash(server.server_id, run)
+            self._crash_guard.observe_crash(
+                exch, server, attempt, broken_at, memory_full=memory_full
+            )
 
     def _find_stop_reason(
         self, exch: Exchange, fault: AttemptError, n_unreachable: int
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -32,6 +32,8 @@
 # Loads that peers put on servers change without an event on this node, so the queues
 # are rechecked periodically.
 RECHECK_INTERVAL = 0.05  # seconds
+# The prediction for a waiting request changes little within this time.
+REFUSAL_CHECK_INTERVAL = 0.1  # seconds
 # Other nodes report their demand about this often.
 SHORT_PROMPT_ENGINES_INTERVAL = 0.25  # seconds
 TYPICAL_ANSWER_BYTES = 3000  # size of a typical answer with its headers
@@ -69,6 +71,7 @@
     exch: Exchange
     future: asyncio.Future[ServerAssignment]
     queued_at: float
+    checked_at: float = float("-inf")
 
 
 class RequestQueue:
@@ -122,6 +125,7 @@
         self._clock = clock
         self._queues: dict[str, list[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
+        loads.count_waiting = lambda service: len(self._queues.get(service, ()))
 
     def list_usable_servers(self, service: str) -> list[Registration]:
         """Return the registered servers of a service that are not leaving."""
@@ -199,6 +203,11 @@
         """
         if exch.states.state == "received":
             exch.states.observe("enqueue")
+        memory = self._loads.memory
+        exch.held = memory.make_request(exch)
+        if exch.held and not memory.can_ever_fit(exch.service, exch.held):
+            message = f"a prompt of {exch.n_tokens} tokens exceeds the engines' memory"
+            raise Refusal(503, "too_large", message)
         assignment = self._try_place(exch)
         if assignment is not None:
             return self._commit(exch, assignment)
@@ -220,6 +229,7 @@
         finally:
             if queued in queue:
                 queue.remove(queued)
+            memory.release_reservation(exch.held)
 
     def _try_place(self, exch: Exchange) -> ServerAssignment | None:
         """Return the best server, or None if the request should wait for it."""
@@ -278,6 +288,7 @@
             untried or allowed_servers,
             exch.facts.parts,
             exch.n_tokens,
+            exch.held,
         )
         if exch.service.engine is None:
             return states
@@ -336,6 +347,7 @@
             exch.facts.parts,
             placement.predicted,
         )
+        self._loads.memory.observe_send(exch, placement.name)
         self._limits.observe_send(placement.name)
         if exch.service.engine is not None:
             prefill_sensitive = _is_prefill_sensitive(exch, times)
@@ -362,7 +374,7 @@
         )
 
     def _process_queue(self, queue: list[_QueuedRequest]) -> None:
-        n_ahead = 0
+        n_ahead, n_tokens_ahead = 0, 0.0
         for queued in sorted(queue, key=self._make_queue_key):
             if queued.future.done():
                 continue
@@ -371,16 +383,23 @@
                 queue.remove(queued)
                 queued.future.set_result(self._commit(queued.exch, assignment))
                 continue
-            refusal = self._decide_refusal(queued, n_ahead)
+            refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
             if refusal is None:
                 n_ahead += 1
+                if queued.exch.held is not None:
+                    n_tokens_ahead += queued.exch.held.n_tokens
             else:
                 queue.remove(queued)
                 queued.future.set_exception(refusal)
 
-    def _decide_refusal(self, queued: _QueuedRequest, n_ahead: int) -> Refusal | None:
+    def _decide_refusal(
+        self, queued: _QueuedRequest, n_ahead: int, n_tokens_ahead: float
+    ) -> Refusal | None:
         exch = queued.exch
         now = self._clock()
+        if now - queued.checked_at < REFUSAL_CHECK_INTERVAL:
+            return None
+        queued.checked_at = now
         servers = [
             it
             for it in self.list_usable_servers(exch.service.name)
@@ -396,8 +415,15 @@
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
         states = self._loads.make_states(
-            exch.service, servers, exch.facts.parts, exch.n_tokens
+            exch.service, servers, exch.facts.parts, exch.n_tokens, exch.held
         )
+        memory_wait = 0.0
+        if exch.held is not None and not any(it.has_room for it in states):
+            memory = self._loads.memory
+            waited = now - exch.arrived_at
+            memory.try_reserve(exch, (it.name for it in states), waited=waited)
+            free = [it.n_free_tokens or 0.0 for it in states]
+            memory_wait = memory.predict_wait(exch, n_tokens_ahead, free)
         times = self._loads.get_service_times(exch.service)
         decision = decide_wait(
             predicted_first_token=min(
@@ -405,7 +431,8 @@
                 + self._get_server_wait(state.name)
                 for state in states
             )
-            + self._predict_queue_wait(servers, n_ahead),
+            + self._predict_queue_wait(servers, n_ahead)
+            + memory_wait,
             time_left=exch.deadline - now,
             time_to_target=exch.target_at - now,
         )
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -265,7 +265,7 @@
             return
         if facts.load is not None:
             self._loads.observe_report(server_id, facts.load)
-        self._loads.observe_brittle(server_id, facts.max_rejections)
+        self._loads.observe_answer(server_id, exch.service.name, facts.max_rejections)
         if facts.not_run and facts.max_rejections is not None:
             self._observe_rejection(server_id, facts.max_rejections)
         if facts.leaving:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..platform import PromptPart, ServerLoad
-from ..policy import ServiceTimes
+from ..policy import ServiceTimes, SlotCapacity
 
 # Initial values of estimates that are then fitted to measured response times.
 INITIAL_BASE = 0.06  # seconds
@@ -149,6 +149,10 @@
         Monotonic time until which the server has asked for no requests, in seconds.
     max_rejections : float or None
         Rejections a second that the server bears; None if it is not brittle.
+    slot_capacity : SlotCapacity or None
+        Slots of a brittle server as its rejections show; None before the first request.
+    has_answered : bool
+        Whether this node has received an answer of the server.
     on_trial : bool
         Whether a brittle server has rejected a request and accepted none since. It
         gets one request of this node at a time.
@@ -169,6 +173,8 @@
     suspension: float = INITIAL_SUSPENSION
     refuses_until: float = float("-inf")
     max_rejections: float | None = None
+    slot_capacity: SlotCapacity | None = None
+    has_answered: bool = False
     on_trial: bool = False
 
     def count_running(self, now: float) -> int:
