--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -41,6 +41,7 @@
 from ._server_room import (
     FULL_SHARE,
     SUSPECT_SHARE,
+    TRANSIT_TIME,
     HeldRequest,
     OutputLengths,
     compute_memory_bound,
@@ -121,6 +122,7 @@
     "MAX_TRIAL_INTERVAL",
     "SHORT_PROMPT_JITTER",
     "SUSPECT_SHARE",
+    "TRANSIT_TIME",
     "VERSION_LIFETIME",
     "Assignment",
     "BackendView",
--- a/packages/medlargate/medlargate/policy/_server_room.py
+++ b/packages/medlargate/medlargate/policy/_server_room.py
@@ -21,6 +21,7 @@
 # Other nodes that may send to a server within the time that messages take. All of a
 # small fleet do after a server has come back or a node has been paused.
 MAX_SIMULTANEOUS_NODES = 8
+TRANSIT_TIME = 0.1  # seconds after which all nodes have heard of a request
 # Nodes without the turn fill servers only to this share of the bound; the rest is for
 # the node that has it.
 OPEN_SHARE = 0.5
@@ -105,9 +106,12 @@
     size: float,
     *,
     n_held: float,
+    n_recent: float,
+    typical_size: float,
     bound: float,
     capacity: int,
     turn: bool,
+    contended: bool,
     n_others: int,
 ) -> bool:
     """Return whether a node may send a request to a server.
@@ -118,26 +122,41 @@
         Tokens that the request occupies.
     n_held : float
         Tokens that all nodes hold at the server, as far as known.
+    n_recent : float
+        Part of them that this node has sent within ``TRANSIT_TIME``. Other nodes may
+        not know of it, and may have sent as much.
+    typical_size : float
+        Mean size of the requests of the service.
     bound : float
         Tokens that they may hold.
     capacity : int
         Tokens that the server's memory holds.
     turn : bool
         Whether the node has the turn at the server.
+    contended : bool
+        Whether several requests wait at the node. Others then wait at other nodes.
     n_others : int
         Number of other live nodes.
 
     Returns
     -------
     bool
-        In its turn, whether the request fits, or is alone on the server. Otherwise,
-        whether it fits into a part of the memory beside requests of the same size from
-        some other nodes.
+        In its turn, whether the request fits beside what other nodes may have sent
+        unseen while the server seemed empty, or is alone on the server. Otherwise,
+        whether it fits beside one of the same size from another node, or, while
+        requests wait, into a part of the memory beside those of several nodes.
     """
-    if turn:
-        return n_held + size <= bound or (n_held == 0 and size <= capacity)
     n_simultaneous = 1 + min(n_others, MAX_SIMULTANEOUS_NODES)
-    return n_held + size * n_simultaneous <= OPEN_SHARE * bound
+    n_seen = n_held - n_recent
+    n_open = OPEN_SHARE * bound
+    if turn:
+        is_open = n_others and n_seen + typical_size * n_simultaneous <= n_open
+        margin = n_open - n_seen if is_open and contended else 0.0
+        is_alone = n_held == 0 and size <= capacity
+        return n_held + size + margin <= bound or is_alone
+    if not contended:
+        return n_held + size * (1 + min(n_others, 1)) <= bound
+    return n_seen + (n_recent + size) * n_simultaneous <= n_open
 
 
 def should_announce(size: float, *, n_held: float, bound: float) -> bool:
@@ -224,6 +243,8 @@
         Tokens of the answer so far.
     has_started : bool
         Whether the prompt has been processed.
+    sent_at : float
+        Time at which it was sent, in seconds.
     """
 
     n_prompt: int
@@ -232,6 +253,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     n_produced: int = 0
     has_started: bool = False
+    sent_at: float = float("-inf")
 
     @property
     def n_tokens(self) -> float:
--- a/packages/medlargate/medlargate/policy/tests/test_brittle.py
+++ b/packages/medlargate/medlargate/policy/tests/test_brittle.py
@@ -1,9 +1,15 @@
 """Replays of a burst at servers that must not reject many requests."""
 
+import itertools
 import random
 import unittest
 
-from medlargate.policy import draw_rejection_pause, has_brittle_room
+from medlargate.policy import (
+    SlotCapacity,
+    draw_rejection_pause,
+    has_brittle_room,
+    has_turn,
+)
 
 
 class BurstReplayTest(unittest.TestCase):
@@ -13,22 +19,25 @@
         Each node has ``n_requests`` requests, and learns nothing of the others while it
         sends them.
         """
-        n_own = 0
-        for _ in range(n_requests):
-            if not has_brittle_room(
+        n_sent = 0
+        for rank in range(n_nodes):
+            n_own = 0
+            while n_own < n_requests and has_brittle_room(
                 n_running=n_known + n_own,
-                n_own=n_own,
                 n_slots=n_slots,
-                n_nodes=n_nodes,
+                turn=has_turn("server", rank=rank, n_nodes=n_nodes, wall_time=10.05),
+                contended=True,
             ):
-                break
-            n_own += 1
-        return n_own * n_nodes
+                n_own += 1
+            n_sent += n_own
+        return n_sent
 
-    def test_nearly_full_server_gets_at_most_a_slot_more_from_each_node(self):
+    def test_nodes_of_a_burst_send_no_more_than_the_free_slots(self):
+        # Each node once took the same free slots for its own.
         for n_nodes in (2, 6, 80):
-            n_sent = self.send_burst(n_nodes=n_nodes, n_slots=6, n_known=5)
-            self.assertLessEqual(n_sent, n_nodes)
+            for n_known in (0, 3, 5):
+                n_sent = self.send_burst(n_nodes=n_nodes, n_slots=6, n_known=n_known)
+                self.assertEqual(n_sent, 6 - n_known)
 
     def test_full_server_gets_nothing(self):
         self.assertEqual(self.send_burst(n_nodes=6, n_slots=6, n_known=6), 0)
@@ -36,6 +45,36 @@
     def test_empty_server_is_used(self):
         self.assertGreaterEqual(self.send_burst(n_nodes=6, n_slots=6, n_known=0), 6)
 
+    def test_node_without_waiting_requests_need_not_wait_for_its_turn(self):
+        for n_running, has_room in ((0, True), (2, True), (3, False)):
+            found = has_brittle_room(
+                n_running=n_running, n_slots=6, turn=False, contended=False
+            )
+            self.assertEqual(found, has_room)
+
+
+class SlotReplayTest(unittest.TestCase):
+    def test_slots_are_learned_with_few_rejections_and_found_again(self):
+        # Nodes once sent as many requests as configured, however many were rejected.
+        for stated, start in ((8, 3), (64, 20), (8, 1)):
+            capacity, actual = SlotCapacity.start(stated, now=0.0), start
+            rejected_at = []
+            for step in range(1, 3000):
+                now = step * 0.1
+                actual = start + 2 if now > 100 else start
+                limit = min(stated, capacity.get_limit(now, turn=True))
+                if limit > actual:
+                    rejected_at.append(now)
+                    capacity = SlotCapacity.learn(
+                        capacity, n_running=actual + 1, now=now
+                    )
+                else:
+                    capacity.observe_accepted(limit, now)
+            self.assertEqual(capacity.n_slots, min(stated, start + 2))
+            self.assertLessEqual(len(rejected_at), 14)
+            gaps = [b - a for a, b in itertools.pairwise(rejected_at)]
+            self.assertGreater(min(gaps), 3.0)
+
 
 class PauseReplayTest(unittest.TestCase):
     """A server stays full; each rejection makes all nodes pause."""
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -147,12 +147,17 @@
         trial = self.memory.choose_trial_server(
             spec, request, [it.server_id for it, _ in candidates]
         )
+        contended = self.count_waiting(spec.name) > 1
         states = []
         for server, view in available:
             has_memory, n_free_tokens = True, None
             if request is not None:
                 has_memory, n_free_tokens = self.memory.compute_room(
-                    spec, server.server_id, request, server.server_id == trial
+                    spec,
+                    server.server_id,
+                    request,
+                    is_trial=server.server_id == trial,
+                    contended=contended,
                 )
             cached = view.count_cached(parts) if view.cached_parts else 0
             # Fewer tokens than MIN_FETCH_TOKENS are not fetched (`source` is None), but
--- a/packages/medlargate/medlargate/relay/_memory_tracker.py
+++ b/packages/medlargate/medlargate/relay/_memory_tracker.py
@@ -11,6 +11,7 @@
 from ..policy import (
     FULL_SHARE,
     SUSPECT_SHARE,
+    TRANSIT_TIME,
     DecayingRate,
     HeldRequest,
     OutputLengths,
@@ -224,7 +225,7 @@
         mean += SIZE_SMOOTHING * (request.n_tokens - mean)
         self._mean_sizes[spec.name] = mean
         self.release_reservation(request)
-        now = self._clock()
+        now = request.sent_at = self._clock()
         memory.observe_peak("", self._sum_own(memory), now)
         n_held = self._count_held(memory, now)
         bound = self._compute_bound(memory.capacity)
@@ -359,7 +360,13 @@
         return self._n_alive - 1
 
     def compute_room(
-        self, spec: ServiceSpec, server_id: str, request: HeldRequest, is_trial: bool
+        self,
+        spec: ServiceSpec,
+        server_id: str,
+        request: HeldRequest,
+        *,
+        is_trial: bool,
+        contended: bool,
     ) -> tuple[bool, float]:
         """Return whether a request may be sent to a server, and its free tokens.
 
@@ -373,6 +380,8 @@
             Request that waits.
         is_trial : bool
             Whether the server is the one that shows whether shared parts are held once.
+        contended : bool
+            Whether several requests of the service wait at this node.
         """
         assert spec.engine is not None
         memory = self._get(server_id)
@@ -381,7 +390,8 @@
         shared = shares if shares is not None else is_trial
         capacity = self._get_capacity(memory)
         bound = self._compute_bound(capacity)
-        n_held = self._count_held(memory, self._clock(), shared=shared)
+        now = self._clock()
+        n_held = self._count_held(memory, now, shared=shared)
         if memory.reservation is not None and memory.reservation is not request:
             n_held += memory.reservation.n_tokens
         size = min(request.n_tokens, capacity)
@@ -391,9 +401,16 @@
         has_room = fits(
             size,
             n_held=n_held,
+            n_recent=sum(
+                it.n_tokens
+                for it, _ in memory.own.values()
+                if now - it.sent_at < TRANSIT_TIME
+            ),
+            typical_size=self._mean_sizes.get(spec.name, size),
             bound=bound,
             capacity=capacity,
             turn=self.has_turn(server_id),
+            contended=contended,
             n_others=self._n_alive - 1,
         )
         return has_room, max(0.0, bound - n_held)
