--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -40,6 +40,7 @@
 from ._rate_limits import TokenBucket, decide_rate
 from ._server_room import (
     FULL_SHARE,
+    LINGER_TIME,
     SUSPECT_SHARE,
     TRANSIT_TIME,
     HeldRequest,
@@ -118,6 +119,7 @@
 __all__ = [
     "BLOCK_TIME",
     "FULL_SHARE",
+    "LINGER_TIME",
     "LONG_PREFILL_TIME",
     "MAX_TRIAL_INTERVAL",
     "SHORT_PROMPT_JITTER",
--- a/packages/medlargate/medlargate/policy/_server_room.py
+++ b/packages/medlargate/medlargate/policy/_server_room.py
@@ -36,6 +36,8 @@
 SUSPECT_SHARE = 0.4
 MAX_OVERTAKE_TIME = 0.5  # seconds
 MAX_OVERTAKE_FRACTION = 1 / 3  # of the time to the deadline
+# A server notices that a connection was closed when it next writes to it.
+LINGER_TIME = 1.0  # seconds
 QUANTILE = 0.95  # of output lengths; the margin of the bound covers the rest
 MIN_SAMPLES = 20  # answers before the measured lengths are used
 QUANTILE_STEP = 0.05  # relative change of the quantile after each answer
@@ -245,6 +247,9 @@
         Whether the prompt has been processed.
     sent_at : float
         Time at which it was sent, in seconds.
+    has_ended : bool
+        Whether the server has finished the request or has not run it. Otherwise it may
+        hold the request for some time after its connection was closed.
     """
 
     n_prompt: int
@@ -254,6 +259,7 @@
     n_produced: int = 0
     has_started: bool = False
     sent_at: float = float("-inf")
+    has_ended: bool = False
 
     @property
     def n_tokens(self) -> float:
--- a/packages/medlargate/medlargate/relay/_memory_tracker.py
+++ b/packages/medlargate/medlargate/relay/_memory_tracker.py
@@ -10,9 +10,9 @@
 
 from ..policy import (
     FULL_SHARE,
+    LINGER_TIME,
     SUSPECT_SHARE,
     TRANSIT_TIME,
-    DecayingRate,
     HeldRequest,
     OutputLengths,
     compute_memory_bound,
@@ -102,6 +102,8 @@
     capacity: int = 0
     own: dict[int, tuple[HeldRequest, Exchange]] = field(default_factory=dict)
     announced: set[int] = field(default_factory=set)
+    # Requests whose connection was closed before their end, and when they expire.
+    lingering: list[tuple[HeldRequest, float]] = field(default_factory=list)
     reservation: HeldRequest | None = None
     peers: dict[str, PeerHeld] = field(default_factory=dict)
     # By failure domain: reports of the whole domain, and of its nodes.
@@ -134,7 +136,12 @@
             stride = engine.n_tokens_per_event if engine is not None else 1
             request.has_started = exch.attempt.n_events > 0
             request.n_produced = exch.attempt.n_events * stride
-        return [request for request, _ in self.own.values()]
+        requests = [request for request, _ in self.own.values()]
+        if self.lingering:
+            now = time.monotonic()
+            self.lingering = [it for it in self.lingering if now < it[1]]
+            requests += [request for request, _ in self.lingering]
+        return requests
 
     def list_reports(self, now: float) -> list[PeerHeld]:
         """Return the valid reports, of each other domain the larger one."""
@@ -187,7 +194,7 @@
         self.facts: dict[str, MemoryFacts] = {}
         self._servers: dict[str, _ServerMemory] = {}
         self._lengths: dict[str, OutputLengths] = {}
-        self._release_rates: dict[str, DecayingRate] = {}
+        self._mean_durations: dict[str, float] = {}
         self._mean_sizes: dict[str, float] = {}
         self._suspect_crashes: dict[str, list[tuple[str, float, float]]] = {}
         self._rank, self._n_alive, self._n_nodes = 0, 1, 1
@@ -243,21 +250,34 @@
         now = self._clock()
         own = self._sum_own(memory) + row[0].n_tokens
         memory.observe_peak("", own, now)
-        rate = self._release_rates.setdefault(memory.service, DecayingRate())
-        rate.observe(now, row[0].n_tokens)
+        request = row[0]
+        duration = now - request.sent_at
+        mean = self._mean_durations.get(memory.service, duration)
+        mean += SIZE_SMOOTHING * (duration - mean)
+        self._mean_durations[memory.service] = mean
+        if not request.has_ended:
+            memory.lingering.append((request, now + LINGER_TIME))
         if exchange_id in memory.announced:
             memory.announced.discard(exchange_id)
             self.announce(server_id)
 
     def observe_completed(self, exch: Exchange) -> None:
-        """Learn from the length of a complete stream."""
+        """Record that a server has finished a request, and the length of a stream."""
         engine = exch.service.engine
-        if exch.held is None or engine is None or exch.is_resumed or exch.n_sent > 1:
+        if exch.held is None or engine is None:
+            return
+        exch.held.has_ended = True
+        if not exch.n_events or exch.is_resumed or exch.n_sent > 1:
             return
         self._lengths[exch.rule.name].observe(
             exch.n_events * engine.n_tokens_per_event, hint=exch.facts.output_hint
         )
 
+    def observe_not_run(self, exch: Exchange) -> None:
+        """Record that a server does not run a request, or no longer."""
+        if exch.held is not None:
+            exch.held.has_ended = True
+
     def observe_started(self, server_id: str) -> None:
         """Check, after an event of a stream, whether shared parts are held once."""
         memory = self._servers.get(server_id)
@@ -447,10 +467,20 @@
         size = max(1.0, exch.held.n_tokens)
         # Room that is too small for the request does not count, and peers use the rest.
         n_usable = sum(it // size for it in free) * size / (1 + self.count_others())
-        rate = self._release_rates.get(exch.service.name)
+        duration = self._mean_durations.get(exch.service.name)
+        if not duration:
+            return 0.0
+        n_own = sum(
+            request.n_tokens
+            for memory in self._servers.values()
+            if memory.service == exch.service.name
+            for request, _ in memory.own.values()
+        )
+        # Requests that run now release their tokens within the mean duration. Without
+        # any, this node gets at least its share of one server.
+        n_least = self._mean_sizes.get(exch.service.name, size)
         return predict_release(
-            n_tokens_ahead + size - n_usable,
-            rate.get_rate(self._clock()) if rate is not None else 0.0,
+            n_tokens_ahead + size - n_usable, max(n_own, n_least) / duration
         )
 
     def is_full(self, server_id: str) -> bool:
@@ -496,9 +526,11 @@
     def get_row(self, server_id: str) -> HeldRow | None:
         """Return what this node holds at a server, for peers; None for nothing."""
         memory = self._servers.get(server_id)
-        if memory is None or not (memory.own or memory.reservation):
+        if memory is None:
             return None
         requests = memory.list_own()
+        if not requests and memory.reservation is None:
+            return None
         n_full, n_shared = count_held(requests)
         reserved = memory.reservation.n_tokens if memory.reservation else 0.0
         return round(n_full), round(n_shared), round(reserved), count_started(requests)
@@ -559,8 +591,8 @@
                 memory.summed_at = float("-inf")
         for server_id in loads.keys() | held.keys():
             n_running = loads.get(server_id, (0, 0.0))[0]
-            row = self._make_report(n_running, held.get(server_id), lifetime)
             memory = self._get(server_id)
+            row = self._make_report(memory, n_running, held.get(server_id), lifetime)
             (memory.peers if zone is None else memory.domains)[peer] = row
             memory.summed_at = float("-inf")
             if zone is None:
@@ -585,7 +617,7 @@
             Tokens that they hold.
         """
         memory = self._get(server_id)
-        row = self._make_report(n_running, held, PEER_LIFETIME)
+        row = self._make_report(memory, n_running, held, PEER_LIFETIME)
         if zone is None:
             memory.peers[peer] = row
         else:
@@ -595,14 +627,20 @@
         memory.observe_peak(peer, tokens, self._clock())
 
     def _make_report(
-        self, n_running: int, row: Sequence[float] | None, lifetime: float
+        self,
+        memory: _ServerMemory,
+        n_running: int,
+        row: Sequence[float] | None,
+        lifetime: float,
     ) -> PeerHeld:
         valid_until = self._clock() + lifetime
         if row is None:
             return PeerHeld(n_running, -1.0, -1.0, 0.0, 0.0, valid_until)
         n_full, n_shared, n_reserved, n_started = (max(0.0, it) for it in row)
-        if not n_running:
-            n_full = n_shared = n_started = 0.0
+        if memory.capacity:
+            # Shared parts counted in full may exceed the memory, the rest may not.
+            n_shared = min(n_shared, memory.capacity)
+            n_reserved = min(n_reserved, memory.capacity)
         return PeerHeld(
             n_running, n_full, min(n_shared, n_full), n_reserved, n_started, valid_until
         )
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -322,6 +322,7 @@
         if failed or facts.status in NOT_RUN_STATUSES:
             message = f"the server answered {facts.status}"
             raise AttemptError("failed", message, Verdict.RAN, answer)
+        self._loads.memory.observe_completed(exch)
         exch.states.observe("finish")
         await self._deliver(exch, answer)
         return Outcome(
@@ -391,6 +392,8 @@
     ) -> None:
         server_id = assignment.server.server_id
         view = self._loads.get_view(server_id)
+        if fault.verdict is not Verdict.MAY_HAVE_RUN:
+            self._loads.memory.observe_not_run(exch)
         exch.record(
             "fault",
             server=server_id,
