--- a/packages/medlargate/medlargate/relay/_memory_tracker.py
+++ b/packages/medlargate/medlargate/relay/_memory_tracker.py
@@ -507,9 +507,8 @@
             return
         peak = memory.sum_peaks(now)
         facts = self._get_facts(memory.service)
-        if peak >= FULL_SHARE * memory.capacity:
-            if facts.shares_parts is not False:
-                self._learn(memory.service, shares_parts=False)
+        if peak >= FULL_SHARE * memory.capacity and facts.shares_parts is not False:
+            self._learn(memory.service, shares_parts=False)
             return
         if peak < SUSPECT_SHARE * memory.capacity:
             return
@@ -675,8 +674,13 @@
             known = self._get_facts(service)
             is_newer = now - age > known.learned_at + 0.05
             # A crash outweighs an answer.
-            if is_newer and not (known.shares_parts is False and shares_parts):
-                self.facts[service] = MemoryFacts(shares_parts, capacity, now - age)
+            if shares_parts is None or known.shares_parts is False:
+                shares_parts = known.shares_parts
+            sizes = [it for it in (capacity, known.capacity) if it is not None]
+            if is_newer:
+                self.facts[service] = MemoryFacts(
+                    shares_parts, min(sizes, default=None), now - age
+                )
 
     def forget(self, server_id: str) -> None:
         """Forget a server that is gone, unless requests of this node run there."""
