--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -7,7 +7,12 @@
 from typing import TYPE_CHECKING
 
 from .._lazy import make_lazy_getattr
-from ._brittle import draw_rejection_pause, has_brittle_room
+from ._brittle import (
+    MAX_TRIAL_INTERVAL,
+    SlotCapacity,
+    draw_rejection_pause,
+    has_brittle_room,
+)
 from ._capacity import (
     CapacityOrder,
     ZoneEngines,
@@ -57,6 +62,23 @@
     compute_recheck_pause,
     is_abandoned,
 )
+from ._server_room import (
+    FULL_SHARE,
+    LINGER_TIME,
+    SUSPECT_SHARE,
+    TRANSIT_TIME,
+    HeldRequest,
+    OutputLengths,
+    compute_memory_bound,
+    count_held,
+    count_shared,
+    count_started,
+    fits,
+    has_turn,
+    may_reserve,
+    predict_release,
+    should_announce,
+)
 from ._server_speed import (
     ProbeBudget,
     ServerSpeed,
@@ -129,8 +151,13 @@
 __all__ = [
     "BLOCK_TIME",
     "CROSS_DOMAIN_COST_PER_BYTE",
+    "FULL_SHARE",
+    "LINGER_TIME",
     "LONG_PREFILL_TIME",
+    "MAX_TRIAL_INTERVAL",
     "SHORT_PROMPT_JITTER",
+    "SUSPECT_SHARE",
+    "TRANSIT_TIME",
     "VERSION_LIFETIME",
     "Assignment",
     "BackendView",
@@ -147,10 +174,12 @@
     "FairQueue",
     "FleetRetryBudget",
     "ForwardPeer",
+    "HeldRequest",
     "Job",
     "LinkTimes",
     "OpenAttempt",
     "OutputEstimator",
+    "OutputLengths",
     "PartCrashes",
     "Placement",
     "PoolLoad",
@@ -171,6 +200,7 @@
     "ServerState",
     "ServiceTimes",
     "Shed",
+    "SlotCapacity",
     "SlowEngines",
     "SpeedEstimate",
     "SpillOptions",
@@ -190,9 +220,13 @@
     "choose_similar",
     "compute_late_probability",
     "compute_max_demand",
+    "compute_memory_bound",
     "compute_recheck_pause",
     "compute_use",
     "compute_work",
+    "count_held",
+    "count_shared",
+    "count_started",
     "decide_capacity",
     "decide_cold_end",
     "decide_cold_share",
@@ -206,19 +240,24 @@
     "decide_suspect_placement",
     "decide_wait",
     "draw_rejection_pause",
+    "fits",
     "has_brittle_room",
     "has_capacity",
+    "has_turn",
     "is_abandoned",
     "is_prefill_sensitive",
     "make_fingerprint",
     "make_queue_key",
     "make_request_digest",
+    "may_reserve",
     "predict_first_token",
     "predict_pause",
+    "predict_release",
     "rank_backends",
     "rank_by_hash",
     "select_candidates",
     "select_speeds",
+    "should_announce",
 ]
 
 __getattr__ = make_lazy_getattr(__name__, _LAZY)
--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -94,7 +94,10 @@
         Whether the server may run prefill of long prompts that would delay the
         request's stream beyond its longest tolerated pause.
     has_room : bool
-        False for a server that must not reject requests and may be full.
+        False for a server that must not reject requests and may be full, and for one
+        whose memory has no room for the request.
+    n_free_tokens : float or None
+        Tokens of the server's memory that requests may still fill; None if not bounded.
     """
 
     name: str
@@ -113,6 +116,7 @@
     machine_slowness: float = 1.0
     speed_error: float | None = None
     probe_age: float | None = None
+    n_free_tokens: float | None = None
 
     @property
     def n_prefill_tokens(self) -> int:
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -343,6 +343,7 @@
         if failed or facts.status in NOT_RUN_STATUSES:
             message = f"the server answered {facts.status}"
             raise AttemptError("failed", message, Verdict.RAN, answer)
+        self._loads.memory.observe_completed(exch)
         exch.states.observe("finish")
         await self._deliver(exch, answer)
         return Outcome(
@@ -384,6 +385,7 @@
             # A shorter stream may have ended because its server crashed.
             self._crash_guard.observe_completed(exch)
         self._loads.get_view(server.server_id).observe_result(False, _now())
+        self._loads.memory.observe_completed(exch)
         exch.states.observe("finish")
         await exch.responder.finish()
         return Outcome(open_answer.facts.status, "ok")
@@ -428,6 +430,8 @@
     ) -> None:
         server_id = assignment.server.server_id
         view = self._loads.get_view(server_id)
+        if fault.verdict is not Verdict.MAY_HAVE_RUN:
+            self._loads.memory.observe_not_run(exch)
         exch.record(
             "fault",
             server=server_id,
@@ -460,8 +464,9 @@
 
     def _spawn_crash_check(self, exch: Exchange, server: Registration) -> None:
         # The next attempt replaces the progress of this one.
+        memory_full = self._loads.is_memory_full(server.server_id)
         task = asyncio.create_task(
-            self._check_crash(exch, server, exch.attempt, self._clock())
+            self._check_crash(exch, server, exch.attempt, self._clock(), memory_full)
         )
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
@@ -472,6 +477,7 @@
         server: Registration,
         attempt: AttemptProgress,
         broken_at: float,
+        memory_full: bool,
     ) -> None:
         """Record a crash if a server that broke the connection is unreachable.
 
@@ -481,7 +487,11 @@
         if await self._can_reach(server):
             return
         if await self._reach.reaches_any_server(exch.service.name):
-            self._crash_guard.observe_crash(exch, server, attempt, broken_at)
+            run = f"{server.server_id}/{server.born}"
+            self._loads.memory.observe_crash(server.server_id, run)
+            self._crash_guard.observe_crash(
+                exch, server, attempt, broken_at, memory_full=memory_full
+            )
 
     def _find_stop_reason(
         self, exch: Exchange, fault: AttemptError, n_unreachable: int
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -37,6 +37,8 @@
 # Loads that peers put on servers change without an event on this node, so the queues
 # are rechecked periodically.
 RECHECK_INTERVAL = 0.05  # seconds
+# The prediction for a waiting request changes little within this time.
+REFUSAL_CHECK_INTERVAL = 0.1  # seconds
 # Other nodes report their demand about this often.
 SHORT_PROMPT_ENGINES_INTERVAL = 0.25  # seconds
 # A restarting server is back within a few seconds. A request to a service without a
@@ -118,6 +120,7 @@
     exch: Exchange
     future: asyncio.Future[ServerAssignment] | None
     queued_at: float
+    checked_at: float = float("-inf")
 
 
 class RequestQueue:
@@ -199,6 +202,7 @@
         self._clock = clock
         self._queues: dict[str, list[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
+        loads.count_waiting = lambda service: len(self._queues.get(service, ()))
 
     def list_usable_servers(self, service: str) -> list[Registration]:
         """Return the servers of a service that are not leaving or evacuated."""
@@ -297,6 +301,11 @@
         """
         if exch.states.state == "received":
             exch.states.observe("enqueue")
+        memory = self._loads.memory
+        exch.held = memory.make_request(exch)
+        refusal = self._find_oversize(exch)
+        if refusal is not None:
+            raise refusal
         assignment = self._try_place(exch)
         if assignment is not None:
             return self._commit(exch, assignment)
@@ -319,6 +328,14 @@
         finally:
             if queued in queue:
                 queue.remove(queued)
+            memory.release_reservation(exch.held)
+
+    def _find_oversize(self, exch: Exchange) -> Refusal | None:
+        """Return the refusal of a prompt that no engine's memory can hold."""
+        if exch.held and not self._loads.memory.can_ever_fit(exch.service, exch.held):
+            message = f"a prompt of {exch.n_tokens} tokens exceeds the engines' memory"
+            return Refusal(503, "too_large", message)
+        return None
 
     def _try_place(
         self, exch: Exchange, *, dry_run: bool = False
@@ -375,7 +392,9 @@
         PlacementOutlook
             Result of the functions that place requests.
         """
-        assignment = self._try_place(exch, dry_run=True)
+        exch.held = self._loads.memory.make_request(exch)
+        refusal = self._find_oversize(exch)
+        assignment = None if refusal else self._try_place(exch, dry_run=True)
         times = self._loads.get_service_times(exch.service)
         usable = [
             it
@@ -387,7 +406,12 @@
             state
             for it in usable
             for state in self._loads.make_states(
-                exch.service, [it], exch.facts.parts, exch.n_tokens, may_probe=False
+                exch.service,
+                [it],
+                exch.facts.parts,
+                exch.n_tokens,
+                exch.held,
+                may_probe=False,
             )
         ]
         allowed = self._make_states(
@@ -399,8 +423,7 @@
             for state in states
         ]
         ahead: list[Exchange] = []
-        refusal = None
-        if assignment is None:
+        if assignment is None and refusal is None:
             queued = _QueuedRequest(exch, None, self._clock())
             key = self._make_queue_key(queued)
             ahead = [
@@ -408,10 +431,16 @@
                 for it in self._queues.get(exch.service.name, ())
                 if self._make_queue_key(it) <= key
             ]
-            refusal = self._decide_refusal(queued, len(ahead), dry_run=True)
+            n_tokens_ahead = sum(it.held.n_tokens for it in ahead if it.held)
+            refusal = self._decide_refusal(
+                queued, len(ahead), n_tokens_ahead, dry_run=True
+            )
         wait = 0.0
         if assignment is None and usable:
-            wait = self._predict_answer(exch, usable, len(ahead), dry_run=True)
+            n_tokens_ahead = sum(it.held.n_tokens for it in ahead if it.held)
+            wait = self._predict_answer(
+                exch, usable, len(ahead), n_tokens_ahead, dry_run=True
+            )
         return PlacementOutlook(assignment, rows, times, ahead, wait, refusal)
 
     def _find_exclusion(
@@ -472,6 +501,7 @@
             untried or allowed_servers,
             exch.facts.parts,
             exch.n_tokens,
+            exch.held,
             may_probe=not dry_run,
         )
         if exch.service.engine is None:
@@ -556,6 +586,7 @@
             exch.facts.parts,
             placement.predicted,
         )
+        self._loads.memory.observe_send(exch, placement.name)
         self._limits.observe_send(placement.name)
         self._cold.observe_send(placement.name)
         self.spillover.observe_send(exch, assignment.state)
@@ -584,7 +615,7 @@
         )
 
     def _process_queue(self, queue: list[_QueuedRequest]) -> None:
-        n_ahead = 0
+        n_ahead, n_tokens_ahead = 0, 0.0
         for queued in sorted(queue, key=self._make_queue_key):
             assert queued.future is not None
             if queued.future.done():
@@ -594,18 +625,28 @@
                 queue.remove(queued)
                 queued.future.set_result(self._commit(queued.exch, assignment))
                 continue
-            refusal = self._decide_refusal(queued, n_ahead)
+            refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
             if refusal is None:
                 n_ahead += 1
+                if queued.exch.held is not None:
+                    n_tokens_ahead += queued.exch.held.n_tokens
             else:
                 queue.remove(queued)
                 queued.future.set_exception(refusal)
 
     def _decide_refusal(
-        self, queued: _QueuedRequest, n_ahead: int, *, dry_run: bool = False
+        self,
+        queued: _QueuedRequest,
+        n_ahead: int,
+        n_tokens_ahead: float,
+        *,
+        dry_run: bool = False,
     ) -> Refusal | None:
         exch = queued.exch
         now = self._clock()
+        if now - queued.checked_at < REFUSAL_CHECK_INTERVAL:
+            return None
+        queued.checked_at = now
         servers = [
             it
             for it in self.list_usable_servers(exch.service.name)
@@ -627,7 +668,7 @@
             )
         decision = decide_wait(
             predicted_first_token=self._predict_answer(
-                exch, servers, n_ahead, dry_run=dry_run
+                exch, servers, n_ahead, n_tokens_ahead, dry_run=dry_run
             ),
             time_left=exch.deadline - now,
             time_to_target=exch.target_at - now,
@@ -643,20 +684,35 @@
         exch: Exchange,
         servers: list[Registration],
         n_ahead: int,
+        n_tokens_ahead: float,
         *,
         dry_run: bool = False,
     ) -> float:
         """Return an optimistic time to the first token or answer, in seconds."""
         times = self._loads.get_service_times(exch.service)
         states = self._loads.make_states(
-            exch.service, servers, exch.facts.parts, exch.n_tokens, may_probe=False
+            exch.service,
+            servers,
+            exch.facts.parts,
+            exch.n_tokens,
+            exch.held,
+            may_probe=False,
         )
+        memory_wait = 0.0
+        if exch.held is not None and not any(it.has_room for it in states):
+            memory = self._loads.memory
+            if not dry_run:
+                waited = self._clock() - exch.arrived_at
+                memory.try_reserve(exch, (it.name for it in states), waited=waited)
+            free = [it.n_free_tokens or 0.0 for it in states]
+            memory_wait = memory.predict_wait(exch, n_tokens_ahead, free)
         earliest = min(
             _predict_earliest_answer(exch, state, times)
             + self.get_server_wait(state.name, dry_run=dry_run)
             for state in states
         )
-        return earliest + self._predict_queue_wait(servers, n_ahead, dry_run=dry_run)
+        queue_wait = self._predict_queue_wait(servers, n_ahead, dry_run=dry_run)
+        return earliest + queue_wait + memory_wait
 
     def _predict_queue_wait(
         self, servers: list[Registration], n_ahead: int, *, dry_run: bool = False
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..platform import PromptPart, ServerLoad
-from ..policy import ServerSpeed, ServiceTimes
+from ..policy import ServerSpeed, ServiceTimes, SlotCapacity
 
 # Initial values of estimates that are then fitted to measured response times.
 INITIAL_BASE = 0.06  # seconds
@@ -167,6 +167,10 @@
         Monotonic time until which the server has asked for no requests, in seconds.
     max_rejections : float or None
         Rejections a second that the server bears; None if it is not brittle.
+    slot_capacity : SlotCapacity or None
+        Slots of a brittle server as its rejections show; None before the first request.
+    has_answered : bool
+        Whether this node has received an answer of the server.
     on_trial : bool
         Whether a brittle server has rejected a request and accepted none since. It
         gets one request of this node at a time.
@@ -191,6 +195,8 @@
     replaced_until: float = float("-inf")
     refuses_until: float = float("-inf")
     max_rejections: float | None = None
+    slot_capacity: SlotCapacity | None = None
+    has_answered: bool = False
     on_trial: bool = False
 
     def is_replaced(self, now: float) -> bool:
