--- a/packages/medlargate/medlargate/policy/_server_speed.py
+++ b/packages/medlargate/medlargate/policy/_server_speed.py
@@ -59,7 +59,7 @@
 LATE_PROBE_AGE = 4.0  # seconds
 MAX_PROBE_LATENESS = 0.5  # probability
 # Probes may be late, so that they are bounded as a share of a service's requests.
-PROBE_SHARE = 0.03
+PROBE_SHARE = 0.04
 MAX_SPEEDS = 64  # reports in one status message
 # Reports older than this are not sent to other nodes, which have got them before.
 MAX_SENT_AGE = 2.0  # seconds
@@ -356,7 +356,7 @@
             and it.age
             > (PROBE_AGE if it.machine_slowness > AVOIDED_FACTOR else LASTING_PROBE_AGE)
         ]
-        return random_state.choice(stale) if stale else None
+        return max(stale, key=lambda row: (row[1], random_state.random()), default=None)
 
 
 def may_probe(probe_age: float | None, lateness: float) -> bool:
