--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -110,6 +110,10 @@
         Start time that the registration states, in milliseconds since 1970.
     n_endless_bytes : int
         Largest number of bytes sent on one connection by an endless behaviour.
+    max_waiting : int or None
+        Number of requests that wait at the server, in order of arrival, while all
+        slots are taken; more are answered like ``refuse``. Each response then states
+        the load. None for a server that runs any number of requests at once.
     port : int
         TCP port; 0 before ``start``.
     """
@@ -130,7 +134,10 @@
     version: str = "v1"
     born: int = 1
     n_endless_bytes: int = 0
+    max_waiting: int | None = None
     port: int = 0
+    _n_running: int = 0
+    _waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -197,11 +204,44 @@
             await writer.drain()
             return True
         kind, _, event_number = self.behaviour(req).partition(":")
-        if kind == "refuse":
+        if kind == "refuse" or not await self._take_slot():
             extra = "Not-Executed: 1\r\n" + self._encode_extra_headers()
             writer.write(_encode_head(req, 503, 0, extra))
             await writer.drain()
             return True
+        try:
+            return await self._run(req, reader, writer, kind, event_number)
+        finally:
+            self._free_slot()
+
+    async def _take_slot(self) -> bool:
+        """Wait for a slot; return False if too many requests wait already."""
+        if self.max_waiting is not None and self._n_running >= self.slots:
+            if len(self._waiting) >= self.max_waiting:
+                return False
+            turn = asyncio.get_running_loop().create_future()
+            self._waiting.append(turn)
+            await turn
+        else:
+            self._n_running += 1
+        return True
+
+    def _free_slot(self) -> None:
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._n_running -= 1
+
+    async def _run(
+        self,
+        req: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        kind: str,
+        event_number: str,
+    ) -> bool:
         if not kind.endswith("-refusal"):
             self.runs[req.request_id] += 1
         if kind.startswith(("endless", "trickle")):
@@ -250,7 +290,11 @@
         return False
 
     def _encode_extra_headers(self) -> str:
-        return "".join(f"{name}: {it}\r\n" for name, it in self.extra_headers.items())
+        headers = dict(self.extra_headers)
+        if self.max_waiting is not None:
+            load = (self._n_running, len(self._waiting), self.slots)
+            headers["Server-Load"] = ",".join(map(str, load))
+        return "".join(f"{name}: {it}\r\n" for name, it in headers.items())
 
     async def _wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         await reader.read(1)
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -15,6 +15,12 @@
     decide_capacity,
 )
 from ._crash_history import CrashHistory, make_request_digest
+from ._customer_shares import (
+    CustomerShares,
+    choose_reported_consumers,
+    compute_share_rank,
+    is_over_share,
+)
 from ._demand import DecayingRate
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
@@ -33,6 +39,7 @@
     is_prefill_sensitive,
 )
 from ._rate_limits import TokenBucket, decide_rate
+from ._return_times import QueueClass, ReturnTimes, ServedRates
 from ._shares import decide_quotas, decide_share, rank_by_hash
 from ._stream_versions import (
     VERSION_LIFETIME,
@@ -107,6 +114,7 @@
     "CrashDecision",
     "CrashHistory",
     "CrashTracker",
+    "CustomerShares",
     "DecayingRate",
     "FairQueue",
     "FleetRetryBudget",
@@ -120,11 +128,14 @@
     "PoolScaler",
     "PoolScheduler",
     "Preemption",
+    "QueueClass",
     "Refusal",
     "RequestStates",
     "RetryBudget",
     "RetryDecision",
+    "ReturnTimes",
     "ScalingDecision",
+    "ServedRates",
     "ServerState",
     "ServiceTimes",
     "Shed",
@@ -137,8 +148,10 @@
     "accepts_any_server",
     "choose_forward_peer",
     "choose_origin_keepers",
+    "choose_reported_consumers",
     "choose_short_prompt_engines",
     "compute_max_demand",
+    "compute_share_rank",
     "compute_work",
     "decide_capacity",
     "decide_ejections",
@@ -152,6 +165,7 @@
     "draw_rejection_pause",
     "has_brittle_room",
     "has_capacity",
+    "is_over_share",
     "is_prefill_sensitive",
     "make_fingerprint",
     "make_queue_key",
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -13,6 +13,7 @@
 
 from dataclasses import dataclass
 
+from ._customer_shares import compute_share_rank
 from ._placement import ServerState
 from ._prefill_isolation import LONG_PREFILL_TIME
 
@@ -79,8 +80,13 @@
 
 
 def make_queue_key(
-    *, priority: int, arrived_at: float, time_to_target: float, prefill_time: float
-) -> tuple[int, bool, float]:
+    *,
+    priority: int,
+    arrived_at: float,
+    time_to_target: float,
+    prefill_time: float,
+    excess: float = 0.0,
+) -> tuple[int, int, bool, float]:
     """Make the sort key of a waiting request in the queue of its service.
 
     Parameters
@@ -93,15 +99,19 @@
         Time until the answer is late, in seconds.
     prefill_time : float
         Prefill time of the prompt, in seconds.
+    excess : float, default=0.0
+        Excess of the customer's work over its share, as a multiple of the share.
 
     Returns
     -------
-    tuple of (int, bool, float)
-        Sort key; the smallest is served first. At equal priority, requests that can
-        still meet their target precede those that cannot, and earlier arrivals
-        precede later ones.
+    tuple of (int, int, bool, float)
+        Sort key; the smallest is served first. At equal priority, requests of
+        customers below their share precede those of customers above it. Among these,
+        requests that can still meet their target precede those that cannot, and
+        earlier arrivals precede later ones.
     """
-    return priority, time_to_target < prefill_time, arrived_at
+    is_late = time_to_target < prefill_time
+    return priority, compute_share_rank(excess), is_late, arrived_at
 
 
 def accepts_any_server(*, waited: float, target: float) -> bool:
