Queues of nodes follow customers' shares; certain lateness is rejected

Change: relay/_queue_order.py, used by relay/_request_queue.py: order by shares, new requests queue behind those that precede them, a customer above its share fills slots only, one engine is reserved for a long prompt that has waited, passes take a fifth of a processor at most. Status field consumers; line reject; metrics of waiting and returns. In effect with Tenants and load.customer_shares.

--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -43,6 +43,9 @@
     limits : dict of str to (float or None, float)
         Requests a second that servers accept from all nodes together, None if a limit
         was lifted, and seconds since a node learned it, by server.
+    consumers : dict of str to dict of str to float
+        Work of the largest consumers in the last seconds, in tokens or calls, by
+        service and customer; at most 8 rows.
     """
 
     name: str
@@ -62,6 +65,7 @@
     sound_parts: dict[str, float] = Field(default_factory=dict)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
+    consumers: dict[str, dict[str, float]] = Field(default_factory=dict)
 
 
 class PeerStatus(StatusMessage):
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -109,6 +109,9 @@
         What the node says that forwarded the request; None if a caller sent it.
     tried_peers : set of str
         Names of the nodes that the request was forwarded to.
+    queued_as_of : float or None
+        Time of arrival by which the request is ordered in its queue, in seconds; None
+        for ``arrived_at``.
     """
 
     req: IncomingRequest
@@ -135,6 +138,7 @@
     origin: StreamOrigin | None = None
     forwarded: ForwardedRequest | None = None
     tried_peers: set[str] = field(default_factory=set)
+    queued_as_of: float | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -152,6 +152,12 @@
         self.store_up: Callable[[], bool] = lambda: True
         self.list_unreachable: Callable[[], list[str]] = list
         self.is_stopping: Callable[[], bool] = lambda: False
+        self.snapshot_consumers: Callable[
+            [Iterable[str]], dict[str, dict[str, float]]
+        ] = lambda peers: {}
+        self.observe_consumers: Callable[
+            [str, Mapping[str, Mapping[str, float]], float], None
+        ] = lambda peer, consumers, lifetime: None
         self.get_limits: Callable[[], IngressLimits] = IngressLimits
         self.handle_forwarded: Callable[
             [IncomingRequest, Responder], Awaitable[bool]
@@ -294,6 +300,7 @@
             unreachable=self.list_unreachable(),
             stopping=self.is_stopping(),
             loads=self._loads.list_own_loads() if same_domain else {},
+            consumers=self.snapshot_consumers([]) if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
             usage=usage,
@@ -305,6 +312,7 @@
         statuses = self._list_domain_statuses()
         return DomainStatus(
             **self._make_common_fields(),
+            consumers=self.snapshot_consumers(status.name for status in statuses),
             loads=self._loads.sum_loads(status.name for status in statuses),
             demand=_sum_by_name([self.get_demand(), *(it.demand for it in statuses)]),
             tight_demand=_sum_by_name(
@@ -523,6 +531,7 @@
                 LOAD_LIFETIME_ROUNDS * self.table.compute_intra_domain_round(),
             )
             self._loads.observe_peer_loads(status.name, status.loads, lifetime=lifetime)
+            self.observe_consumers(status.name, status.consumers, lifetime)
         self._compare_state(status)
 
     def _receive_domain_status(self, status: DomainStatus) -> None:
@@ -539,6 +548,7 @@
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
         )
         self._loads.observe_peer_loads(status.zone, status.loads, lifetime=lifetime)
+        self.observe_consumers(status.zone, status.consumers, lifetime)
         for server_id, rows in status.parts:
             self._loads.observe_parts(server_id, [PromptPart(*row) for row in rows])
         self._compare_state(status)
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -59,6 +59,7 @@
 from ._forwarding import Forwarder, decode_forwarded
 from ._load_tracker import LoadTracker
 from ._origin_store import OriginStore
+from ._queue_order import QueueOrder, count_waiting_by_customer
 from ._reach import ReachMonitor
 from ._reload import decide_reload
 from ._request_handler import RequestHandler
@@ -123,6 +124,13 @@
         )
         self.pool = ConnectionPool()
         self.demand = DemandTracker()
+        self.queue_order = QueueOrder(
+            self.cluster_state,
+            self.clock,
+            lambda: self.settings.load.customer_shares,
+            self.metrics.observe_return,
+            random_state=self.random_state,
+        )
         self.request_queue = RequestQueue(
             self.cluster_state,
             self.loads,
@@ -131,6 +139,7 @@
             self._observe_dispatch,
             lambda service: self.fleet.sum_sensitive_demand(service),
             random_state=self.random_state,
+            order=self.queue_order,
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
         self.wall_clock = PeerCheckedClock(self.clock, time.time)
@@ -331,6 +340,8 @@
         self.fleet.get_limits = self._get_limits
         self.fleet.handle_forwarded = self._handle_forwarded
         self.fleet.is_stopping = lambda: self.stopping
+        self.fleet.snapshot_consumers = self.queue_order.snapshot_consumers
+        self.fleet.observe_consumers = self.queue_order.observe_consumers
         self.fleet.list_unreachable = self.reach.list_unreachable
         self.reach.listeners.append(self._observe_reach_change)
         self.fleet.store_up = lambda: self.watcher.store_up
@@ -579,6 +590,9 @@
         if req.path != "/metrics":
             await responder.send(404, [], b"")
             return
+        self.metrics.observe_waiting(
+            count_waiting_by_customer(self.request_queue.list_waiting())
+        )
         text = self.metrics.snapshot()
         await responder.send(200, [(b"Content-Type", b"text/plain")], text)
 
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -0,0 +1,376 @@
+"""Order of waiting requests by customers' shares, and rejections with a return time."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from ..fleet import ClusterState
+from ..policy import (
+    CustomerShares,
+    QueueClass,
+    Refusal,
+    ReturnTimes,
+    ServedRates,
+    ServiceTimes,
+    choose_reported_consumers,
+    is_over_share,
+    make_queue_key,
+)
+from ._exchange import Exchange
+
+QueueKey = tuple[int, int, bool, float]
+
+# While a customer is above its share, a server holds this fraction of its slots in
+# addition for requests of customers that are not. Without it they would wait at the
+# node for a slot that other nodes refill before this one learns of it.
+BELOW_SHARE_QUEUE_FRACTION = 0.25
+
+
+@dataclass(slots=True)
+class _ServiceOrder:
+    shares: CustomerShares = field(default_factory=CustomerShares)
+    rates: ServedRates = field(default_factory=ServedRates)
+
+
+@dataclass(frozen=True, slots=True)
+class QueuePosition:
+    """Position of a request in the queue of its service.
+
+    Attributes
+    ----------
+    key : tuple of (int, int, bool, float)
+        Sort key; the smallest is served first.
+    queue_class : QueueClass
+        Class of the request.
+    """
+
+    key: QueueKey
+    queue_class: QueueClass
+
+
+class QueueOrder:
+    """Customers' shares and return times, applied to the queues of a node.
+
+    Parameters
+    ----------
+    cluster_state : ClusterState
+        Configuration; without customers in it, the order is not in effect.
+    clock : callable
+        Returns the node's monotonic time in seconds.
+    is_enabled : callable
+        Returns the setting ``load.customer_shares``.
+    observe_return : callable
+        Called with the promised and the actual time, in seconds, after which the
+        caller of a rejected request returned.
+    random_state : random.Random
+        Source of the spread of return times.
+    """
+
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        clock: Callable[[], float],
+        is_enabled: Callable[[], bool],
+        observe_return: Callable[[float, float], None],
+        *,
+        random_state: random.Random,
+    ) -> None:
+        self._cluster_state = cluster_state
+        self._clock = clock
+        self._is_enabled = is_enabled
+        self._observe_return = observe_return
+        self._random_state = random_state
+        self._services: dict[str, _ServiceOrder] = {}
+        self._returns = ReturnTimes()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the setting and the configuration call for customers' shares."""
+        table = self._cluster_state.route_table
+        return (
+            self._is_enabled()
+            and table is not None
+            and bool(table.routing_config.customers)
+        )
+
+    def _get(self, service: str) -> _ServiceOrder:
+        order = self._services.get(service)
+        if order is None:
+            order = self._services[service] = _ServiceOrder()
+        return order
+
+    # Order
+
+    def observe_arrival(self, exch: Exchange) -> None:
+        """Count the customer of a request, and recognise a caller that returns."""
+        now = self._clock()
+        if exch.customer is not None:
+            shares = self._get(exch.service.name).shares
+            shares.observe_arrival(exch.customer.name, now)
+        if exch.queued_as_of is not None:
+            # Another attempt of a request that this node has accepted before.
+            return
+        exch.queued_as_of = exch.arrived_at
+        if not self._returns:
+            return
+        self._returns.expire(now)
+        promised = self._returns.find(exch.request_digest, now)
+        if promised is not None:
+            self._observe_return(
+                promised.return_at - promised.rejected_at,
+                exch.arrived_at - promised.rejected_at,
+            )
+            exch.queued_as_of = self._returns.decide_queued_at(
+                exch.request_digest, exch.arrived_at
+            )
+
+    def get_position(self, exch: Exchange, times: ServiceTimes) -> QueuePosition:
+        """Return the position of a request in its queue.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Waiting or new request.
+        times : ServiceTimes
+            Estimated times of the service.
+
+        Returns
+        -------
+        QueuePosition
+            Sort key and class.
+        """
+        now = self._clock()
+        excess = 0.0
+        if exch.customer is not None:
+            shares = self._get(exch.service.name).shares
+            excess = shares.compute_excess(exch.customer.name, now)
+        key = make_queue_key(
+            priority=exch.priority,
+            arrived_at=exch.queued_as_of or exch.arrived_at,
+            time_to_target=exch.target_at - now,
+            # The answer itself takes time, also if the request is sent now.
+            prefill_time=times.base + exch.n_tokens * times.prefill_per_token,
+            excess=excess,
+        )
+        return QueuePosition(key, QueueClass(key[0], is_over_share(excess), key[2]))
+
+    def get_slot_limit(self, exch: Exchange, n_slots: int) -> int | None:
+        """Return the number of requests that a server may hold for a new one.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request to place.
+        n_slots : int
+            Number of the server's slots.
+
+        Returns
+        -------
+        int or None
+            The slots for a customer above its share, and some more for the others; None
+            as long as no customer is above its share.
+        """
+        shares = self._get(exch.service.name).shares
+        if exch.customer is None:
+            return None
+        excess = shares.compute_excess(exch.customer.name, self._clock())
+        if is_over_share(excess):
+            return n_slots
+        if not shares.is_contended:
+            return None
+        return n_slots + math.ceil(BELOW_SHARE_QUEUE_FRACTION * n_slots)
+
+    def observe_waiting(self, service: str, classes: Iterable[QueueClass]) -> None:
+        """Store which requests of a service wait."""
+        self._get(service).rates.observe_waiting(classes, self._clock())
+
+    def observe_dispatch(self, exch: Exchange, queue_class: QueueClass) -> None:
+        """Count a request that is assigned to a server."""
+        now = self._clock()
+        order = self._get(exch.service.name)
+        order.rates.observe_served(queue_class, now)
+        if self._returns:
+            self._returns.forget(exch.request_digest)
+        if exch.customer is not None:
+            work = compute_request_work(exch)
+            order.shares.observe_work(exch.customer.name, work, now)
+
+    # Rejection
+
+    def decide_rejection(
+        self,
+        exch: Exchange,
+        position: QueuePosition,
+        times: ServiceTimes,
+        *,
+        n_ahead: int,
+        n_ahead_in_class: int,
+    ) -> Refusal | None:
+        """Decide whether a request would certainly be served too late.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Waiting or new request.
+        position : QueuePosition
+            Its position in the queue.
+        times : ServiceTimes
+            Estimated times of the service.
+        n_ahead, n_ahead_in_class : int
+            Numbers of waiting requests that precede it, of all classes and of its own.
+
+        Returns
+        -------
+        Refusal or None
+            Rejection with the time at which the caller may return.
+        """
+        now = self._clock()
+        rates = self._get(exch.service.name).rates
+        queue_class = position.queue_class
+        service_time = times.base + exch.n_tokens * times.prefill_per_token
+        wait = rates.predict_wait(
+            queue_class, n_ahead=n_ahead, n_ahead_in_class=n_ahead_in_class, now=now
+        )
+        if wait <= 0:
+            return None
+        if not queue_class.is_late and wait + service_time > exch.target_at - now:
+            # It becomes late while it waits, and then yields to requests that are not.
+            late_class = queue_class._replace(is_late=True)
+            n_late = rates.count_waiting(late_class)
+            wait = max(
+                wait,
+                rates.predict_wait(
+                    late_class, n_ahead=n_ahead, n_ahead_in_class=n_late, now=now
+                ),
+            )
+        time_left = exch.deadline - now
+        if wait + service_time <= time_left:
+            return None
+        return self.make_rejection(
+            exch, position, wait, f"{wait:.2f} s of waiting predicted"
+        )
+
+    def make_rejection(
+        self, exch: Exchange, position: QueuePosition, wait: float, reason: str
+    ) -> Refusal:
+        """Make the rejection of a request, and remember when its caller may return.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request that was not run.
+        position : QueuePosition
+            Its position in the queue.
+        wait : float
+            Predicted time until a server is free for it, in seconds.
+        reason : str
+            Explanation.
+
+        Returns
+        -------
+        Refusal
+            Rejection with the time at which the caller may return.
+        """
+        now = self._clock()
+        rates = self._get(exch.service.name).rates
+        customer = exch.customer.name if exch.customer is not None else ""
+        line = (exch.service.name, customer, position.queue_class[:2])
+        time_left = exch.deadline - now
+        retry_after = self._returns.promise(
+            exch.request_digest,
+            line=line,
+            # A new attempt has until its target again.
+            wait=wait - exch.rule.target,
+            rate=rates.get_rate(position.queue_class, now),
+            time_left=time_left,
+            arrived_at=exch.queued_as_of or exch.arrived_at,
+            now=now,
+            random_state=self._random_state,
+        )
+        exch.record(
+            "reject",
+            customer=customer or None,
+            priority=exch.priority,
+            over_share=position.queue_class.over_share,
+            late=position.queue_class.is_late,
+            wait=round(wait, 3) if wait < math.inf else None,
+            time_left=round(time_left, 3),
+            return_in=round(retry_after, 3),
+        )
+        message = f"{reason}, but only {time_left:.2f} s left"
+        return Refusal(503, "too_late", message, retry_after=retry_after)
+
+    # Exchange with peers
+
+    def snapshot_consumers(
+        self, peers: Iterable[str] = ()
+    ) -> dict[str, dict[str, float]]:
+        """Return the largest consumers on this node and the given peers.
+
+        Parameters
+        ----------
+        peers : iterable of str
+            Names of peers whose reports are added.
+
+        Returns
+        -------
+        dict of str to dict
+            Decayed work by service and customer; empty without customers' shares.
+        """
+        if not self.is_active:
+            return {}
+        now, names = self._clock(), list(peers)
+        return choose_reported_consumers(
+            {
+                service: order.shares.snapshot_fleet(now, names)
+                for service, order in self._services.items()
+            }
+        )
+
+    def observe_consumers(
+        self,
+        peer: str,
+        consumers: Mapping[str, Mapping[str, float]],
+        lifetime: float,
+    ) -> None:
+        """Store the largest consumers on a peer or in another failure domain.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the peer or of the failure domain.
+        consumers : mapping of str to mapping
+            Decayed work by service and customer.
+        lifetime : float
+            Time for which the report is used, in seconds.
+        """
+        now = self._clock()
+        table = self._cluster_state.route_table
+        known = table.routing_config.services if table is not None else {}
+        for service in {*consumers, *self._services}:
+            if service in known:
+                self._get(service).shares.observe_peer(
+                    peer, consumers.get(service, {}), now, lifetime=lifetime
+                )
+
+
+def count_waiting_by_customer(
+    waiting: Iterable[Exchange],
+) -> dict[tuple[str, str], int]:
+    """Return the number of waiting requests by customer and route."""
+    return Counter(
+        (it.customer.name if it.customer is not None else "", it.rule.name)
+        for it in waiting
+    )
+
+
+def compute_request_work(exch: Exchange) -> float:
+    """Return the work of a request, in tokens or in calls of a plain service."""
+    if exch.service.engine is None:
+        return 1.0
+    n_output = exch.facts.output_hint or exch.facts.max_output_tokens or 0
+    return max(1.0, float(exch.n_tokens + n_output))
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+import time
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 
@@ -12,6 +14,7 @@
     LONG_PREFILL_TIME,
     SHORT_PROMPT_JITTER,
     Placement,
+    QueueClass,
     Refusal,
     ServerState,
     ServiceTimes,
@@ -27,6 +30,7 @@
 from ..routing import Registration
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
+from ._queue_order import QueueKey, QueueOrder, QueuePosition
 from ._server_limits import ServerLimits
 
 # Loads that peers put on servers change without an event on this node, so the queues
@@ -39,6 +43,12 @@
 # usable server is therefore not refused at once, but after NO_SERVER_WAIT.
 NO_SERVER_WAIT = 1.0  # seconds in the queue
 NO_SERVER_RETRY_AFTER = 0.7  # seconds, sent to the caller with the refusal
+# Requests that one pass through a queue in the order of customers' shares tries without
+# success. Passes follow each change of a load, and each try compares all servers.
+MAX_FAILED_TRIES = 4
+# Pause between two passes, as a multiple of the time that the last one took, so that
+# passes through long queues take a fifth of the processor at most.
+PASS_PAUSE_FACTOR = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +79,7 @@
     exch: Exchange
     future: asyncio.Future[ServerAssignment]
     queued_at: float
+    position: QueuePosition | None = None
 
 
 class RequestQueue:
@@ -99,6 +110,8 @@
     random_state : random.Random or None
         Source of a random addition to the cost of servers for short prompts, so that
         nodes do not all choose the same server.
+    order : QueueOrder or None
+        Order by customers' shares; None for the order of arrival in each class.
     """
 
     def __init__(
@@ -111,7 +124,12 @@
         sum_sensitive_demand: Callable[[str], float],
         *,
         random_state: random.Random | None = None,
+        order: QueueOrder | None = None,
     ) -> None:
+        self._order = order
+        self._reserved: dict[str, tuple[Exchange, str]] = {}
+        self._scheduled: set[str] = set()
+        self._next_pass_at: dict[str, float] = {}
         self._random_state = random_state or random.Random()
         self._sum_sensitive_demand = sum_sensitive_demand
         self._short_prompt_engines: dict[str, tuple[float, frozenset[str]]] = {}
@@ -173,12 +191,17 @@
         """Return the number of waiting requests by service."""
         return {name: len(queue) for name, queue in self._queues.items()}
 
+    def list_waiting(self) -> list[Exchange]:
+        """Return the waiting requests of all services."""
+        return [it.exch for queue in self._queues.values() for it in queue]
+
     async def acquire(self, exch: Exchange) -> ServerAssignment:
         """Assign a server to a request, waiting until a suitable one has capacity.
 
         A new request is tried at once, even if others wait, because those were already
         tried without success. Queued requests are tried again in order of urgency after
-        a change of a load or of the servers, and periodically.
+        a change of a load or of the servers, and periodically. With customers' shares,
+        a new request that others precede is queued and tried in its turn.
 
         Parameters
         ----------
@@ -199,15 +222,21 @@
         """
         if exch.states.state == "received":
             exch.states.observe("enqueue")
-        assignment = self._try_place(exch)
-        if assignment is not None:
-            return self._commit(exch, assignment)
         queue = self._queues.setdefault(exch.service.name, [])
+        position = self._get_position(exch, is_new=True)
+        n_ahead = _count_ahead(queue, position)
+        if not n_ahead:
+            assignment = self._try_place(exch)
+            if assignment is not None:
+                return self._commit(exch, assignment)
+        self._raise_if_certainly_late(exch, queue, position, n_ahead)
         future = asyncio.get_running_loop().create_future()
-        queued = _QueuedRequest(exch, future, self._clock())
+        queued = _QueuedRequest(exch, future, self._clock(), position)
         exch.record("wait", n_waiting=len(queue), priority=exch.priority)
         queue.append(queued)
         self._has_waiting.set()
+        if position is not None:
+            self._schedule_pass(exch.service.name)
         try:
             return await future
         except asyncio.CancelledError:
@@ -220,18 +249,59 @@
         finally:
             if queued in queue:
                 queue.remove(queued)
+            self._release_reservation(exch)
+
+    def _get_position(
+        self, exch: Exchange, *, is_new: bool = False
+    ) -> QueuePosition | None:
+        """Return the position of a request; None if shares do not apply."""
+        if self._order is None or not self._order.is_active:
+            return None
+        if is_new:
+            self._order.observe_arrival(exch)
+        times = self._loads.get_service_times(exch.service)
+        return self._order.get_position(exch, times)
+
+    def _raise_if_certainly_late(
+        self,
+        exch: Exchange,
+        queue: list[_QueuedRequest],
+        position: QueuePosition | None,
+        n_ahead: int,
+    ) -> None:
+        if self._order is None or position is None:
+            return
+        rejection = self._order.decide_rejection(
+            exch,
+            position,
+            self._loads.get_service_times(exch.service),
+            n_ahead=n_ahead,
+            n_ahead_in_class=sum(
+                it.position is not None
+                and it.position.queue_class == position.queue_class
+                and it.position.key < position.key
+                for it in queue
+            ),
+        )
+        if rejection is not None:
+            raise rejection
 
     def _try_place(self, exch: Exchange) -> ServerAssignment | None:
         """Return the best server, or None if the request should wait for it."""
+        reserved = self._get_reserved_server(exch)
         servers = {
-            it.server_id: it for it in self._list_open_servers(exch.service.name)
+            it.server_id: it
+            for it in self._list_open_servers(exch.service.name)
+            if it.server_id != reserved
         }
         times = self._loads.get_service_times(exch.service)
         waited = self._clock() - exch.arrived_at
         accept_any = accepts_any_server(waited=waited, target=exch.rule.target)
         states = self._make_states(exch, servers, times)
         if accept_any or exch.service.engine is None:
-            states = [it for it in states if _can_accept(exch, it, times, accept_any)]
+            states = [
+                it for it in states if self._can_accept(exch, it, times, accept_any)
+            ]
         placement = decide_placement(
             states,
             times,
@@ -243,12 +313,29 @@
         if placement is None:
             return None
         state = next(it for it in states if it.name == placement.name)
-        if not _can_accept(exch, state, times, accept_any):
+        if not self._can_accept(exch, state, times, accept_any):
             return None
         holder = self._cluster_state.servers.get(state.source) if state.source else None
         fetch_from = holder.address if holder is not None else None
         return ServerAssignment(servers[placement.name], state, placement, fetch_from)
 
+    def _can_accept(
+        self,
+        exch: Exchange,
+        state: ServerState,
+        times: ServiceTimes,
+        accept_any: bool,
+    ) -> bool:
+        """Return whether a server has capacity for a request now."""
+        if self._order is not None and self._order.is_active:
+            limit = self._order.get_slot_limit(exch, state.n_slots)
+            if limit is not None:
+                view = self._loads.get_view(state.name)
+                if view.count_occupied(time.monotonic()) >= limit:
+                    return False
+                state = replace(state, n_slots=limit)
+        return _can_accept(exch, state, times, accept_any)
+
     def _is_short_prompt(self, exch: Exchange, times: ServiceTimes) -> bool:
         """Return whether prefill of the whole prompt takes at most LONG_PREFILL_TIME.
 
@@ -307,6 +394,10 @@
 
     def _commit(self, exch: Exchange, assignment: ServerAssignment) -> ServerAssignment:
         now = self._clock()
+        self._release_reservation(exch)
+        position = self._get_position(exch)
+        if self._order is not None and position is not None:
+            self._order.observe_dispatch(exch, position.queue_class)
         exch.placed_at = now
         placement = assignment.placement
         exch.record(
@@ -346,10 +437,121 @@
 
     def observe_change(self) -> None:
         """Process all queues again after a change of a load or of the servers."""
-        for queue in self._queues.values():
+        is_ordered = self._order is not None and self._order.is_active
+        for service, queue in self._queues.items():
+            if is_ordered:
+                self._schedule_pass(service)
+            else:
+                self._process_queue(queue)
+
+    def _schedule_pass(self, service: str) -> None:
+        """Process a queue soon, once for all changes until then."""
+        if service not in self._scheduled:
+            self._scheduled.add(service)
+            pause = self._next_pass_at.get(service, 0.0) - time.monotonic()
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                min(max(pause, 0.0), RECHECK_INTERVAL), self._run_pass, service
+            )
+
+    def _run_pass(self, service: str) -> None:
+        self._scheduled.discard(service)
+        started_at = time.monotonic()
+        queue = self._queues[service]
+        if self._order is None or not self._order.is_active:
             self._process_queue(queue)
+            return
+        queue[:] = [it for it in queue if not it.future.done()]
+        for queued in queue:
+            queued.position = self._get_position(queued.exch)
+        queue.sort(key=_get_sort_key)
+        classes = [it.position.queue_class for it in queue if it.position is not None]
+        self._order.observe_waiting(service, classes)
+        self._place_in_order(service, queue, self._order)
+        ended_at = time.monotonic()
+        self._next_pass_at[service] = ended_at + PASS_PAUSE_FACTOR * (
+            ended_at - started_at
+        )
 
-    def _make_queue_key(self, queued: _QueuedRequest) -> tuple[int, bool, float]:
+    def _place_in_order(
+        self, service: str, queue: list[_QueuedRequest], order: QueueOrder
+    ) -> None:
+        """Try the waiting requests of a service in their order, reject late ones."""
+        has_servers = bool(self.list_usable_servers(service))
+        holder, server_id = self._reserved.get(service, (None, None))
+        if holder is not None and server_id not in self._cluster_state.servers:
+            del self._reserved[service]
+        # The others leave the reserved server alone, so its request is always tried.
+        ordered = sorted(queue, key=lambda it: it.exch is not holder)
+        n_failed = n_ahead = 0
+        n_ahead_by_class: Counter[QueueClass] = Counter()
+        for queued in ordered:
+            exch, position = queued.exch, queued.position
+            assert position is not None
+            refusal = None
+            if n_failed < MAX_FAILED_TRIES or not has_servers:
+                assignment = self._try_place(exch)
+                if assignment is not None:
+                    queue.remove(queued)
+                    queued.future.set_result(self._commit(exch, assignment))
+                    continue
+                n_failed += 1
+                if exch.service.engine is None and not exch.tried_servers:
+                    # No other request of the service finds a server that has capacity.
+                    n_failed = MAX_FAILED_TRIES
+                self._reserve_server(exch)
+                refusal = self._decide_refusal(queued, n_ahead)
+            if refusal is None:
+                refusal = order.decide_rejection(
+                    exch,
+                    position,
+                    self._loads.get_service_times(exch.service),
+                    n_ahead=n_ahead,
+                    n_ahead_in_class=n_ahead_by_class[position.queue_class],
+                )
+            if refusal is None:
+                n_ahead += 1
+                n_ahead_by_class[position.queue_class] += 1
+            else:
+                queue.remove(queued)
+                queued.future.set_exception(refusal)
+
+    def _reserve_server(self, exch: Exchange) -> None:
+        """Reserve an engine for the first long prompt that has waited for any.
+
+        Long prompts are sent only to engines whose prefill is almost complete. Without
+        a reservation, short prompts that arrive later would keep all engines busy.
+        """
+        service = exch.service.name
+        waited = self._clock() - exch.arrived_at
+        times = self._loads.get_service_times(exch.service)
+        if (
+            exch.service.engine is None
+            or service in self._reserved
+            or self._is_short_prompt(exch, times)
+            or not accepts_any_server(waited=waited, target=exch.rule.target)
+        ):
+            return
+        servers = {it.server_id: it for it in self._list_open_servers(service)}
+        states = self._make_states(exch, servers, times)
+        if len(states) > 1:
+            nearest = min(states, key=lambda it: predict_first_token(it, times))
+            self._reserved[service] = (exch, nearest.name)
+
+    def _release_reservation(self, exch: Exchange) -> None:
+        """Release the server that is reserved for a request which waits no more."""
+        holder, _ = self._reserved.get(exch.service.name, (None, None))
+        if holder is exch:
+            del self._reserved[exch.service.name]
+
+    def _get_reserved_server(self, exch: Exchange) -> str | None:
+        """Return the server that is reserved for another request than this one."""
+        holder, server_id = self._reserved.get(exch.service.name, (None, None))
+        if holder is None or holder is exch or holder.priority > exch.priority:
+            return None
+        return server_id
+
+    def _make_queue_key(self, queued: _QueuedRequest) -> QueueKey:
         exch = queued.exch
         prefill_per_token = self._loads.get_service_times(
             exch.service
@@ -433,6 +635,20 @@
                 self._has_waiting.clear()
 
 
+def _get_sort_key(queued: _QueuedRequest) -> QueueKey:
+    assert queued.position is not None
+    return queued.position.key
+
+
+def _count_ahead(queue: list[_QueuedRequest], position: QueuePosition | None) -> int:
+    """Return the number of waiting requests that precede one; 0 without shares."""
+    if position is None:
+        return 0
+    return sum(
+        it.position is not None and it.position.key <= position.key for it in queue
+    )
+
+
 def _describe_missing_server(exch: Exchange) -> str:
     message = f"service {exch.service.name} has no available server"
     if exch.origin is not None:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -183,6 +183,19 @@
             )
         return known
 
+    def count_occupied(self, now: float) -> int:
+        """Return ``count_running`` with the requests sent since the server's report.
+
+        Nodes that each rely on a server's last report would all send it another request
+        until the reports of their peers arrive.
+        """
+        n_running = self.count_running(now)
+        report = self.reported_load
+        if report is None or now - self.reported_at >= REPORT_LIFETIME:
+            return n_running
+        n_sent = sum(it.sent_at > self.reported_at for it in self.running.values())
+        return max(n_running, report.n_running + report.n_waiting + n_sent)
+
     def own_prefill_time(self, now: float) -> float:
         """Return the outstanding prefill work of this node's requests, in seconds.
 
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -0,0 +1,201 @@
+"""Order in which a node's queue gives servers to requests, without network or clock."""
+
+import asyncio
+import random
+import time
+import unittest
+from types import SimpleNamespace
+
+from medlargate.platform import PromptPart, RequestInfo
+from medlargate.policy import ServerState, ServiceTimes
+from medlargate.relay._exchange import Exchange
+from medlargate.relay._queue_order import QueueOrder
+from medlargate.relay._request_queue import RequestQueue
+from medlargate.relay._server_view import ServerView
+from medlargate.routing import (
+    CustomerSpec,
+    EngineSpec,
+    Registration,
+    RequestType,
+    RouteRule,
+    ServiceShare,
+    ServiceSpec,
+)
+
+SERVICE = ServiceSpec("work", 100, EngineSpec(n_slots=40, n_cache_tokens=100_000))
+RULE = RouteRule(
+    "r", "h", "/r/", RequestType.STREAM, (ServiceShare("work"),), 10.0, 2.0
+)
+TIMES = ServiceTimes(0.05, 1 / 40_000)
+
+
+class _Loads:
+    """Servers whose prefill backlog and running requests the test sets."""
+
+    domain = "fd-a"
+
+    def __init__(self, n_servers):
+        self.backlogs = {f"e{number}": 0.0 for number in range(n_servers)}
+        self.n_running = dict.fromkeys(self.backlogs, 1)
+        self.view = ServerView()
+        self.sent = []
+
+    def get_service_times(self, spec):
+        return TIMES
+
+    def get_refusal_time(self, server_id):
+        return 0.0
+
+    def get_view(self, server_id):
+        return self.view
+
+    def make_states(self, spec, servers, parts, n_tokens):
+        ids = [it.server_id for it in servers]
+        return [
+            ServerState(
+                it,
+                "fd-a",
+                self.n_running[it],
+                40,
+                backlog=self.backlogs[it],
+                n_uncached=n_tokens,
+            )
+            for it in ids
+        ]
+
+    def observe_send(self, exchange_id, spec, state, parts, predicted):
+        self.sent.append((exchange_id, state.name))
+        self.n_running[state.name] += 1
+
+
+class QueueCase(unittest.IsolatedAsyncioTestCase):
+    def make_queue(self, n_servers=3):
+        self.now = 100.0
+        self.loads = _Loads(n_servers)
+        servers = {
+            name: Registration(name, "work", f"h:{name}", "h", 1, "fd-a", 40)
+            for name in self.loads.backlogs
+        }
+        config = SimpleNamespace(customers={"k": 1}, services={"work": SERVICE})
+        state = SimpleNamespace(
+            servers=servers,
+            leaving=set(),
+            servers_revision=1,
+            route_table=SimpleNamespace(routing_config=config),
+        )
+        limits = SimpleNamespace(
+            get_wait=lambda name: 0.0,
+            get_rate=lambda name: float("inf"),
+            observe_send=lambda name: None,
+        )
+        self.order = QueueOrder(
+            state,
+            lambda: self.now,
+            lambda: True,
+            lambda promised, actual: None,
+            random_state=random.Random(1),
+        )
+        self.queue = RequestQueue(
+            state,
+            self.loads,
+            limits,
+            lambda: self.now,
+            lambda *args: None,
+            lambda service: 0.0,
+            order=self.order,
+        )
+        self.tasks = []
+        self.addCleanup(lambda: [it.cancel() for it in self.tasks])
+
+    async def send(self, customer="a", n_tokens=100):
+        """Send a request; return its id."""
+        exch = Exchange(
+            req=SimpleNamespace(body=b"", target="/r/x"),
+            responder=None,
+            facts=RequestInfo("id", "k", 9.0, n_tokens, parts=(PromptPart("p", 1),)),
+            rule=RULE,
+            service=SERVICE,
+            customer=CustomerSpec(customer),
+            config_version=1,
+            arrived_at=self.now,
+            deadline=self.now + 9.0,
+            write_record=lambda *args, **facts: None,
+        )
+        self.tasks.append(asyncio.create_task(self.queue.acquire(exch)))
+        await self.settle()
+        return exch.exchange_id
+
+    async def settle(self):
+        self.queue.observe_change()
+        # Passes through the queue follow each other after a pause.
+        await asyncio.sleep(0.01)
+
+
+class LongPromptTest(QueueCase):
+    """Load: short prompts of equal priority that keep all engines busy with prefill."""
+
+    async def test_engine_is_reserved_for_a_long_prompt_that_has_waited(self):
+        # Guards against short prompts that arrive later and use every engine before
+        # its prefill is almost complete.
+        self.make_queue()
+        self.loads.backlogs.update(e0=0.5, e1=0.6, e2=0.6)
+        long = await self.send(n_tokens=20_000)
+        self.assertEqual(self.loads.sent, [])
+        self.now += 0.41 * RULE.target
+        await self.settle()
+        for _ in range(20):
+            await self.send(n_tokens=500)
+        self.assertNotIn("e0", {server for _, server in self.loads.sent})
+        self.assertEqual(len(self.loads.sent), 20)
+        self.loads.backlogs["e0"] = 0.25
+        await self.settle()
+        self.assertEqual(self.loads.sent[-1], (long, "e0"))
+        # The reservation ends with the wait.
+        self.loads.backlogs.update(e1=0.8, e2=0.8)
+        await self.send(n_tokens=500)
+        self.assertEqual(self.loads.sent[-1][1], "e0")
+
+
+class OvertakingTest(QueueCase):
+    """Load: all slots are taken, and requests wait at the node."""
+
+    async def asyncSetUp(self):
+        self.make_queue(1)
+        self.loads.n_running["e0"] = 40
+
+    async def test_new_request_does_not_overtake_waiting_ones(self):
+        # A slot becomes free, and a request arrives before the queue is processed.
+        first = await self.send()
+        self.loads.n_running["e0"] = 39
+        second = await self.send()
+        self.assertEqual([it[0] for it in self.loads.sent], [first])
+        self.loads.n_running["e0"] = 39
+        await self.settle()
+        self.assertEqual([it[0] for it in self.loads.sent], [first, second])
+
+    async def test_small_customer_precedes_waiting_requests_of_the_large_one(
+        self,
+    ):
+        for _ in range(20):
+            self.order._get("work").shares.observe_work("large", 100.0, self.now)
+        for _ in range(10):
+            await self.send("large")
+        small = await self.send("small")
+        # The customer below its share may use some more than the slots.
+        self.assertEqual([it[0] for it in self.loads.sent], [small])
+
+    async def test_pass_through_a_long_queue_takes_little_time(self):
+        asyncio.get_running_loop().set_debug(False)
+        self.make_queue(70)
+        self.loads.n_running = dict.fromkeys(self.loads.n_running, 40)
+        for _ in range(100):
+            await self.send("large")
+        started_at = time.process_time()
+        for _ in range(10):
+            self.queue._run_pass("work")
+        per_request = (time.process_time() - started_at) / 10 / 100
+        self.assertLess(per_request, 0.0003)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -50,6 +51,28 @@
         self._n_observed += 1
         self._buffer.append(facts)
 
+    def observe_return(self, promised: float, actual: float) -> None:
+        """Record when a rejected caller returned, once the instruments exist.
+
+        Parameters
+        ----------
+        promised, actual : float
+            Time given to the caller and time after which it returned, in seconds.
+        """
+        if self._metrics is not None:
+            self._metrics.observe_return(promised, actual)
+
+    def observe_waiting(self, counts: Mapping[tuple[str, str], int]) -> None:
+        """Store the numbers of waiting requests, once the instruments exist.
+
+        Parameters
+        ----------
+        counts : mapping of (str, str) to int
+            Waiting requests by customer and route.
+        """
+        if self._metrics is not None:
+            self._metrics.observe_waiting(counts)
+
     def snapshot(self) -> bytes:
         """Return the metrics page.
 
--- a/packages/medlargate/medlargate/telemetry/_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_metrics.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Mapping
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
@@ -99,6 +102,16 @@
         self._retries = meter.create_counter(
             "medlargate_retries", "{attempt}", "Requests sent again, by reason"
         )
+        self._promised_return = meter.create_histogram(
+            "medlargate_promised_return", "s", "Retry-After of callers that returned"
+        )
+        self._actual_return = meter.create_histogram(
+            "medlargate_actual_return", "s", "Time after which these callers returned"
+        )
+        self._waiting = meter.create_gauge(
+            "medlargate_waiting", "{request}", "Waiting requests"
+        )
+        self._waiting_labels: set[tuple[str, str]] = set()
         self._events = meter.create_counter(
             "medlargate_events", "{event}", "Fleet events by kind"
         )
@@ -140,6 +153,33 @@
         if n_tokens:
             self._tokens.record(n_tokens, labels)
 
+    def observe_return(self, promised: float, actual: float) -> None:
+        """Record when a rejected caller returned.
+
+        Parameters
+        ----------
+        promised, actual : float
+            Time given to the caller and time after which it returned, in seconds.
+        """
+        self._promised_return.record(promised)
+        self._actual_return.record(actual)
+
+    def observe_waiting(self, counts: Mapping[tuple[str, str], int]) -> None:
+        """Store the numbers of waiting requests.
+
+        Parameters
+        ----------
+        counts : mapping of (str, str) to int
+            Waiting requests by customer and route.
+        """
+        labelled: Counter[tuple[str, str]] = Counter()
+        for (customer, request_class), n_waiting in counts.items():
+            labelled[self._customers.get_label(customer), request_class] += n_waiting
+        for customer, request_class in self._waiting_labels | labelled.keys():
+            labels = {"customer": customer, "class": request_class}
+            self._waiting.set(labelled[customer, request_class], labels)
+        self._waiting_labels |= labelled.keys()
+
     def observe_retry(self, reason: str) -> None:
         """Count a retry.
 
@@ -182,5 +222,7 @@
         View(instrument_name="medlargate_first_token", aggregation=seconds),
         View(instrument_name="medlargate_token_interval", aggregation=seconds),
         View(instrument_name="medlargate_queue_wait", aggregation=seconds),
+        View(instrument_name="medlargate_promised_return", aggregation=seconds),
+        View(instrument_name="medlargate_actual_return", aggregation=seconds),
         View(instrument_name="medlargate_output_tokens", aggregation=tokens),
     ]
