Test of the queue's order waits for the scheduled passes

Cause: it waited for 10 ms, which was too short on a busy machine (19 of 20 sent; 2 of 4 runs). Change: it waits until no pass is scheduled.

--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -122,13 +122,16 @@
             write_record=lambda *args, **facts: None,
         )
         self.tasks.append(asyncio.create_task(self.queue.acquire(exch)))
+        await asyncio.sleep(0)
         await self.settle()
         return exch.exchange_id
 
     async def settle(self):
         self.queue.observe_change()
         # Passes through the queue follow each other after a pause.
-        await asyncio.sleep(0.01)
+        while self.queue._scheduled:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0)
 
 
 class LongPromptTest(QueueCase):
