--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -67,6 +67,9 @@
     memory_facts : dict of str to (bool or None, int or None, float)
         Whether engines hold a shared prompt part once, their memory in tokens if less
         than configured, and seconds since a node learned it, by service.
+    consumers : dict of str to dict of str to float
+        Work of the largest consumers in the last seconds, in tokens or calls, by
+        service and customer; at most 8 rows.
     """
 
     name: str
@@ -97,6 +100,7 @@
     memory_facts: dict[str, tuple[bool | None, int | None, float]] = Field(
         default_factory=dict
     )
+    consumers: dict[str, dict[str, float]] = Field(default_factory=dict)
 
 
 class PeerStatus(StatusMessage):
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -21,6 +21,12 @@
 )
 from ._cold_servers import ColdShare, decide_cold_end, decide_cold_share
 from ._crash_history import CrashHistory, make_request_digest
+from ._customer_shares import (
+    CustomerShares,
+    choose_reported_consumers,
+    compute_share_rank,
+    is_over_share,
+)
 from ._demand import DecayingRate
 from ._domain_spill import (
     ClassLoad,
@@ -62,6 +68,7 @@
     compute_recheck_pause,
     is_abandoned,
 )
+from ._return_times import QueueClass, ReturnTimes, ServedRates
 from ._server_room import (
     FULL_SHARE,
     LINGER_TIME,
@@ -169,6 +176,7 @@
     "CrashDecision",
     "CrashHistory",
     "CrashTracker",
+    "CustomerShares",
     "DecayingRate",
     "DomainLoad",
     "FairQueue",
@@ -189,13 +197,16 @@
     "Preemption",
     "PrefixTrips",
     "ProbeBudget",
+    "QueueClass",
     "ReachEvidence",
     "Refusal",
     "RequestStates",
     "ResponseLimits",
     "RetryBudget",
     "RetryDecision",
+    "ReturnTimes",
     "ScalingDecision",
+    "ServedRates",
     "ServerSpeed",
     "ServerState",
     "ServiceTimes",
@@ -216,12 +227,14 @@
     "choose_forward_peer",
     "choose_origin_keepers",
     "choose_probed_services",
+    "choose_reported_consumers",
     "choose_short_prompt_engines",
     "choose_similar",
     "compute_late_probability",
     "compute_max_demand",
     "compute_memory_bound",
     "compute_recheck_pause",
+    "compute_share_rank",
     "compute_use",
     "compute_work",
     "count_held",
@@ -245,6 +258,7 @@
     "has_capacity",
     "has_turn",
     "is_abandoned",
+    "is_over_share",
     "is_prefill_sensitive",
     "make_fingerprint",
     "make_queue_key",
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -125,6 +125,9 @@
         Names of the nodes that the request was forwarded to.
     held : HeldRequest or None
         Tokens that the current attempt occupies at a server; None if not bounded.
+    queued_as_of : float or None
+        Time of arrival by which the request is ordered in its queue, in seconds; None
+        for ``arrived_at``.
     """
 
     req: IncomingRequest
@@ -153,6 +156,7 @@
     forwarded: ForwardedRequest | None = None
     tried_peers: set[str] = field(default_factory=set)
     held: HeldRequest | None = None
+    queued_as_of: float | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -169,6 +169,12 @@
         self.list_unreachable: Callable[[], list[str]] = list
         self.is_stopping: Callable[[], bool] = lambda: False
         self.count_active: Callable[[], int] = lambda: 0
+        self.snapshot_consumers: Callable[
+            [Iterable[str]], dict[str, dict[str, float]]
+        ] = lambda peers: {}
+        self.observe_consumers: Callable[
+            [str, Mapping[str, Mapping[str, float]], float], None
+        ] = lambda peer, consumers, lifetime: None
         self.get_limits: Callable[[], IngressLimits] = IngressLimits
         self.handle_forwarded: Callable[
             [IncomingRequest, Responder], Awaitable[bool]
@@ -388,6 +394,7 @@
             loads=self._loads.list_own_loads() if same_domain else {},
             speeds=self._loads.list_speeds() if same_domain else {},
             held=self._loads.memory.list_rows() if same_domain else {},
+            consumers=self.snapshot_consumers([]) if same_domain else {},
             demand=self.get_demand() if same_domain else {},
             tight_demand=self.get_sensitive_demand() if same_domain else {},
             waiting=_drop_zeros(self.count_waiting()) if same_domain else None,
@@ -400,6 +407,7 @@
         statuses = self._list_domain_statuses()
         return DomainStatus(
             **self._make_common_fields(),
+            consumers=self.snapshot_consumers(status.name for status in statuses),
             loads=self._loads.sum_loads(status.name for status in statuses),
             held=self._loads.memory.sum_rows(status.name for status in statuses),
             demand=_sum_by_name([self.get_demand(), *(it.demand for it in statuses)]),
@@ -682,6 +690,7 @@
             self._loads.memory.observe_peer(
                 status.name, status.loads, status.held, lifetime=lifetime
             )
+            self.observe_consumers(status.name, status.consumers, lifetime)
         self._merge_capacity(status)
         self._compare_state(status)
 
@@ -709,6 +718,7 @@
             zone=status.zone,
         )
         self._merge_capacity(status)
+        self.observe_consumers(status.zone, status.consumers, lifetime)
         for server_id, rows in status.parts:
             self._loads.observe_parts(server_id, [PromptPart(*row) for row in rows])
         self._compare_state(status)
