--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -340,7 +340,7 @@
         if refusal is not None:
             raise refusal
         future = asyncio.get_running_loop().create_future()
-        queued = _QueuedRequest(exch, future, self._clock(), position)
+        queued = _QueuedRequest(exch, future, self._clock(), position=position)
         exch.record("wait", n_waiting=len(queue), priority=exch.priority)
         queue.append(queued)
         self._has_waiting.set()
@@ -502,7 +502,7 @@
         ]
         ahead: list[Exchange] = []
         if assignment is None and refusal is None:
-            queued = _QueuedRequest(exch, None, self._clock(), position)
+            queued = _QueuedRequest(exch, None, self._clock(), position=position)
             ahead = [it.exch for it in queue if self._precedes(it, queued)]
             n_tokens_ahead = sum(it.held.n_tokens for it in ahead if it.held)
             refusal = self._find_certain_lateness(
--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -39,6 +39,15 @@
         self.n_running = dict.fromkeys(self.backlogs, 1)
         self.view = ServerView()
         self.sent = []
+        self.slow_engines = SimpleNamespace(names=frozenset())
+        self.memory = SimpleNamespace(
+            make_request=lambda exch: None,
+            release_reservation=lambda held: None,
+            observe_send=lambda exch, server_id: None,
+        )
+
+    def is_replaced(self, server_id):
+        return False
 
     def get_service_times(self, spec):
         return TIMES
@@ -49,7 +58,9 @@
     def get_view(self, server_id):
         return self.view
 
-    def make_states(self, spec, servers, parts, n_tokens):
+    def make_states(
+        self, spec, servers, parts, n_tokens, request=None, *, may_probe=True
+    ):
         ids = [it.server_id for it in servers]
         return [
             ServerState(
@@ -80,6 +91,7 @@
         state = SimpleNamespace(
             servers=servers,
             leaving=set(),
+            evacuated=frozenset(),
             servers_revision=1,
             route_table=SimpleNamespace(routing_config=config),
         )
@@ -88,6 +100,7 @@
             get_rate=lambda name: float("inf"),
             observe_send=lambda name: None,
         )
+        cold = SimpleNamespace(**vars(limits))
         self.order = QueueOrder(
             state,
             lambda: self.now,
@@ -99,6 +112,7 @@
             state,
             self.loads,
             limits,
+            cold,
             lambda: self.now,
             lambda *args: None,
             lambda service: 0.0,
