--- a/packages/medlargate/medlargate/_settings.py
+++ b/packages/medlargate/medlargate/_settings.py
@@ -207,6 +207,11 @@
         description="share of an engine's KV memory that requests may fill; 0: no "
         "bound but the slots",
     )
+    machine_speed: bool = Field(
+        True,
+        description="whether requests are placed by the speed that servers report of "
+        "their machines",
+    )
     connection_preference: float = Field(
         0.0,
         ge=0,
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -77,6 +77,8 @@
     announce_speeds : callable
         Called when a response to this node first shows that a machine has become slow
         or usual; set when the node starts.
+    uses_speed : bool
+        Whether reported speeds of machines are used; set when the node starts.
     random_state : random.Random
         Source of the choice of servers to probe.
     slow_engines : SlowEngines
@@ -97,6 +99,7 @@
         self.estimators: dict[str, ServiceTimesEstimator] = {}
         self.random_state = random.Random()
         self.announce_speeds: Callable[[], None] = lambda: None
+        self.uses_speed = True
         self.slow_engines = SlowEngines()
         self._probe_budgets: dict[str, ProbeBudget] = {}
         self._invalid_speeds: set[str] = set()
@@ -646,7 +649,7 @@
                 "a backend server reports an invalid speed of its machine",
                 extra={"server": server_id},
             )
-        if load.slowness is not None:
+        if self.uses_speed and load.slowness is not None:
             if not view.speed.has_reports:
                 view.speed = ServerSpeed(log_fixed=math.log(view.slowness))
             view.speed.observe_own_report(load.slowness, now)
@@ -714,6 +717,8 @@
             Slowness and age of the report in seconds, by server. Servers that this node
             does not know yet are left out.
         """
+        if not self.uses_speed:
+            return
         now = time.monotonic()
         for server_id, (slowness, age) in speeds.items():
             view = self.views.get(server_id)
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -373,6 +373,7 @@
             servers_bound=self.ingress.drain_bound_ms / 1000,
         )
         self.loads.announce_speeds = self.fleet.announce_speeds
+        self.loads.uses_speed = self.settings.load.machine_speed
         memory = self.loads.memory
         memory.count_nodes = self._count_nodes
         memory.list_peers = lambda: [it.name for it in self.fleet.table.list_alive()]
