--- a/packages/medlargate/medlargate/policy/_customer_shares.py
+++ b/packages/medlargate/medlargate/policy/_customer_shares.py
@@ -54,8 +54,8 @@
     >>> shares = CustomerShares()
     >>> shares.observe_work("large", 300.0, 1.0)
     >>> shares.observe_work("small", 100.0, 1.0)
-    >>> shares.compute_excess("large", 1.1), shares.compute_excess("small", 1.1)
-    (0.5, -0.5)
+    >>> [round(shares.compute_excess(it, 1.1), 9) for it in ("large", "small")]
+    [0.5, -0.5]
     """
 
     def __init__(self, *, memory: float = MEMORY) -> None:
