explain points out nodes that contradict each other on one request

The two lines stood 100 lines apart, on two nodes, and nothing compared them. explain now adds a line if the node that forwarded a request says not_run in its end while another end says otherwise.

--- a/packages/medlargate/medlargate/telemetry/_explain_logs.py
+++ b/packages/medlargate/medlargate/telemetry/_explain_logs.py
@@ -76,8 +76,9 @@
     Returns
     -------
     list of str
-        One line per step, sorted by time, followed by the cause; empty when no log
-        line belongs to the request.
+        One line per step, sorted by time, followed by the cause, and by a line if the
+        node that forwarded the request denies what another node reports; empty when no
+        log line belongs to the request.
     """
     rows = []
     for line in lines:
@@ -91,6 +92,7 @@
     ends = [row for row in rows if row.get("message") == "end"]
     if ends:
         report.append(f"cause: {describe_outcome(str(ends[-1].get('outcome', '')))}")
+        report += _find_contradictions(rows)
     elif rows:
         report.append(
             "cause: no end logged; the node stopped, or the log line was dropped"
@@ -98,6 +100,20 @@
     return report
 
 
+def _find_contradictions(rows: list[dict[str, Any]]) -> list[str]:
+    """Return a line for each end by which a forwarding node denies another's report."""
+    ends = [row for row in rows if row.get("message") == "end"]
+    forwarders = {row.get("node") for row in rows if row.get("message") == "forward"}
+    started = [row for row in ends if row.get("verdict") in ("may_have_run", "ran")]
+    return [
+        f"contradiction: {row.get('node', '?')} says not_run,"
+        f" {other.get('node', '?')} says {other['verdict']}"
+        for row in ends
+        if row.get("node") in forwarders and row.get("verdict") == "not_run"
+        for other in started[-1:]
+    ]
+
+
 def describe_outcome(outcome: str) -> str:
     """Return an explanation of an outcome.
 
--- a/packages/medlargate/medlargate/telemetry/tests/test_logs.py
+++ b/packages/medlargate/medlargate/telemetry/tests/test_logs.py
@@ -56,6 +56,35 @@
         self.assertEqual(row["node"], "n2")
 
 
+class ContradictionTest(unittest.TestCase):
+    @staticmethod
+    def explain(*rows):
+        return explain_request(
+            (
+                orjson.dumps({"time": time, "request": "r1", **row}).decode()
+                for time, row in enumerate(rows)
+            ),
+            "r1",
+        )
+
+    def test_refusal_that_denies_what_another_node_reports_is_pointed_out(self):
+        forward = {"node": "n1", "message": "forward", "peer": "n2"}
+        ran = {"node": "n2", "message": "end", "verdict": "may_have_run"}
+        denied = {"node": "n1", "message": "end", "verdict": "not_run"}
+        report = self.explain(forward, ran, denied)
+        self.assertEqual(
+            report[-1], "contradiction: n1 says not_run, n2 says may_have_run"
+        )
+
+    def test_refusal_before_another_node_served_is_no_contradiction(self):
+        forward = {"node": "n1", "message": "forward", "peer": "n2"}
+        refused = {"node": "n2", "message": "end", "verdict": "not_run"}
+        served = {"node": "n3", "message": "end", "verdict": "ran"}
+        end = {"node": "n1", "message": "end", "verdict": "ran", "outcome": "ok"}
+        report = self.explain(forward, refused, forward, served, end)
+        self.assertEqual(report[-1], "cause: answered by a backend server")
+
+
 class ExplainTest(unittest.IsolatedAsyncioTestCase):
     """The ``explain`` command of docs/OPERATIONS.md on log lines of a real run."""
 
