A refusal states what is known: no default verdict, no promise of another node on trust

Seen by callers: 503, not run, for requests that a server had begun to run, while their node reached no server itself and had forwarded them. Cause: Refusal took NOT_RUN where its author said nothing.

Change: the verdict of a Refusal is required. The caller gets 408, 421, 429 or 503 only if both the refusal and the node's own attempts say not_run, else 502. A forwarding node takes no 502 or 504 for not run, and relays no such status without a verdict.

--- a/packages/medlargate/medlargate/gateway/_admission.py
+++ b/packages/medlargate/medlargate/gateway/_admission.py
@@ -8,7 +8,7 @@
 from starlette.requests import Request
 
 from ..fleet import Route
-from ..policy import Job, Refusal, compute_work, make_fingerprint
+from ..policy import Job, Refusal, Verdict, compute_work, make_fingerprint
 from ..telemetry import RequestTrace
 from ._caller import ANONYMOUS_CUSTOMER, Caller, authenticate
 from ._exchange import Exchange
@@ -74,19 +74,26 @@
     if route is not None and route.open:
         return caller or Caller(ANONYMOUS_CUSTOMER, "")
     if caller is None:
-        raise Refusal(401, "invalid_key", "a valid bearer key is required")
+        raise Refusal(
+            401, "invalid_key", "a valid bearer key is required", Verdict.NOT_RUN
+        )
     if not node.trusts_keys():
         raise Refusal(
             503,
             "keys_unverified",
             "not run: this node can't learn whether the key was withdrawn",
+            Verdict.NOT_RUN,
             retry_after=KEYS_UNVERIFIED_RETRY_AFTER,
         )
     if route is None:
-        raise Refusal(404, "unknown_route", f"{route_name!r} does not exist")
+        raise Refusal(
+            404, "unknown_route", f"{route_name!r} does not exist", Verdict.NOT_RUN
+        )
     allowed = node.replica.config.customers[caller.customer].routes
     if allowed and route_name not in allowed:
-        raise Refusal(403, "forbidden_route", f"{route_name!r} is not allowed")
+        raise Refusal(
+            403, "forbidden_route", f"{route_name!r} is not allowed", Verdict.NOT_RUN
+        )
     return caller
 
 
--- a/packages/medlargate/medlargate/gateway/_app.py
+++ b/packages/medlargate/medlargate/gateway/_app.py
@@ -240,7 +240,9 @@
     """
     caller = authenticate_if_present(node, req)
     if caller is None:
-        raise Refusal(401, "invalid_key", "a valid bearer key is required")
+        raise Refusal(
+            401, "invalid_key", "a valid bearer key is required", Verdict.NOT_RUN
+        )
     allowed = node.replica.config.customers[caller.customer].routes
     rows = [
         {"id": name, "object": "model", "created": 0, "owned_by": "medlargate"}
--- a/packages/medlargate/medlargate/gateway/_caller.py
+++ b/packages/medlargate/medlargate/gateway/_caller.py
@@ -9,7 +9,7 @@
 from starlette.datastructures import Headers
 
 from ..fleet import Config, Key
-from ..policy import Refusal
+from ..policy import Refusal, Verdict
 
 ANONYMOUS_CUSTOMER = "anonymous"
 CREDENTIAL_HEADERS = frozenset(
@@ -103,7 +103,9 @@
     """
     found = find_key(cfg, headers)
     if found is None or found[1].role != "caller":
-        raise Refusal(401, "invalid_key", "a valid bearer key is required")
+        raise Refusal(
+            401, "invalid_key", "a valid bearer key is required", Verdict.NOT_RUN
+        )
     name, key = found
     customer = cfg.customers[key.customer]
     return Caller(key.customer, name, customer.weight)
@@ -131,7 +133,9 @@
     """
     found = find_key(cfg, headers)
     if found is None or found[1].role == "caller":
-        raise Refusal(401, "invalid_key", "an operator's bearer key is required")
+        raise Refusal(
+            401, "invalid_key", "an operator's bearer key is required", Verdict.NOT_RUN
+        )
     return Caller("", found[0], role=found[1].role)
 
 
--- a/packages/medlargate/medlargate/gateway/_requests.py
+++ b/packages/medlargate/medlargate/gateway/_requests.py
@@ -11,7 +11,7 @@
 
 from .._settings import LimitsSection
 from ..fleet import describe_validation
-from ..policy import Refusal
+from ..policy import Refusal, Verdict
 
 CHARACTERS_PER_TOKEN = 4
 PREFIX_CHARACTERS = 256
@@ -65,6 +65,7 @@
             431,
             "headers_too_large",
             f"headers of {size} bytes exceed {limits.max_header_bytes}",
+            Verdict.NOT_RUN,
         )
 
 
@@ -101,15 +102,20 @@
                     raise _make_too_large_refusal(limits)
     except TimeoutError as exc:
         message = f"the body was not complete within {limits.body_timeout} s"
-        raise Refusal(408, "body_timeout", message) from exc
+        raise Refusal(408, "body_timeout", message, Verdict.NOT_RUN) from exc
     except ClientDisconnect as exc:
-        raise Refusal(499, "caller_gone", "the caller went away") from exc
+        raise Refusal(
+            499, "caller_gone", "the caller went away", Verdict.NOT_RUN
+        ) from exc
     return bytes(body)
 
 
 def _make_too_large_refusal(limits: LimitsSection) -> Refusal:
     return Refusal(
-        413, "body_too_large", f"the body exceeds {limits.max_body_bytes} bytes"
+        413,
+        "body_too_large",
+        f"the body exceeds {limits.max_body_bytes} bytes",
+        Verdict.NOT_RUN,
     )
 
 
@@ -135,12 +141,12 @@
         document = orjson.loads(body)
     except orjson.JSONDecodeError as exc:
         message = f"the body is not JSON in UTF-8: {exc}"
-        raise Refusal(400, "invalid_json", message) from exc
+        raise Refusal(400, "invalid_json", message, Verdict.NOT_RUN) from exc
     try:
         return ChatRequest.model_validate(document), document
     except ValidationError as exc:
         message = describe_validation(exc)
-        raise Refusal(400, "invalid_request", message[:2000]) from exc
+        raise Refusal(400, "invalid_request", message[:2000], Verdict.NOT_RUN) from exc
 
 
 def estimate_prompt(chat: ChatRequest) -> tuple[int, str]:
--- a/packages/medlargate/medlargate/operators/_api.py
+++ b/packages/medlargate/medlargate/operators/_api.py
@@ -87,7 +87,9 @@
         except Refusal as exc:
             return make_refusal(exc)
         except ValidationError as exc:
-            return make_refusal(Refusal(400, "invalid_request", str(exc)[:500]))
+            return make_refusal(
+                Refusal(400, "invalid_request", str(exc)[:500], Verdict.NOT_RUN)
+            )
         try:
             statement = parse_statement(body.statement)
             answer = await _execute(node, caller, statement, body, hash_secret)
@@ -125,7 +127,7 @@
         body += chunk
         if len(body) > MAX_BODY_BYTES:
             message = f"a statement has at most {MAX_STATEMENT_LENGTH} characters"
-            raise Refusal(413, "body_too_large", message)
+            raise Refusal(413, "body_too_large", message, Verdict.NOT_RUN)
     return bytes(body)
 
 
@@ -143,6 +145,7 @@
                     403,
                     "read_only",
                     "this key is read-only; changes need a key with the role 'write'",
+                    Verdict.NOT_RUN,
                 )
             return await _execute_command(node, caller, statement, body, hash_secret)
 
--- a/packages/medlargate/medlargate/policy/_verdict.py
+++ b/packages/medlargate/medlargate/policy/_verdict.py
@@ -57,7 +57,8 @@
     message : str
         Human-readable explanation.
     verdict : Verdict
-        Whether the request may have run.
+        Whether the request may have run. There is no default, since ``NOT_RUN`` is a
+        guarantee to the caller.
     retry_after : float or None
         Recommended delay before the caller's next attempt, in seconds; None if there
         is no recommendation.
@@ -68,7 +69,7 @@
     status: int
     code: str
     message: str
-    verdict: Verdict = Verdict.NOT_RUN
+    verdict: Verdict
     retry_after: float | None = None
     reasons: dict[str, Any] = field(default_factory=dict)
 
--- a/packages/medlargate/medlargate/relay/_accept.py
+++ b/packages/medlargate/medlargate/relay/_accept.py
@@ -6,7 +6,7 @@
 
 from ..fleet import ClusterState
 from ..platform import decode_request
-from ..policy import Refusal
+from ..policy import Refusal, Verdict
 from ..routing import CustomerSpec, RouteRule, RouteTable, choose_service
 from ..transport import IncomingRequest, Responder
 from ._exchange import Exchange, RecordWriter
@@ -80,10 +80,13 @@
                 503,
                 "no_configuration",
                 "this node has not received a configuration yet",
+                Verdict.NOT_RUN,
                 retry_after=STARTUP_RETRY_AFTER,
             )
         if not facts.request_id:
-            raise Refusal(400, "no_request_id", "the request has no id")
+            raise Refusal(
+                400, "no_request_id", "the request has no id", Verdict.NOT_RUN
+            )
         rule, customer = self._look_up(table, req, facts.key)
         if rule is None or (customer is None and self._needs_key(table, rule)):
             table = await self._ensure_fresh(table)
@@ -91,10 +94,10 @@
         version = table.routing_config.version
         if rule is None:
             message = f"no route matches in configuration version {version}"
-            raise Refusal(404, "no_route", message)
+            raise Refusal(404, "no_route", message, Verdict.NOT_RUN)
         if customer is None and self._needs_key(table, rule):
             message = f"the key is not valid in configuration version {version}"
-            raise Refusal(401, "unknown_key", message)
+            raise Refusal(401, "unknown_key", message, Verdict.NOT_RUN)
         service = table.routing_config.services.get(
             # A stream that is taken up goes on at the service that began it.
             choose_service(rule, facts.resumed_id or facts.request_id)
@@ -104,6 +107,7 @@
                 503,
                 "no_service",
                 f"the service of route {rule.name} does not exist",
+                Verdict.NOT_RUN,
                 retry_after=STALE_CONFIG_RETRY_AFTER,
             )
         time_left = facts.time_left if facts.time_left else DEFAULT_TIME_LEFT
@@ -141,6 +145,7 @@
                 "unsure",
                 f"unknown route or key, and the configuration was confirmed {age:.1f} s"
                 " ago",
+                Verdict.NOT_RUN,
                 retry_after=STALE_CONFIG_RETRY_AFTER,
             )
         return self._cluster_state.route_table or table
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -31,6 +31,12 @@
 RecordWriter = Callable[..., None]
 
 SUCCESS_STATUSES = range(200, 300)
+# By the API's contract these statuses tell the caller that the request did not run. A
+# server states that with a header instead, so its own answers with these statuses are
+# not relayed.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses of the router's own that leave open whether the request has run.
+UNCERTAIN_STATUSES = frozenset({502, 504})
 
 _numbers = itertools.count(1)
 
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -34,7 +34,13 @@
     IncomingRequest,
 )
 from ._event_relay import relay_events
-from ._exchange import SUCCESS_STATUSES, Exchange, Outcome
+from ._exchange import (
+    NOT_RUN_STATUSES,
+    SUCCESS_STATUSES,
+    UNCERTAIN_STATUSES,
+    Exchange,
+    Outcome,
+)
 from ._reach import RECHECK_INTERVAL, ReachMonitor
 from ._sender import (
     AttemptError,
@@ -306,6 +312,8 @@
         if code is not None:
             await answer.read_whole()
             self._raise_refusal(exch, code, head.get(REFUSAL_VERDICT), facts)
+        if facts.status in NOT_RUN_STATUSES:
+            raise ExchangeFaultError("invalid", f"a {facts.status} without a verdict")
         service = head.get(ORIGIN_SERVICE)
         if service is not None and exch.origin is None:
             exch.origin = StreamOrigin(service, head.get(ORIGIN_VERSION) or "")
@@ -344,8 +352,12 @@
     def _raise_refusal(
         self, exch: Exchange, code: str, verdict: str | None, facts: ResponseInfo
     ) -> NoReturn:
-        message = f"the node that the request was forwarded to answered {code}"
-        if verdict != Verdict.NOT_RUN:
+        message = (
+            f"the node that the request was forwarded to answered {facts.status}"
+            f" {code}, {verdict or 'without a verdict'}"
+        )
+        # Builds without the verdict of a timeout state "not run" with a 504.
+        if verdict != Verdict.NOT_RUN or facts.status in UNCERTAIN_STATUSES:
             raise Refusal(facts.status, code, message, Verdict.MAY_HAVE_RUN)
         exch.n_sent -= 1
         exch.states.observe("backend_refusal")
--- a/packages/medlargate/medlargate/relay/_queue_order.py
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -17,6 +17,7 @@
     ReturnTimes,
     ServedRates,
     ServiceTimes,
+    Verdict,
     choose_reported_consumers,
     is_over_share,
     make_queue_key,
@@ -309,7 +310,9 @@
             random_state=copy(self._random_state) if dry_run else self._random_state,
         )
         message = f"{reason}, but only {time_left:.2f} s left"
-        refusal = Refusal(503, "too_late", message, retry_after=retry_after)
+        refusal = Refusal(
+            503, "too_late", message, Verdict.NOT_RUN, retry_after=retry_after
+        )
         if dry_run:
             return refusal
         exch.record(
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -16,7 +16,14 @@
 from ._accept import Acceptor
 from ._crash_guard import MAX_BLAMED_EVENTS, CrashGuard
 from ._event_relay import relay_events
-from ._exchange import SUCCESS_STATUSES, AttemptProgress, Exchange, Outcome
+from ._exchange import (
+    NOT_RUN_STATUSES,
+    SUCCESS_STATUSES,
+    UNCERTAIN_STATUSES,
+    AttemptProgress,
+    Exchange,
+    Outcome,
+)
 from ._forwarding import (
     ForwardedRequest,
     Forwarder,
@@ -50,10 +57,6 @@
 # server has crashed, and succeeds if only the answer was lost.
 CRASH_CHECK_DELAY = 0.1  # seconds
 CONNECTION_LOSSES = ("reset", "closed")
-# By the API's contract these statuses tell the caller that the request did not run. A
-# server states that with a header instead, so its own answers with these statuses are
-# not relayed.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class RequestHandler:
@@ -198,6 +201,7 @@
                 503,
                 "timeout_not_run",
                 "the deadline passed before the request was run",
+                Verdict.NOT_RUN,
                 retry_after=NOT_RUN_RETRY_AFTER,
             )
         return Refusal(
@@ -278,6 +282,7 @@
             503,
             "crashes_servers",
             "not run: such requests have crashed several servers",
+            Verdict.NOT_RUN,
             retry_after=CRASHING_RETRY_AFTER,
         )
 
@@ -534,7 +539,11 @@
         message = f"{fault}; not retried: {reason}"
         if exch.verdict is Verdict.NOT_RUN:
             raise Refusal(
-                503, f"not_run:{fault.kind}", message, retry_after=NOT_RUN_RETRY_AFTER
+                503,
+                f"not_run:{fault.kind}",
+                message,
+                Verdict.NOT_RUN,
+                retry_after=NOT_RUN_RETRY_AFTER,
             )
         raise Refusal(502, f"failed:{fault.kind}", message, Verdict.MAY_HAVE_RUN)
 
@@ -551,13 +560,22 @@
 
 
 def _make_truthful(exc: Refusal, verdict: Verdict) -> Refusal:
-    """Return a refusal that does not claim of an earlier attempt that it has not run.
+    """Return a refusal that claims no more than is known of all attempts.
 
-    The statuses 429, 503, 408 and 421 guarantee to the caller that nothing has run.
+    Parameters
+    ----------
+    exc : Refusal
+        Refusal whose verdict covers the last attempt.
+    verdict : Verdict
+        Verdict on all attempts of this node.
     """
-    if exc.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
+    if exc.verdict is not Verdict.NOT_RUN:
+        verdict = exc.verdict
+    if verdict is Verdict.NOT_RUN:
+        return exc
+    if exc.verdict is verdict and exc.status in UNCERTAIN_STATUSES:
         return exc
-    message = f"an earlier attempt may have run; {exc.message}"
+    message = f"the request may have run; {exc.message}"
     return Refusal(502, f"failed:{exc.code}", message, verdict)
 
 
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -21,6 +21,7 @@
     ServerState,
     ServiceTimes,
     SpillOptions,
+    Verdict,
     accepts_any_server,
     choose_short_prompt_engines,
     decide_placement,
@@ -403,7 +404,7 @@
         """Return the refusal of a prompt that no engine's memory can hold."""
         if exch.held and not self._loads.memory.can_ever_fit(exch.service, exch.held):
             message = f"a prompt of {exch.n_tokens} tokens exceeds the engines' memory"
-            return Refusal(503, "too_large", message)
+            return Refusal(503, "too_large", message, Verdict.NOT_RUN)
         return None
 
     def _try_place(
@@ -876,6 +877,7 @@
                 503,
                 "no_server",
                 _describe_missing_server(exch),
+                Verdict.NOT_RUN,
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
         decision = decide_wait(
@@ -888,7 +890,11 @@
         if decision.wait:
             return None
         return Refusal(
-            503, "too_late", decision.reason, retry_after=decision.retry_after
+            503,
+            "too_late",
+            decision.reason,
+            Verdict.NOT_RUN,
+            retry_after=decision.retry_after,
         )
 
     def _predict_answer(
--- a/packages/medlargate/medlargate/relay/_stream_origins.py
+++ b/packages/medlargate/medlargate/relay/_stream_origins.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from ..fleet import ClusterState
-from ..policy import Refusal, StreamOrigin, VersionHistory
+from ..policy import Refusal, StreamOrigin, Verdict, VersionHistory
 from ._exchange import Exchange
 
 log = logging.getLogger(__name__)
@@ -230,6 +230,7 @@
             503,
             "unknown_origin",
             "not run: the software version that began the stream is not known",
+            Verdict.NOT_RUN,
             retry_after=UNKNOWN_ORIGIN_RETRY_AFTER,
         )
 
