The OpenAI interface no longer says not run of a job that is not resumed

Seen by callers: after a first attempt that may have run, a full queue or a missing server was answered 429 or 503 with the message 'not run: ...', beside run: may_have_run. Client libraries take the status for leave to send again. The scheduler's refusal covers one attempt and its text and status were made without the verdict on the others. Change: the status is 502 and the message says so, where the verdict is not not_run. Test: ShedResumptionTest failed before (429, 'not run: its latency target ...'); test_gateway 29 passed.

--- a/packages/medlargate/medlargate/gateway/_dispatcher.py
+++ b/packages/medlargate/medlargate/gateway/_dispatcher.py
@@ -18,6 +18,7 @@
     Preemption,
     Refusal,
     Shed,
+    Verdict,
 )
 
 SCHEDULING_INTERVAL = 0.05  # seconds between two scheduling rounds
@@ -40,18 +41,21 @@
     Returns
     -------
     Refusal
-        HTTP status 503 if no backend server serves the route, 429 otherwise.
-
-    Notes
-    -----
-    The message begins with "not run" for a resumed job too, although an earlier
-    attempt of such a job may have run, as the refusal's verdict says.
+        HTTP status 503 if no backend server serves the route, 429 otherwise, and 502
+        if an earlier attempt of the job may have run.
     """
-    status = 503 if shed.code == "no_backend" else 429
+    message = SHED_MESSAGES[shed.code]
+    if shed.verdict is Verdict.NOT_RUN:
+        status = 503 if shed.code == "no_backend" else 429
+        message = f"not run: {message}"
+    else:
+        # Clients take 429 and 503 for a promise and send the request again.
+        status = 502
+        message = f"not resumed after an attempt that may have run: {message}"
     return Refusal(
         status,
         shed.code,
-        f"not run: {SHED_MESSAGES[shed.code]}",
+        message,
         shed.verdict,
         shed.retry_after,
         {
--- a/packages/medlargate/medlargate/gateway/tests/test_gateway.py
+++ b/packages/medlargate/medlargate/gateway/tests/test_gateway.py
@@ -21,7 +21,9 @@
 from medlargate_standins.service import Service, make_service_app
 
 from ..._settings import Settings
+from ...policy import Job, Shed
 from .. import Node, make_app
+from .._dispatcher import make_shed_refusal
 
 SECRET, OPERATOR = "mlg-test", "mlg-test-operator"
 
@@ -128,6 +130,21 @@
         self.assertEqual(headers["Medlargate-Run"], run)
 
 
+class ShedResumptionTest(unittest.TestCase):
+    def test_refusal_of_a_resumed_job_does_not_say_that_it_has_not_run(self):
+        job = Job("r1", "alpha", "chat", "m", 0, 0.0, 1.0)
+        for code in ("deadline", "queue_full", "no_backend", "stopping"):
+            shed = Shed(job, code, 0.0, 0.0, 1.0)
+            job.resumed = False
+            refusal = make_shed_refusal(shed)
+            self.assertIn(refusal.status, (429, 503))
+            self.assertTrue(refusal.message.startswith("not run"))
+            job.resumed = True
+            refusal = make_shed_refusal(shed)
+            self.assertEqual(refusal.status, 502)
+            self.assertNotIn("not run", refusal.message)
+
+
 class InvalidRequestTest(GatewayCase):
     async def test_malformed_json(self):
         answer = await self.post("/v1/chat/completions", b"{not json")
