Entries and headers of other writers: values beyond their bounds are invalid

Callers saw: connections closed without an answer, until an entry with port 70000 went; nodes that followed the list late.

Cause: what other programs write was checked for its form, not for its range. "127.0.0.1:70000" passed as an address and connecting raised OverflowError, which no handler expects. A field nested 980 to 1024 deep passed the JSON parser, and the message that names the invalid value raised RecursionError in the watch, which lost the rest of the batch. Header numbers of 400 digits or more raised OverflowError or ValueError in the request that carried or received them. Names with control characters passed into headers. The deletion of "servers/x/p1" removed server "p1".

Change: addresses, numbers and names have named bounds (platform/_bounds.py). An entry that is invalid names no server, whatever its key named before, and is logged once while it stays so; the node summary counts them. A configuration that can't come into force is decoded once per revision, not at each poll. Listeners are called one by one, so that a failing one keeps nothing else from taking effect. A limit of the rate beyond the bound counts as the bound; other values beyond theirs are invalid.

--- a/packages/medlargate/medlargate/_tasks.py
+++ b/packages/medlargate/medlargate/_tasks.py
@@ -1,4 +1,4 @@
-"""Background tasks that are restarted after a failure."""
+"""Background tasks and callbacks whose failures are logged and end nothing else."""
 
 from __future__ import annotations
 
@@ -30,3 +30,23 @@
         except Exception:
             log.exception("background task failed; restarting it")
             await asyncio.sleep(pause)
+
+
+def call_logged(callback: Callable[..., object], *args: object) -> None:
+    """Call a callback and log an exception that it raises.
+
+    One callback that fails keeps neither the other callbacks nor the rest of a batch
+    of changes from taking effect.
+
+    Parameters
+    ----------
+    callback : callable
+        Called with ``args``; its result is ignored.
+    *args : object
+        Arguments of the callback.
+    """
+    try:
+        callback(*args)
+    except Exception:
+        name = getattr(callback, "__qualname__", repr(callback))
+        log.exception("callback failed", extra={"callback": name})
--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -9,6 +9,7 @@
 import xxhash
 from returns.result import Failure, Result
 
+from .._tasks import call_logged
 from ..platform import Change, Entry, get_era
 from ..routing import Registration, RouteTable, RoutingConfig, make_route_table
 from ._evacuations import Evacuations
@@ -29,6 +30,7 @@
 RESTORE_GRACE_PERIOD = 5.0  # seconds
 MAX_TOMBSTONES = 4096
 MAX_RECENT_CHANGES = 2048
+MAX_FAULT_CHARACTERS = 300
 
 DecodeRoutingConfig = Callable[[bytes], Result[RoutingConfig, str]]
 DecodeRegistration = Callable[[str, bytes, int], Result[Registration, str]]
@@ -107,6 +109,10 @@
     _digest: str | None = None
     _tombstones: dict[str, int] = field(default_factory=dict)
     _withheld: dict[str, tuple[Entry, float]] = field(default_factory=dict)
+    # Ids of the servers that entries name; entries without a server are missing.
+    _server_ids: dict[str, str] = field(default_factory=dict)
+    _invalid_keys: set[str] = field(default_factory=set)
+    _rejected_config_revision: int = 0
 
     # Configuration
 
@@ -129,31 +135,47 @@
         self.config_confirmed_at = max(self.config_confirmed_at, confirmed_at)
         if known is not None and entry.mod_revision == known.mod_revision:
             return
-        decoded = self.decode_routing_config(entry.value)
-        if isinstance(decoded, Failure):
-            log.error(
-                "configuration not decodable; the last valid one stays in force",
-                extra={"revision": entry.mod_revision, "fault": decoded.failure()},
-            )
+        if entry.mod_revision == self._rejected_config_revision:
             return
-        declaration = decoded.unwrap()
-        if (
-            self.route_table
-            and declaration.version < self.route_table.routing_config.version
-        ):
-            log.error(
-                "configuration with a lower version ignored",
-                extra={"version": declaration.version},
-            )
+        table = self._decode_route_table(entry)
+        if table is None:
+            self._rejected_config_revision = entry.mod_revision
             return
-        self.route_table = make_route_table(declaration)
+        self.route_table = table
         self.config_entry = entry
+        version = table.routing_config.version
         log.info(
             "configuration in force",
-            extra={"version": declaration.version, "revision": entry.mod_revision},
+            extra={"version": version, "revision": entry.mod_revision},
         )
         for listener in self.config_listeners:
-            listener()
+            call_logged(listener)
+
+    def _decode_route_table(self, entry: Entry) -> RouteTable | None:
+        """Return the routes of a configuration; None if it can't come into force."""
+        try:
+            decoded = self.decode_routing_config(entry.value)
+            if isinstance(decoded, Failure):
+                log.error(
+                    "configuration not decodable; the last valid one stays in force",
+                    extra={"revision": entry.mod_revision, "fault": decoded.failure()},
+                )
+                return None
+            declaration = decoded.unwrap()
+            known = self.route_table
+            if known and declaration.version < known.routing_config.version:
+                log.error(
+                    "configuration with a lower version ignored",
+                    extra={"version": declaration.version},
+                )
+                return None
+            return make_route_table(declaration)
+        except Exception:
+            log.exception(
+                "configuration not decodable; the last valid one stays in force",
+                extra={"revision": entry.mod_revision},
+            )
+            return None
 
     # Evacuations
 
@@ -178,7 +200,7 @@
         begun, ended = self.evacuations.replace(domains, revision)
         if begun or ended:
             for listener in self.evacuation_listeners:
-                listener(ended)
+                call_logged(listener, ended)
 
     # Registrations
 
@@ -341,15 +363,15 @@
         self._digest = None
         self._tombstones.pop(entry.key, None)
         self._record_change(Change(entry.key, entry.mod_revision, entry))
-        decoded = self.decode_registration(entry.key, entry.value, entry.mod_revision)
-        if isinstance(decoded, Failure):
-            # An undecodable entry adds no server and leaves the others unchanged.
-            log.warning(
-                "registration not decodable",
-                extra={"key": entry.key, "fault": decoded.failure()},
-            )
+        registration = self._decode(entry)
+        if registration is None:
+            # The entry names no server, whatever it named before.
+            server_id = self._server_ids.pop(entry.key, None)
+            if server_id in self.servers:
+                self.lapsed.pop(server_id, None)
+                self._drop(server_id, entry.mod_revision)
             return
-        registration = decoded.unwrap()
+        self._server_ids[entry.key] = registration.server_id
         self.lapsed.pop(registration.server_id, None)
         before = self.servers.get(registration.server_id)
         registration = _keep_draining(registration, before)
@@ -369,6 +391,32 @@
             )
         self._notify_server_listeners(registration.server_id)
 
+    def _decode(self, entry: Entry) -> Registration | None:
+        """Return the server that an entry names; None for an invalid entry.
+
+        An entry that stays invalid is logged once, however often it is written.
+        """
+        try:
+            decoded = self.decode_registration(
+                entry.key, entry.value, entry.mod_revision
+            )
+        except Exception as exc:
+            decoded = Failure(f"{type(exc).__name__}: {exc}"[:MAX_FAULT_CHARACTERS])
+        if not isinstance(decoded, Failure):
+            self._invalid_keys.discard(entry.key)
+            return decoded.unwrap()
+        if entry.key not in self._invalid_keys:
+            self._invalid_keys.add(entry.key)
+            log.warning(
+                "registration not decodable; it names no server",
+                extra={"key": entry.key, "fault": decoded.failure()},
+            )
+        return None
+
+    def count_invalid_entries(self) -> int:
+        """Return the number of entries among the registrations that name no server."""
+        return len(self._invalid_keys)
+
     def _remove(self, key: str, revision: int, *, may_return: bool = False) -> None:
         self._withheld.pop(key, None)
         known = self._entries.get(key)
@@ -382,9 +430,10 @@
         del self._entries[key]
         self._digest = None
         self._record_change(Change(key, revision, None))
-        server_id = key.rpartition("/")[2]
-        registration = self.servers.get(server_id)
-        if registration is None:
+        self._invalid_keys.discard(key)
+        server_id = self._server_ids.pop(key, None)
+        registration = self.servers.get(server_id) if server_id else None
+        if server_id is None or registration is None:
             return
         now = self.clock()
         may_return |= now - self.last_store_failure_at < LAPSE_DETECTION_WINDOW
@@ -446,7 +495,7 @@
 
     def _notify_server_listeners(self, server_id: str) -> None:
         for listener in self.server_listeners:
-            listener(server_id)
+            call_logged(listener, server_id)
 
 
 def _keep_draining(
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .._lazy import make_lazy_getattr
+from ._bounds import parse_address, parse_count
 from ._calls import CallClient, PlatformCallError
 from ._decoding import decode_registration, decode_routing_config
 from ._eras import get_era
@@ -98,6 +99,8 @@
     "make_question_headers",
     "make_refusal_headers",
     "make_response_headers",
+    "parse_address",
+    "parse_count",
 ]
 
 
--- a/packages/medlargate/medlargate/platform/_decoding.py
+++ b/packages/medlargate/medlargate/platform/_decoding.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 import logging
-from typing import Any
+import re
+import reprlib
+from typing import Annotated, Any
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 from returns.result import Failure, Result, Success
 
 from ..routing import (
@@ -22,6 +31,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from ._bounds import MAX_DURATION, MAX_NUMBER, MAX_SLOTS, MAX_TEXT, parse_address
 from ._names import SERVERS_PREFIX
 
 log = logging.getLogger(__name__)
@@ -32,15 +42,46 @@
     "non_idempotent": RequestType.ONCE,
     "streaming": RequestType.STREAM,
 }
+# Names are sent in headers, which allow no control characters and no outer whitespace.
+_NAME = re.compile(r"[^\s\x00-\x1f\x7f]+( +[^\s\x00-\x1f\x7f]+)*")
+_SERVER_ID = re.compile(r"[!-.0-~]+")  # visible ASCII characters without the slash
+_MAX_MS = MAX_DURATION * 1000
+
+
+def _require_number(value: Any) -> Any:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError("must be a number")
+    return value
+
+
+def _check_name(text: str) -> str:
+    if text and not _NAME.fullmatch(text):
+        raise ValueError("must have no control characters and no outer whitespace")
+    return text
+
+
+def _check_address(text: str) -> str:
+    if parse_address(text) is None:
+        raise ValueError("must be the IPv4 address of a machine and a port")
+    return text
+
+
+# Entries of servers may come from another writer, the configuration may not.
+_Name = Annotated[str, Field(max_length=MAX_TEXT), AfterValidator(_check_name)]
+_Address = Annotated[str, AfterValidator(_check_address)]
+_Whole = Annotated[int, BeforeValidator(_require_number)]
+_Number = Annotated[float, BeforeValidator(_require_number)]
+_Count = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
+_Amount = Annotated[float, Field(ge=0, le=MAX_NUMBER)]
 
 
 class _WireModel(BaseModel):
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", allow_inf_nan=False)
 
 
 class _Share(_WireModel):
     Service: str
-    Weight: int = Field(1, ge=0)
+    Weight: _Count = 1
 
 
 class _Route(_WireModel):
@@ -48,58 +89,58 @@
     Host: str
     Prefix: str
     Type: str = Field(pattern="^(idempotent|non_idempotent|streaming)$")
-    TimeoutMs: float = Field(gt=0)
-    TtftGoalMs: float = Field(0.0, ge=0)
-    MaxAttempts: int = Field(1, ge=1)
-    Priority: int = DEFAULT_PRIORITY
+    TimeoutMs: _Amount = Field(gt=0)
+    TtftGoalMs: _Amount = 0.0
+    MaxAttempts: _Count = Field(1, ge=1)
+    Priority: int = Field(DEFAULT_PRIORITY, ge=-MAX_NUMBER, le=MAX_NUMBER)
     Service: str | None = None
     Split: list[_Share] | None = None
     Public: bool = False
     Resumable: bool = False
-    ItlGoalMs: float = Field(0.0, ge=0)
+    ItlGoalMs: _Amount = 0.0
 
 
 class _Engine(_WireModel):
-    Slots: int = Field(ge=1)
-    KvCapacity: int = Field(ge=1)
-    Stride: int = Field(1, ge=1)
-    KvTokenBytes: float = Field(0.0, ge=0)
-    LinkMbps: float = Field(0.0, ge=0)
+    Slots: _Count = Field(ge=1)
+    KvCapacity: _Count = Field(ge=1)
+    Stride: _Count = Field(1, ge=1)
+    KvTokenBytes: _Amount = 0.0
+    LinkMbps: _Amount = 0.0
 
 
 class _Scaling(_WireModel):
-    Min: int = Field(0, ge=0)
-    Max: int = Field(ge=0)
-    BootS: float = Field(0.0, ge=0)
-    SpotPrice: float = Field(0.0, ge=0)
+    Min: _Count = 0
+    Max: _Count
+    BootS: _Amount = 0.0
+    SpotPrice: _Amount = 0.0
     ZonePrices: dict[str, float] = {}
 
 
 class _Service(_WireModel):
     Name: str
-    MaxConns: int = Field(64, ge=1)
-    ColdStartS: float = Field(0.0, ge=0)
-    ColdPerS: float = Field(0.0, ge=0)
+    MaxConns: _Count = Field(64, ge=1)
+    ColdStartS: _Amount = 0.0
+    ColdPerS: _Amount = 0.0
     Backend: _Engine | None = None
     Scaling: _Scaling | None = None
     HealthPath: str = "/healthz"
 
 
 class _Limits(_WireModel):
-    MaxHeaderBytes: int = Field(16_384, ge=256)
-    MaxBodyBytes: int = Field(4_194_304, ge=0)
-    HeaderTimeoutMs: float = Field(3_000, gt=0)
-    IdleTimeoutMs: float = Field(15_000, gt=0)
+    MaxHeaderBytes: _Count = Field(16_384, ge=256)
+    MaxBodyBytes: _Count = 4_194_304
+    HeaderTimeoutMs: _Amount = Field(3_000, gt=0)
+    IdleTimeoutMs: _Amount = Field(15_000, gt=0)
 
 
 class _Tenant(_WireModel):
     Name: str
     ApiKeys: list[str] = []
-    Priority: int | None = None
+    Priority: int | None = Field(None, ge=-MAX_NUMBER, le=MAX_NUMBER)
 
 
 class _Config(_WireModel):
-    Version: int
+    Version: int = Field(ge=-MAX_NUMBER, le=MAX_NUMBER)
     Routes: list[_Route] = []
     Services: list[_Service] = []
     Limits: _Limits = _Limits()
@@ -107,16 +148,16 @@
 
 
 class _Server(_WireModel):
-    Service: str
-    Address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
-    Zone: str
-    Version: str = ""  # of the server's software, not of the model's weights
-    Slots: int = Field(1, ge=1)
+    Service: _Name = Field(min_length=1)
+    Address: _Address
+    Zone: _Name = Field(min_length=1)
+    Version: _Name = ""  # of the server's software, not of the model's weights
+    Slots: _Whole = Field(1, ge=1, le=MAX_SLOTS)
     State: str = Field(pattern="^(ready|draining)$")
-    Spot: bool = False
-    leaves_ms: float | None = None
-    ColdLeftMs: float = Field(0.0, ge=0)
-    born: int = 0
+    Spot: bool = Field(False, strict=True)
+    leaves_ms: _Number | None = Field(None, ge=-_MAX_MS, le=_MAX_MS)
+    ColdLeftMs: _Number = Field(0.0, ge=0, le=_MAX_MS)
+    born: _Whole = Field(0, ge=0, le=MAX_NUMBER)
 
 
 def _parse_model(data: bytes, model: type[BaseModel]) -> Result[Any, str]:
@@ -127,7 +168,9 @@
     except ValidationError as exc:
         first_error = exc.errors()[0]
         field = ".".join(str(step) for step in first_error["loc"]) or "(document)"
-        message = f"{field}: {first_error['msg']}, got {first_error['input']!r}"
+        # Unlike repr(), reprlib.repr() stops at a depth and a length.
+        message = f"{field}: {first_error['msg']}, got "
+        message += reprlib.repr(first_error["input"])
         return Failure(message[:MAX_ERROR_CHARACTERS])
 
 
@@ -244,6 +287,8 @@
         Registration, or a message that names the first invalid field and its value.
     """
     server_id = key.removeprefix(SERVERS_PREFIX)
+    if not _SERVER_ID.fullmatch(server_id):
+        return Failure(f"{key!r} is no key of a server"[:MAX_ERROR_CHARACTERS])
 
     def make_registration(server: _Server) -> Registration:
         host, _, port = server.Address.rpartition(":")
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ._bounds import MAX_DURATION, MAX_RATE, MAX_SLOTS, parse_count
 from ._names import (
     COLD_TIME,
     CUSTOMER,
@@ -199,9 +200,9 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
-def _parse_int(text: str | None) -> int | None:
-    text = (text or "").strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+def _parse_clipped(text: str, largest: float) -> float | None:
+    number = _parse_decimal(text)
+    return min(number, largest) if number is not None else None
 
 
 def _collect_first_values(headers: Headers) -> dict[str, str]:
@@ -216,7 +217,7 @@
     parts = []
     for item in text.split(","):
         part_id, _, tokens = item.strip().partition(":")
-        size = _parse_int(tokens)
+        size = parse_count(tokens)
         if part_id and size is not None:
             parts.append(PromptPart(part_id, size))
     return tuple(parts)
@@ -225,8 +226,8 @@
 def _parse_server_load(text: str) -> ServerLoad | None:
     """Return a server's load; None unless its first three numbers are valid."""
     n_running, n_waiting, n_slots, percent = (*text.split(",", 3), *[None] * 4)[:4]
-    counts = [_parse_int(item) for item in (n_running, n_waiting, n_slots)]
-    if None in counts:
+    counts = [parse_count(item) for item in (n_running, n_waiting, n_slots)]
+    if None in counts or max(it for it in counts if it is not None) > MAX_SLOTS:
         return None
     slowness = None
     if percent is not None:
@@ -258,17 +259,17 @@
     def get(name: str) -> str:
         return rows.get(name.lower(), "")
 
-    deadline = _parse_int(get(DEADLINE).partition(".")[0])
+    deadline = parse_count(get(DEADLINE).partition(".")[0])
     prompt, _, output = get(TOKEN_COUNTS).partition(",")
     return RequestInfo(
         request_id=get(REQUEST_ID),
         key=get(CUSTOMER_KEY),
         time_left=deadline / 1000 if deadline is not None else None,
-        n_prompt_tokens=_parse_int(prompt) or 0,
-        max_output_tokens=_parse_int(output),
-        output_hint=_parse_int(get(LENGTH_HINT)),
+        n_prompt_tokens=parse_count(prompt) or 0,
+        max_output_tokens=parse_count(output),
+        output_hint=parse_count(get(LENGTH_HINT)),
         parts=_parse_prompt_parts(get(PROMPT_PARTS)),
-        last_event_id=_parse_int(get(LAST_EVENT_ID)),
+        last_event_id=parse_count(get(LAST_EVENT_ID)),
         resumed_id=get(RESUMES),
     )
 
@@ -299,7 +300,7 @@
     ValueError
         If ``tokens`` or ``prefix`` is not of that form.
     """
-    counts = [_parse_int(item) for item in tokens.split(",")] if tokens else [0]
+    counts = [parse_count(item) for item in tokens.split(",")] if tokens else [0]
     if None in counts or len(counts) > 2:
         raise ValueError(f"tokens must be two numbers, as 900,40, not {tokens!r}")
     items = [item for item in prefix.split(",") if item]
@@ -437,7 +438,7 @@
         invalid slowness in it.
     """
     rows = _collect_first_values(headers)
-    cold_ms = _parse_decimal(rows.get(COLD_TIME.lower(), ""))
+    cold_ms = _parse_clipped(rows.get(COLD_TIME.lower(), ""), MAX_DURATION * 1000)
     return ResponseInfo(
         status=status,
         request_id=rows.get(REQUEST_ID.lower(), ""),
@@ -447,11 +448,11 @@
         encoded=rows.get("content-encoding", "identity") != "identity",
         load=_parse_server_load(rows.get(SERVER_LOAD.lower(), "")),
         leaving=rows.get(SERVER_LEAVING.lower()) == "1",
-        retry_after=_parse_decimal(rows.get(RETRY_AFTER.lower(), ""))
+        retry_after=_parse_clipped(rows.get(RETRY_AFTER.lower(), ""), MAX_DURATION)
         if status == BUSY_STATUS
         else None,
-        max_request_rate=_parse_decimal(rows.get(SERVER_LIMIT.lower(), "")),
-        max_rejections=_parse_decimal(rows.get(SERVER_BRITTLE.lower(), "")),
+        max_request_rate=_parse_clipped(rows.get(SERVER_LIMIT.lower(), ""), MAX_RATE),
+        max_rejections=_parse_clipped(rows.get(SERVER_BRITTLE.lower(), ""), MAX_RATE),
         server_id=rows.get(INSTANCE_ID.lower(), ""),
         cold_time=cold_ms / 1000 if cold_ms is not None else None,
     )
--- a/packages/medlargate/medlargate/platform/tests/test_decoding.py
+++ b/packages/medlargate/medlargate/platform/tests/test_decoding.py
@@ -14,6 +14,7 @@
     decode_response,
     decode_routing_config,
     make_forward_headers,
+    parse_address,
 )
 
 PLATFORM_NAMES = re.compile(
@@ -115,6 +116,28 @@
         response = decode_response(200, [(b"cold-ms", b"1500"), (b"instance-id", b"i")])
         self.assertEqual((response.cold_time, response.server_id), (1.5, "i"))
 
+    def test_numbers_beyond_all_bounds_count_as_missing(self):
+        # Very long texts once raised errors, which ended requests without an answer.
+        for text in (b"9" * 400, b"9" * 6000, "\xb2".encode("latin-1"), b"1e999"):
+            with self.subTest(text=text[:10]):
+                names = (b"deadline-ms", b"token-usage", b"length-hint")
+                facts = decode_request([(name, text) for name in names])
+                self.assertIsNone(facts.time_left)
+                self.assertEqual(facts.n_prompt_tokens, 0)
+                load = (b"server-load", b"%b,0,8" % text)
+                self.assertIsNone(decode_response(200, [load]).load)
+        rows = [(b"server-limit", b"1e308"), (b"cold-ms", b"1e308")]
+        got = decode_response(200, rows)
+        self.assertEqual((got.max_request_rate, got.cold_time), (1e6, 31_536_000.0))
+
+    def test_addresses_of_no_machine_are_rejected(self):
+        for text in ("127.0.0.1:65535", "10.1.2.3:1"):
+            self.assertIsNotNone(parse_address(text))
+        odd = ("1.2:80", "0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", ":80")
+        odd += ("1.2.3.4", "1.2.3.4:", "1.2.3.4:0", "1.2.3.4:65536", "1.2.3.4: 80")
+        odd += ("1.2.3.04:80", "::1:80", "host:80", f"1.2.3.4:{'9' * 6000}", 7, None)
+        self.assertEqual([parse_address(it) for it in odd], [None] * len(odd))
+
     def test_connection_header_does_not_remove_the_request_id(self):
         rows = [
             (b"connection", b"attempt-id, x-a"),
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -467,6 +467,7 @@
                     "config_age": round(now - freshness.config_confirmed_at, 2),
                     "servers_revision": freshness.servers_revision,
                     "servers_age": round(now - freshness.servers_confirmed_at, 2),
+                    "n_invalid_entries": self.cluster_state.count_invalid_entries(),
                     "n_peers": len(self.fleet.table.list_alive()),
                     "n_nodes": self.fleet.count_nodes(),
                     "domains_age": self.fleet.domains.status_ages(),
