A request ends with a true answer after an error that nothing expects

Callers saw: the connection ended without an answer.

Cause: a request's task knew the errors of servers only. Any other exception went up to the connection, which was aborted: an error of connecting that is no OSError (a port out of range), a header of a server or a customer's name that can't be encoded or decoded, an error in a record or metric, even behind the complete answer. An error while one waiting request was placed also reached the requests and listeners that had the queues processed.

Change: the request handler answers 503 with Retry-After if the states say that the request has not run, else 502, and aborts an answer that has begun; a complete answer stays, and so does its connection. It logs the exception and counts the event internal_error. Connecting fails with a ConnectFaultError whatever happens, so that another server is tried; an answer that can't be parsed is an invalid one. An error while a waiting request is placed ends that request only. What headers, records and metrics add beside the answer does not cost the answer. Cancellation is as before.

Why it works: the state chart is set to "sent" before the first byte can be written, so its verdict is true at every point; it returns to "queued" only if no byte was written.

Evidence: test_unexpected_errors injects errors into acceptance, choice, queue, write, head, body, delivery and records.

--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -17,6 +17,8 @@
     decode_response,
     make_forwarded_headers,
     make_response_headers,
+    parse_address,
+    parse_count,
 )
 from ..policy import (
     ForwardPeer,
@@ -109,7 +111,7 @@
     service = req.get(ORIGIN_SERVICE)
     origin = StreamOrigin(service, req.get(ORIGIN_VERSION) or "") if service else None
     n_sent = req.get(N_SENT) or "0"
-    forwarded = ForwardedRequest(sender, int(n_sent) if n_sent.isdigit() else 0, origin)
+    forwarded = ForwardedRequest(sender, parse_count(n_sent) or 0, origin)
     return replace(req, headers=tuple(_strip_headers(req.headers))), forwarded
 
 
@@ -271,7 +273,6 @@
 
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         exch.observe_write()
-        host, _, port = peer.address.rpartition(":")
         headers = make_forwarded_headers(
             _strip_headers(exch.req.headers),
             time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
@@ -281,8 +282,11 @@
         headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
         headers += make_origin_headers(exch.origin)
         try:
+            address = parse_address(peer.address)
+            if address is None:
+                raise ConnectFaultError(f"{peer.address!r} is no address")
             conn = await self._pool.acquire(
-                peer.name, host, int(port), recent_only=not exch.rule.repeatable
+                peer.name, *address, recent_only=not exch.rule.repeatable
             )
             conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
         except ConnectFaultError as exc:
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -67,6 +67,9 @@
                 conn.abort()
     except (ConnectFaultError, ExchangeFaultError, TimeoutError):
         return False
+    except Exception:
+        # For instance a path that can't be encoded: no sign of an unreachable server.
+        log.exception("server not probed", extra={"server": server.server_id})
     return True
 
 
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from .._tasks import call_logged
 from ..platform import decode_request, make_refusal_headers, make_response_headers
 from ..policy import FleetRetryBudget, ForwardPeer, Refusal, StreamOrigin, Verdict
 from ..routing import Registration
@@ -57,6 +58,7 @@
 # server has crashed, and succeeds if only the answer was lost.
 CRASH_CHECK_DELAY = 0.1  # seconds
 CONNECTION_LOSSES = ("reset", "closed")
+INTERNAL_ERROR = "internal_error"
 
 
 class RequestHandler:
@@ -156,15 +158,12 @@
         forwarded: ForwardedRequest | None,
     ) -> None:
         try:
-            exch = await self._acceptor.accept(req, responder)
+            exch = await self._accept(req, responder, forwarded)
         except Refusal as exc:
             request_id = decode_request(req.headers).request_id
-            self._recorder.observe_rejected(request_id, exc)
+            call_logged(self._recorder.observe_rejected, request_id, exc)
             await _send_refusal(responder, request_id, exc, forwarded)
             return
-        if forwarded is not None:
-            _apply_forwarded(exch, forwarded)
-        self._recorder.observe_arrival(exch)
         if exch.rule.streams or exch.rule.repeatable:
             task = asyncio.current_task()
             assert task is not None
@@ -172,11 +171,46 @@
         try:
             outcome = await self._serve_in_time(exch)
         except asyncio.CancelledError:
-            self._recorder.observe_end(exch, Outcome(499, "caller_gone"))
+            outcome = Outcome(499, "caller_gone")
+            call_logged(self._recorder.observe_end, exch, outcome)
             if responder.gone:
                 return
             raise
-        self._recorder.observe_end(exch, outcome)
+        call_logged(self._recorder.observe_end, exch, outcome)
+
+    async def _accept(
+        self,
+        req: IncomingRequest,
+        responder: Responder,
+        forwarded: ForwardedRequest | None,
+    ) -> Exchange:
+        try:
+            exch = await self._acceptor.accept(req, responder)
+            if forwarded is not None:
+                _apply_forwarded(exch, forwarded)
+        except Refusal:
+            raise
+        except Exception as exc:
+            raise self._make_internal_error(exc, Verdict.NOT_RUN) from exc
+        call_logged(self._recorder.observe_arrival, exch)
+        return exch
+
+    def _make_internal_error(
+        self, exc: Exception, verdict: Verdict, request_id: str | None = None
+    ) -> Refusal:
+        """Log an error that nothing expects, and return the answer to the caller."""
+        log.error(
+            "unexpected error in a request",
+            extra={"request": request_id, "verdict": str(verdict)},
+            exc_info=exc,
+        )
+        call_logged(self._recorder.observe_event, INTERNAL_ERROR)
+        message = f"unexpected error: {type(exc).__name__}"
+        if verdict is Verdict.NOT_RUN:
+            return Refusal(
+                503, INTERNAL_ERROR, message, verdict, retry_after=NOT_RUN_RETRY_AFTER
+            )
+        return Refusal(502, INTERNAL_ERROR, message, verdict)
 
     async def _serve_in_time(self, exch: Exchange) -> Outcome:
         timer = asyncio.timeout(max(0.0, exch.deadline - self._clock()))
@@ -187,6 +221,12 @@
             refusal = self._make_timeout(exch)
         except Refusal as exc:
             refusal = _make_truthful(exc, exch.verdict)
+        except Exception as exc:
+            refusal = self._make_internal_error(
+                exc, exch.verdict, exch.facts.request_id
+            )
+        if exch.responder.finished:
+            return Outcome(exch.responder.status, f"answered:{refusal.code}")
         if exch.responder.started:
             exch.responder.abort()
             return Outcome(0, f"broken_off:{refusal.code}")
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -10,6 +10,7 @@
 from copy import copy
 from dataclasses import dataclass, replace
 
+from .._tasks import call_logged
 from ..fleet import ClusterState
 from ..policy import (
     LONG_PREFILL_TIME,
@@ -676,6 +677,16 @@
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._cluster_state.servers_revision,
         )
+        try:
+            self._observe_send(exch, assignment)
+        except Exception:
+            self._loads.observe_end(exch.exchange_id, placement.name)
+            self.spillover.observe_end(exch.exchange_id)
+            raise
+        return assignment
+
+    def _observe_send(self, exch: Exchange, assignment: ServerAssignment) -> None:
+        placement = assignment.placement
         times = self._loads.get_service_times(exch.service)
         prefill_work = assignment.state.n_prefill_tokens * times.prefill_per_token
         # The load is counted immediately, so that the next decision includes it.
@@ -695,7 +706,6 @@
             self._observe_dispatch(
                 exch, placement.name, prefill_work, prefill_sensitive
             )
-        return assignment
 
     def observe_change(self) -> None:
         """Process all queues again after a change of a load or of the servers."""
@@ -704,7 +714,7 @@
             if is_ordered:
                 self._schedule_pass(service)
             else:
-                self._process_queue(queue)
+                call_logged(self._process_queue, queue)
 
     def _schedule_pass(self, service: str) -> None:
         """Process a queue soon, once for all changes until then."""
@@ -753,17 +763,18 @@
             assert position is not None
             refusal = None
             if n_failed < MAX_FAILED_TRIES or not has_servers:
-                assignment = self._try_place(exch)
-                if assignment is not None:
-                    queue.remove(queued)
-                    queued.future.set_result(self._commit(exch, assignment))
+                try:
+                    if self._place_queued(queue, queued):
+                        continue
+                    self._reserve_server(exch)
+                    refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
+                except Exception as exc:
+                    _fail_queued(queue, queued, exc)
                     continue
                 n_failed += 1
                 if exch.service.engine is None and not exch.tried_servers:
                     # No other request of the service finds a server that has capacity.
                     n_failed = MAX_FAILED_TRIES
-                self._reserve_server(exch)
-                refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
             if refusal is None:
                 refusal = order.decide_rejection(
                     exch,
@@ -833,12 +844,13 @@
             assert queued.future is not None
             if queued.future.done():
                 continue
-            assignment = self._try_place(queued.exch)
-            if assignment is not None:
-                queue.remove(queued)
-                queued.future.set_result(self._commit(queued.exch, assignment))
+            try:
+                if self._place_queued(queue, queued):
+                    continue
+                refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
+            except Exception as exc:
+                _fail_queued(queue, queued, exc)
                 continue
-            refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
             if refusal is None:
                 n_ahead += 1
                 if queued.exch.held is not None:
@@ -847,6 +859,18 @@
                 queue.remove(queued)
                 queued.future.set_exception(refusal)
 
+    def _place_queued(
+        self, queue: list[_QueuedRequest], queued: _QueuedRequest
+    ) -> bool:
+        """Assign a server to a waiting request; return False if it waits on."""
+        assert queued.future is not None
+        assignment = self._try_place(queued.exch)
+        if assignment is None:
+            return False
+        queue.remove(queued)
+        queued.future.set_result(self._commit(queued.exch, assignment))
+        return True
+
     def _decide_refusal(
         self,
         queued: _QueuedRequest,
@@ -957,6 +981,16 @@
                 self._has_waiting.clear()
 
 
+def _fail_queued(
+    queue: list[_QueuedRequest], queued: _QueuedRequest, exc: Exception
+) -> None:
+    """End the wait of a request whose placement failed; the others are placed."""
+    if queued in queue:
+        queue.remove(queued)
+    if queued.future is not None and not queued.future.done():
+        queued.future.set_exception(exc)
+
+
 def _get_sort_key(queued: _QueuedRequest) -> QueueKey:
     assert queued.position is not None
     return queued.position.key
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from .._tasks import call_logged
 from ..platform import ResponseInfo, decode_response, make_forward_headers
 from ..policy import OpenAttempt, ReachEvidence, Verdict, is_abandoned
 from ..transport import (
@@ -270,7 +271,8 @@
                 raise TimeoutError
             self._write(exch, conn, assignment, time_left)
             answer = await self._read_head(exch, conn, may_abandon)
-            self._observe_headers(exch, server.server_id, answer.facts)
+            # What the headers say beside the answer must not cost the answer.
+            call_logged(self._observe_headers, exch, server.server_id, answer.facts)
             await self._raise_if_not_run(answer)
             yield answer
             self._pool.release(server.server_id, conn)
@@ -344,11 +346,17 @@
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
             fetch_from=assignment.fetch_from,
         )
+        n_requests = conn.n_requests
         try:
             conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
             raise AttemptError("connect", str(exc), Verdict.NOT_RUN) from exc
+        except Exception:
+            if conn.n_requests == n_requests:
+                # The request could not be encoded, so no byte of it was written.
+                exch.states.observe("connect_failure")
+            raise
         exch.n_sent += 1
         exch.tried_servers.add(server_id)
 
@@ -358,7 +366,7 @@
         for _ in range(MAX_MISMATCHED_ANSWERS):
             async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
-                facts = decode_response(head.status, head.headers)
+                facts = _decode_head(head)
                 if conn.is_answer_to(exch.facts.request_id, facts.request_id):
                     return OpenAnswer(conn, head, facts)
                 if not facts.request_id:
@@ -385,6 +393,14 @@
         raise AttemptError(kind, message, Verdict.NOT_RUN)
 
 
+def _decode_head(head: ResponseHead) -> ResponseInfo:
+    try:
+        return decode_response(head.status, head.headers)
+    except Exception as exc:
+        log.exception("unexpected error while headers were decoded")
+        raise ExchangeFaultError("invalid", repr(exc)) from exc
+
+
 def _make_attempt(
     exch: Exchange,
     conn: BackendConnection,
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import re
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -11,6 +13,8 @@
 from ._headers import Headers, find_header
 from ._sockets import set_liveness_options
 
+log = logging.getLogger(__name__)
+
 MAX_HEAD_BYTES = 65_536
 # Bytes received since the reader last had to wait; above this number, the socket is no
 # longer read.
@@ -19,6 +23,7 @@
 # without end.
 MAX_INTERIM_RESPONSES = 8
 DEFAULT_KEEP_ALIVE = 10.0  # seconds, for servers that send no Keep-Alive header
+_KEEP_ALIVE_TIMEOUT = re.compile(r"\s*timeout=\s*([0-9]{1,6})\s*", re.IGNORECASE)
 
 
 class ConnectFaultError(Exception):
@@ -390,9 +395,8 @@
         if "close" in (head.get("connection") or "").lower():
             self._close_announced = True
         for part in (head.get("keep-alive") or "").split(","):
-            name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                self._keep_alive = float(value)
+            if match := _KEEP_ALIVE_TIMEOUT.fullmatch(part):
+                self._keep_alive = float(match[1])
 
     async def _next_event(self):
         while True:
@@ -403,6 +407,9 @@
             except h11.RemoteProtocolError as exc:
                 kind = "closed" if self._receive_ended else "invalid"
                 raise ExchangeFaultError(kind, str(exc)) from exc
+            except Exception as exc:
+                log.exception("unexpected error while a response was parsed")
+                raise ExchangeFaultError("invalid", repr(exc)) from exc
             if event is h11.PAUSED:
                 raise ExchangeFaultError(
                     "invalid", "unexpected bytes after the response"
@@ -454,4 +461,11 @@
         raise ConnectFaultError(f"no connection within {timeout} s") from exc
     except OSError as exc:
         raise ConnectFaultError(str(exc)) from exc
+    except Exception as exc:
+        # For instance OverflowError for a port or UnicodeError for a host.
+        log.warning(
+            "unexpected error while connecting",
+            extra={"host": host, "port": port, "fault": repr(exc)},
+        )
+        raise ConnectFaultError(repr(exc)) from exc
     return conn
--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -73,6 +73,10 @@
     ----------
     started : bool
         Whether the status and the headers were written.
+    status : int
+        HTTP status that was written; 0 before.
+    finished : bool
+        Whether the complete response was written.
     gone : bool
         Whether the connection has ended.
     on_disconnect : callable or None
@@ -83,6 +87,8 @@
     def __init__(self, conn: CallerConnection) -> None:
         self._conn = conn
         self.started = False
+        self.status = 0
+        self.finished = False
         self.gone = False
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -103,8 +109,10 @@
             Headers, with ``Content-Length`` for a body of known length and without it
             for a stream.
         """
-        self.started = True
-        await self._conn.write_head(status, headers)
+        # Headers that are not valid raise an error before anything is written.
+        head = self._conn.make_head(status, headers)
+        self.started, self.status = True, status
+        await self._conn.write_head(head)
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body. Waits while the caller reads too slowly.
@@ -121,6 +129,7 @@
     async def finish(self) -> None:
         """Mark the end of a complete response."""
         await self._conn.write_end()
+        self.finished = True
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response.
@@ -308,10 +317,23 @@
             await self._server.handler(req, responder)
         except Exception:
             log.exception("request handler failed")
-            self.abort()
+            await self._answer_failure(responder)
         finally:
             self._end_exchange()
 
+    async def _answer_failure(self, responder: Responder) -> None:
+        """End a request whose handler failed; the status leaves open whether it ran."""
+        if responder.finished:
+            return
+        if responder.started:
+            self.abort()
+            return
+        try:
+            await responder.send(502, [(b"Content-Type", b"text/plain")], b"error\n")
+        except Exception:
+            log.exception("failure of the request handler not answered")
+            self.abort()
+
     def _end_exchange(self) -> None:
         self._responder = None
         self._request = None
@@ -328,8 +350,8 @@
 
     # Writing
 
-    async def write_head(self, status: int, headers: Headers) -> None:
-        """Write the status and the headers of a response."""
+    def make_head(self, status: int, headers: Headers) -> h11.Response:
+        """Make the head of a response."""
         rows = list(headers)
         if self._server.draining:
             rows.append((b"Connection", b"close"))
@@ -337,8 +359,11 @@
             reason = http.HTTPStatus(status).phrase.encode()
         except ValueError:
             reason = b""
-        event = h11.Response(status_code=status, headers=rows, reason=reason)
-        self._write(self._h11.send(event))
+        return h11.Response(status_code=status, headers=rows, reason=reason)
+
+    async def write_head(self, head: h11.Response) -> None:
+        """Write the status and the headers of a response."""
+        self._write(self._h11.send(head))
         await self._writable.wait()
 
     async def write_data(self, data: bytes) -> None:
