An answer without the request's id belongs to no request, on new connections too

Callers saw 503 "not run" for requests that a server ran, or another caller's answer, when the first answer on a new connection was a copy of an earlier one without a request id. Cause: is_answer_to took an answer without an id until the connection had named one. Every request that is sent has an id (others get 400), and servers echo it, so an answer is believed only if it names the request. One without an id is a fault of the connection: "may have run".

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import orjson
@@ -19,6 +19,7 @@
 ENDLESS_PART = b"endless " * 2048
 # An endless response ends here, so that a test can't run forever.
 MAX_ENDLESS_BYTES = 64_000_000
+COPY_PIECE_INTERVAL = 0.005  # seconds
 
 
 @dataclass(frozen=True)
@@ -61,7 +62,7 @@
         Number of concurrent requests of the registration.
     behaviour : callable
         Returns the behaviour for a request. The request is executed in all
-        behaviours except ``refuse``.
+        behaviours except ``refuse``, ``refuse-copy`` and ``misdirect-copy``.
 
         For full responses and streams: ``ok`` sends a valid response; ``refuse``
         sends 503 with ``Not-Executed``; ``silent`` sends nothing; ``reset`` aborts
@@ -88,9 +89,26 @@
         ``trickle-refusal`` send such bodies one byte every 50 ms. ``n_endless_bytes``
         counts the bytes sent.
 
+        Contradictory: ``two-ids`` executes the request and sends a 503 with
+        ``Not-Executed`` that names it and another one; ``denied`` executes it and adds
+        ``Not-Executed`` to a valid 200, ``denied-500`` to a 500, ``denied-interim`` to
+        an informational response before a valid one.
+
+        Copied answers: ``refuse-copy:WHEN`` sends a 503 with ``Not-Executed``,
+        ``misdirect-copy:WHEN`` a 421 and ``ok-copy:WHEN`` a valid full response, and
+        each sends it once more. WHEN is ``0`` for a copy that follows the answer
+        immediately, the number of seconds after the answer, ``next`` for the arrival
+        of the connection's next request, or ``new`` for the first request of the
+        next connection. ``-copy-unnamed`` instead of ``-copy`` leaves the request id
+        out of the copy. ``edit_copy`` changes the copy.
+
         A behaviour of the other kind of response has the effect of ``ok``. A request
         without ``Expect-Instance``, or with another server's id in it, is answered
         with 421 whatever the behaviour, and not executed.
+    edit_copy : callable
+        Returns the pieces in which a copied answer is sent, 5 ms apart.
+    n_copies : int
+        Number of copied answers sent so far.
     n_events : int
         Number of events of a complete stream.
     delay, pause : float
@@ -135,6 +153,8 @@
     zone: str = "fd-a"
     slots: int = 4
     behaviour: Behaviour = lambda _: "ok"
+    edit_copy: Callable[[bytes], Sequence[bytes]] = lambda copy: [copy]
+    n_copies: int = 0
     n_events: int = 4
     delay: float = 0.0
     pause: float = 0.0
@@ -158,6 +178,9 @@
     _n_held: int = 0
     _slots: asyncio.Semaphore | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
+    # Copies to send when the next request of a connection, or of a new one (None),
+    # arrives.
+    _due_copies: dict[asyncio.StreamWriter | None, bytes] = field(default_factory=dict)
 
     async def start(self, host: str) -> None:
         """Listen on a free TCP port of a host."""
@@ -177,6 +200,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def drop_copies(self) -> None:
+        """Discard the copied answers that await another request."""
+        self._due_copies.clear()
+
     def registration(self, host: str, *, state: str = "ready") -> bytes:
         """Return the server's registration as stored in the key-value store."""
         record = {
@@ -199,6 +226,7 @@
         assert task is not None
         self._tasks.add(task)
         self.n_connections += 1
+        is_new = True
         try:
             while (req := await _read_request(reader)) is not None:
                 if req.target == HEALTH_PATH:
@@ -207,12 +235,17 @@
                     await writer.drain()
                     continue
                 self.received_requests.append(req)
+                due = self._due_copies.pop(None if is_new else writer, None)
+                is_new = False
+                if due is not None:
+                    await self._send_copy(writer, due)
                 if not await self._respond_in_slot(req, reader, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError):
             self.n_disconnects += 1
         finally:
             self._tasks.discard(task)
+            self._due_copies.pop(writer, None)
             writer.close()
 
     async def _respond_in_slot(
@@ -245,6 +278,9 @@
             await writer.drain()
             return True
         kind, _, event_number = self.behaviour(req).partition(":")
+        if "-copy" in kind:
+            await self._answer_and_copy(req, writer, kind, event_number)
+            return True
         if kind == "refuse" or not await self._take_slot():
             extra = "Not-Executed: 1\r\n" + self._encode_extra_headers()
             writer.write(_encode_head(req, 503, 0, extra))
@@ -255,6 +291,40 @@
         finally:
             self._free_slot()
 
+    async def _answer_and_copy(
+        self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str, when: str
+    ) -> None:
+        if kind.startswith("ok"):
+            self.runs[req.request_id] += 1
+            body = f"{self.server_id} ran {req.request_id}".encode()
+            status, extra = 200, f"Response-Seal: {SEAL}\r\n"
+        else:
+            body = b"not run"
+            status = 503 if kind.startswith("refuse") else 421
+            extra = "Not-Executed: 1\r\n"
+        answer = copy = _encode_head(req, status, len(body), extra) + body
+        if kind.endswith("-unnamed"):
+            copy = answer.replace(f"Attempt-Id: {req.request_id}\r\n".encode(), b"")
+        writer.write(answer)
+        if when in ("next", "new"):
+            self._due_copies[writer if when == "next" else None] = copy
+        else:
+            task = asyncio.create_task(self._send_copy(writer, copy, float(when)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(0)
+
+    async def _send_copy(
+        self, writer: asyncio.StreamWriter, copy: bytes, delay: float = 0.0
+    ) -> None:
+        if delay:
+            await asyncio.sleep(delay)
+        self.n_copies += 1
+        for number, piece in enumerate(self.edit_copy(copy)):
+            if number:
+                await asyncio.sleep(COPY_PIECE_INTERVAL)
+            writer.write(piece)
+
     async def _take_slot(self) -> bool:
         """Wait for a slot; return False if too many requests wait already."""
         if self.max_waiting is not None and self._n_running >= self.slots:
@@ -307,6 +377,11 @@
         if kind in ("reset", "crash"):
             writer.transport.abort()
             return False
+        if kind == "two-ids":
+            extra = "Attempt-Id: another\r\nNot-Executed: 1\r\n"
+            writer.write(_encode_head(req, 503, 0, extra))
+            await writer.drain()
+            return True
         if "stream" in req.target:
             return await self._send_event_stream(
                 req, writer, kind, float(event_number or 0)
@@ -351,13 +426,17 @@
         self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str
     ) -> bool:
         body = f"{self.server_id} ran {req.request_id}".encode()
-        status = 500 if kind == "error" else 200
+        status = 500 if kind in ("error", "denied-500") else 200
         if kind == "unframed":
             head = _encode_head(req, status, None, f"Response-Seal: {SEAL}\r\n")
             writer.write(head + body)
             await writer.drain()
             return False
         extra = f"Response-Seal: {SEAL}\r\n" + self._encode_extra_headers()
+        if kind in ("denied", "denied-500"):
+            extra += "Not-Executed: 1\r\n"
+        if kind == "denied-interim":
+            writer.write(b"HTTP/1.1 103 X\r\nNot-Executed: 1\r\n\r\n")
         response = _encode_head(req, status, len(body), extra) + body
         if kind == "half":
             writer.write(response[:-5])
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -306,7 +306,7 @@
         answer = OpenAnswer(
             conn, replace(head, headers=tuple(_strip_headers(head.headers))), facts
         )
-        if not conn.is_answer_to(exch.facts.request_id, facts.request_id):
+        if facts.request_id != exch.facts.request_id:
             raise ExchangeFaultError("invalid", "an answer to another request")
         code = head.get(REFUSAL_CODE)
         if code is not None:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -359,9 +359,10 @@
             async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
                 facts = decode_response(head.status, head.headers)
-                if conn.is_answer_to(exch.facts.request_id, facts.request_id):
+                if facts.request_id == exch.facts.request_id:
                     return OpenAnswer(conn, head, facts)
                 if not facts.request_id:
+                    # It may be a copy of an earlier answer, also on a new connection.
                     raise ExchangeFaultError("invalid", "an answer without request id")
                 exch.record("strange_answer", answers=facts.request_id)
                 await OpenAnswer(conn, head, facts).read_whole()
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
@@ -0,0 +1,95 @@
+"""Servers that write an earlier answer once more on a kept connection."""
+
+import asyncio
+import itertools
+import unittest
+
+from medlargate_standins.relay_testbed import RelayTestbed, make_route
+
+ROUTES = [
+    make_route("read", "idempotent", "plain"),
+    make_route("book", "non_idempotent", "plain", MaxAttempts=1),
+    make_route("book-again", "non_idempotent", "plain", MaxAttempts=2),
+    make_route("stream", "streaming", "engine", Resumable=True),
+    make_route("once-stream", "streaming", "engine", MaxAttempts=1),
+    make_route("once-stream-again", "streaming", "engine", MaxAttempts=2),
+]
+PATHS = [f"/{it['Name']}/x" for it in ROUTES]
+WHEN = ("0", "0.001", "0.01", "next")
+DELAY = 0.015  # seconds; a copy after 0.01 s arrives while the next request runs
+EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
+
+
+def keep_whole(copy):
+    return [copy]
+
+
+class CopiesCase(unittest.IsolatedAsyncioTestCase):
+    """One node, and one server per service, so that connections are reused."""
+
+    async def asyncSetUp(self):
+        self.world = RelayTestbed()
+        await self.world.start(Routes=ROUTES)
+        self.node = self.world.nodes[0]
+        for name in ("p2", "e2"):
+            self.world.unregister(self.world.backends[name])
+        async with asyncio.timeout(5):
+            while len(self.node.cluster_state.servers) > 2:
+                await asyncio.sleep(0.01)
+
+    async def asyncTearDown(self):
+        await self.world.close()
+
+    @property
+    def n_copies(self):
+        return sum(it.n_copies for it in self.world.backends.values())
+
+    def n_runs(self, request_id):
+        return sum(it.runs[request_id] for it in self.world.backends.values())
+
+    def answer_in_turn(self, *behaviours, delay=0.0, edit=keep_whole):
+        for backend in self.world.backends.values():
+            turns = itertools.cycle(behaviours)
+            backend.behaviour = lambda _, turns=turns: next(turns)
+            backend.delay, backend.edit_copy = delay, edit
+            backend.drop_copies()
+
+    async def assert_truthful(self, path, method="POST", *, n_requests=4):
+        """Send requests one after another; return the replies."""
+        replies = []
+        for _ in range(n_requests):
+            request_id = self.world.make_request_id()
+            reply = await self.world.call(
+                path, method=method, request_id=request_id, Deadline_Ms="600"
+            )
+            n_runs = self.n_runs(request_id)
+            if reply.status in (408, 421, 429, 503):
+                self.assertEqual(n_runs, 0, f"{reply.status} though it ran")
+            if "book" in path or "once" in path:
+                self.assertLessEqual(n_runs, 1)
+            if reply.status == 200:
+                self.assertEqual(reply.headers["attempt-id"], request_id)
+                if "stream" in path:
+                    self.assertEqual(reply.body, EVENTS)
+                else:
+                    self.assertTrue(reply.body.endswith(f"ran {request_id}".encode()))
+                self.assertNotIn("not-executed", reply.headers)
+            replies.append(reply)
+        return replies
+
+
+class UnnamedAnswersTest(CopiesCase):
+    """A copy without a request id is the first answer on a new connection."""
+
+    async def test_answer_without_a_request_id_belongs_to_no_request(self):
+        for kind, path in itertools.product(("refuse", "misdirect", "ok"), PATHS):
+            with self.subTest(kind=kind, path=path):
+                self.answer_in_turn(f"{kind}-copy-unnamed:new", "ok")
+                await self.assert_truthful(path, n_requests=1)
+                self.node.pool.close()
+                await self.assert_truthful(path, n_requests=2)
+        self.assertGreater(self.n_copies, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -99,7 +99,6 @@
         self._close_announced = False
         self._keep_alive = DEFAULT_KEEP_ALIVE
         self._idle_since = 0.0
-        self._names_requests = False
         self.n_requests = 0
         self.active_at = 0.0
 
@@ -245,27 +244,6 @@
                     "closed", "the connection ended within the response body"
                 )
 
-    def is_answer_to(self, request_id: str, answered_id: str | None) -> bool:
-        """Return whether a response answers the current request, by its request id.
-
-        Parameters
-        ----------
-        request_id : str
-            Id of the current request.
-        answered_id : str or None
-            Id that the response names; None or empty if it names none.
-
-        Returns
-        -------
-        bool
-            False for another id, and for no id after a response on this connection has
-            named one: the late copy of an earlier response may name none.
-        """
-        if not answered_id:
-            return not self._names_requests
-        self._names_requests = True
-        return answered_id == request_id
-
     def skip_stale_response(self) -> None:
         """Discard a response that answers an earlier request.
 
