A request is not sent again on a connection that has carried it

Callers saw 503 "not run" for requests that a server ran. Cause: a request that the only usable server refused went to it again, on the connection on which it was refused, since the pool reuses the most recent one. A late copy of that refusal names this very request, so the id does not tell it from the second answer.

Fix: a connection remembers the ids of its last 64 requests, and the pool passes over connections that have carried the request's id. A copy stays on its connection, so the second answer can't be mistaken. This also covers callers that repeat a refused request with its id, and forwarded requests. The connection is kept for all other requests.

Evidence: RepeatedRequestsTest failed before for all four kinds of route that allow a second attempt with copies 1 ms and 10 ms after the refusal and at the arrival of the next request (12 cases), and for a caller that repeats its id. It passes now; test_pool (4), test_relay (50), test_partitioned_nodes (12), test_forwarded_refusals (6) and test_fuzz_bytes (5) pass.

--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -272,8 +272,9 @@
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         exch.observe_write()
         host, _, port = peer.address.rpartition(":")
+        req, request_id = exch.req, exch.facts.request_id
         headers = make_forwarded_headers(
-            _strip_headers(exch.req.headers),
+            _strip_headers(req.headers),
             time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
         )
@@ -282,9 +283,13 @@
         headers += make_origin_headers(exch.origin)
         try:
             conn = await self._pool.acquire(
-                peer.name, host, int(port), recent_only=not exch.rule.repeatable
+                peer.name,
+                host,
+                int(port),
+                recent_only=not exch.rule.repeatable,
+                request_id=request_id,
             )
-            conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
+            conn.send(req.method, req.target, headers, req.body, request_id=request_id)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
             message = f"node {peer.name}: {exc}"
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -322,6 +322,7 @@
                 server.host,
                 server.port,
                 recent_only=exch.needs_recent_connection,
+                request_id=exch.facts.request_id,
             )
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
@@ -335,8 +336,9 @@
         time_left: float,
     ) -> None:
         server_id = assignment.server.server_id
+        req, request_id = exch.req, exch.facts.request_id
         headers = make_forward_headers(
-            exch.req.headers,
+            req.headers,
             customer=exch.customer.name if exch.customer else None,
             server_id=server_id,
             time_left=time_left,
@@ -345,7 +347,7 @@
             fetch_from=assignment.fetch_from,
         )
         try:
-            conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
+            conn.send(req.method, req.target, headers, req.body, request_id=request_id)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
             raise AttemptError("connect", str(exc), Verdict.NOT_RUN) from exc
--- a/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
@@ -91,5 +91,26 @@
         self.assertGreater(self.n_copies, 10)
 
 
+class RepeatedRequestsTest(CopiesCase):
+    """A request that was refused is sent again to the same server."""
+
+    async def test_copy_does_not_refuse_the_second_attempt(self):
+        for when, path in itertools.product(WHEN, PATHS):
+            with self.subTest(when=when, path=path):
+                self.answer_in_turn(f"refuse-copy:{when}", "ok", delay=DELAY)
+                await self.assert_truthful(path)
+        self.assertGreater(self.n_copies, 30)
+
+    async def test_caller_repeats_a_refused_request_with_its_id(self):
+        self.answer_in_turn("refuse-copy:next", "ok", delay=DELAY)
+        request_id = self.world.make_request_id()
+        for path in ("/book/x", "/once-stream/x"):
+            request_id = self.world.make_request_id()
+            for status in (503, 200):
+                reply = await self.world.call(path, request_id=request_id)
+                self.assertEqual(reply.status, status)
+            self.assertEqual(self.n_runs(request_id), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -18,6 +19,7 @@
 # Informational responses that may precede a response; a server in trouble can send them
 # without end.
 MAX_INTERIM_RESPONSES = 8
+MAX_REMEMBERED_IDS = 64  # ids of the last requests on a connection
 DEFAULT_KEEP_ALIVE = 10.0  # seconds, for servers that send no Keep-Alive header
 
 
@@ -99,6 +101,7 @@
         self._close_announced = False
         self._keep_alive = DEFAULT_KEEP_ALIVE
         self._idle_since = 0.0
+        self._request_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
         self.n_requests = 0
         self.active_at = 0.0
 
@@ -157,7 +160,15 @@
         """Whether the transport is open for writing."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        *,
+        request_id: str = "",
+    ) -> None:
         """Write a complete request.
 
         Parameters
@@ -170,6 +181,8 @@
             Headers without ``Content-Length``, which is added here.
         body : bytes
             Complete body.
+        request_id : str
+            Identity of the request, for ``has_carried``; empty if it has none.
 
         Raises
         ------
@@ -190,9 +203,24 @@
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         assert self._transport is not None
         self.n_requests += 1
+        if request_id:
+            self._request_ids.append(request_id)
         self.active_at = asyncio.get_running_loop().time()
         self._transport.write(b"".join(parts))
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether one of the last requests on the connection had this id.
+
+        A server may send an answer twice. The second copy would be taken for the answer
+        to a request of the same id that is sent on the same connection.
+
+        Parameters
+        ----------
+        request_id : str
+            Identity of a request that is to be sent.
+        """
+        return request_id in self._request_ids
+
     async def read_head(self) -> ResponseHead:
         """Read the status and the headers of the response.
 
--- a/packages/medlargate/medlargate/transport/_pool.py
+++ b/packages/medlargate/medlargate/transport/_pool.py
@@ -36,7 +36,13 @@
         self.n_opened = 0
 
     async def acquire(
-        self, server_id: str, host: str, port: int, *, recent_only: bool = False
+        self,
+        server_id: str,
+        host: str,
+        port: int,
+        *,
+        recent_only: bool = False,
+        request_id: str = "",
     ) -> BackendConnection:
         """Take an idle connection from the pool or open a new one.
 
@@ -51,6 +57,9 @@
         recent_only : bool, default=False
             Whether to reuse only connections that were in use recently, for requests
             that must not be sent twice.
+        request_id : str
+            Identity of the request, which gets no connection that has carried it
+            before; empty if it has none.
 
         Returns
         -------
@@ -64,15 +73,16 @@
         """
         idle = self._idle.get(server_id, [])
         now = time.monotonic()
-        while idle:
-            if not _is_reusable(idle[-1], now):
-                idle.pop().abort()
-            elif recent_only and not _is_reusable(idle[-1], now, recent_only=True):
+        for index in reversed(range(len(idle))):
+            conn = idle[index]
+            if not _is_reusable(conn, now):
+                idle.pop(index).abort()
+            elif recent_only and not _is_reusable(conn, now, recent_only=True):
                 # The others have been idle even longer; they remain for requests that
                 # may be sent twice.
                 break
-            else:
-                return idle.pop()
+            elif not (request_id and conn.has_carried(request_id)):
+                return idle.pop(index)
         self.n_opened += 1
         return await open_connection(host, port, timeout=self._connect_timeout)
 
--- a/packages/medlargate/medlargate/transport/tests/test_pool.py
+++ b/packages/medlargate/medlargate/transport/tests/test_pool.py
@@ -11,13 +11,17 @@
 class IdleConnection:
     """Connection that has been idle for a fraction of the keep-alive timeout."""
 
-    def __init__(self, idle_fraction):
+    def __init__(self, idle_fraction, *request_ids):
         self.idle_fraction = idle_fraction
+        self.request_ids = request_ids
         self.aborted = False
 
     def is_usable(self, now, *, max_idle_fraction):
         return self.idle_fraction < max_idle_fraction
 
+    def has_carried(self, request_id):
+        return request_id in self.request_ids
+
     def finish(self, now):
         return True
 
@@ -56,3 +60,11 @@
             self.pool.release(name, IdleConnection(fraction))
         self.assertEqual(self.pool.list_connected(recent_only=True), {"new"})
         self.assertEqual(self.pool.list_connected(), {"new", "old"})
+
+    async def test_request_gets_no_connection_that_has_carried_it(self):
+        other, same = IdleConnection(0.2, "r2"), IdleConnection(0.1, "r1")
+        for conn in (other, same):
+            self.pool.release("s1", conn)
+        acquired = [await self.pool.acquire(*SERVER, request_id="r1") for _ in "ab"]
+        self.assertEqual(acquired, [other, self.opened])
+        self.assertIs(await self.pool.acquire(*SERVER, request_id="r2"), same)
