An answer that contradicts itself is no refusal

Callers saw 503 "not run" for requests that a server had run, and routes of two attempts ran them twice, when a server sent a 200 or 500 with Not-Executed, or a 503 that named this request and another one. Cause: Not-Executed was believed with any status, and of several request ids the first one counted.

Fix: Not-Executed counts with a 4xx or a 503 only, since a success, a 500 and a 504 are answers to requests that have run; such answers are handled by their status. An answer with differing request ids names none, which is a fault ("may have run"). The header doesn't reach callers any more: an answer that is relayed contradicts it.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -465,6 +465,8 @@
         first_event = int(req.headers.get("last-event-id", 0)) + 1
         extra = f"Content-Type: text/event-stream\r\nResponse-Seal: {SEAL}\r\n"
         extra += self._encode_extra_headers()
+        if kind == "denied":
+            extra += "Not-Executed: 1\r\n"
         is_framed = not kind.startswith("unframed")
         writer.write(_encode_head(req, 200, -1 if is_framed else None, extra))
         if kind in ("begun", "crash-begun"):
--- a/packages/medlargate/medlargate/platform/_message_headers.py
+++ b/packages/medlargate/medlargate/platform/_message_headers.py
@@ -51,6 +51,8 @@
 MAX_REPORTED_SLOWNESS = 100.0
 MISDIRECTED_STATUS = 421
 BUSY_STATUS = 503
+_DROPPED_FROM_RESPONSES = HOP_BY_HOP_HEADERS | {NOT_EXECUTED.lower().encode()}
+_REQUEST_ID_NAME = REQUEST_ID.lower().encode()
 _ROUTER_HEADER_NAMES = frozenset(name.encode() for name in ROUTER_HEADERS)
 _PROTECTED_HEADER_NAMES = frozenset(name.encode() for name in PROTECTED_HEADERS)
 
@@ -146,9 +148,11 @@
     status : int
         HTTP status.
     request_id : str
-        Identity of the request to which the response belongs; empty if missing.
+        Identity of the request to which the response belongs; empty if missing or if
+        the response names several.
     not_run : bool
-        Whether the server reports that it did not run the request.
+        Whether the server reports that it did not run the request, with a status that
+        doesn't contradict it.
     misdirected : bool
         Whether another server has taken over the address.
     sealed : bool
@@ -420,6 +424,14 @@
     return copied
 
 
+def _can_refuse(status: int) -> bool:
+    """Return whether a response with this status may be one to a request not run.
+
+    A server's 500 and 504 are for requests that it has run.
+    """
+    return 400 <= status < 500 or status == BUSY_STATUS
+
+
 def decode_response(status: int, headers: Headers) -> ResponseInfo:
     """Decode the status and the headers of a backend server's response.
 
@@ -436,12 +448,15 @@
         Decoded values. An invalid load header counts as missing, and so does an
         invalid slowness in it.
     """
+    headers = tuple(headers)
     rows = _collect_first_values(headers)
+    request_ids = {value.strip() for name, value in headers if name == _REQUEST_ID_NAME}
     cold_ms = _parse_decimal(rows.get(COLD_TIME.lower(), ""))
     return ResponseInfo(
         status=status,
-        request_id=rows.get(REQUEST_ID.lower(), ""),
-        not_run=NOT_EXECUTED.lower() in rows or status == MISDIRECTED_STATUS,
+        request_id=request_ids.pop().decode("latin-1") if len(request_ids) == 1 else "",
+        not_run=status == MISDIRECTED_STATUS
+        or (NOT_EXECUTED.lower() in rows and _can_refuse(status)),
         misdirected=status == MISDIRECTED_STATUS,
         sealed=RESPONSE_SEAL.lower() in rows,
         encoded=rows.get("content-encoding", "identity") != "identity",
@@ -468,9 +483,12 @@
     Returns
     -------
     list of (bytes, bytes)
-        Headers for the caller, without the hop-by-hop headers.
+        Headers for the caller, without the hop-by-hop headers, and without a claim
+        that the request was not run: a response that is forwarded contradicts it.
     """
-    return [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
+    return [
+        (name, value) for name, value in headers if name not in _DROPPED_FROM_RESPONSES
+    ]
 
 
 def make_refusal_headers(
--- a/packages/medlargate/medlargate/platform/tests/test_decoding.py
+++ b/packages/medlargate/medlargate/platform/tests/test_decoding.py
@@ -79,6 +79,14 @@
         self.assertTrue(decode_response(421, []).not_run)
         self.assertFalse(decode_response(503, []).not_run)
 
+    def test_contradictory_response_is_no_refusal(self):
+        for status in (200, 500, 504):
+            self.assertFalse(decode_response(status, [(b"not-executed", b"1")]).not_run)
+        rows = [(b"attempt-id", b"r1"), (b"attempt-id", b"r1")]
+        self.assertEqual(decode_response(503, iter(rows)).request_id, "r1")
+        rows.append((b"attempt-id", b"r2"))
+        self.assertEqual(decode_response(503, iter(rows)).request_id, "")
+
     def test_load_with_a_machine_speed_is_decoded(self):
         # Four values once made nodes drop the whole header, so that they knew no load
         # but their own.
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -365,7 +365,8 @@
                     return OpenAnswer(conn, head, facts)
                 if not facts.request_id:
                     # It may be a copy of an earlier answer, also on a new connection.
-                    raise ExchangeFaultError("invalid", "an answer without request id")
+                    message = "an answer that names no request, or several"
+                    raise ExchangeFaultError("invalid", message)
                 exch.record("strange_answer", answers=facts.request_id)
                 await OpenAnswer(conn, head, facts).read_whole()
                 conn.skip_stale_response()
--- a/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
@@ -112,5 +112,16 @@
             self.assertEqual(self.n_runs(request_id), 1)
 
 
+class ContradictoryAnswersTest(CopiesCase):
+    """An answer says in one place that the request has run, and not in another."""
+
+    async def test_contradictory_answer_does_not_deny_that_a_request_has_run(self):
+        kinds = ("two-ids", "denied", "denied-500", "denied-interim")
+        for kind, path in itertools.product(kinds, PATHS):
+            with self.subTest(kind=kind, path=path):
+                self.answer_in_turn(kind)
+                await self.assert_truthful(path, n_requests=2)
+
+
 if __name__ == "__main__":
     unittest.main()
