--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -273,8 +273,9 @@
 
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         exch.observe_write()
+        req, request_id = exch.req, exch.facts.request_id
         headers = make_forwarded_headers(
-            _strip_headers(exch.req.headers),
+            _strip_headers(req.headers),
             time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
         )
@@ -286,9 +287,12 @@
             if address is None:
                 raise ConnectFaultError(f"{peer.address!r} is no address")
             conn = await self._pool.acquire(
-                peer.name, *address, recent_only=not exch.rule.repeatable
+                peer.name,
+                *address,
+                recent_only=not exch.rule.repeatable,
+                request_id=request_id,
             )
-            conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
+            conn.send(req.method, req.target, headers, req.body, request_id=request_id)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
             message = f"node {peer.name}: {exc}"
@@ -310,7 +314,7 @@
         answer = OpenAnswer(
             conn, replace(head, headers=tuple(_strip_headers(head.headers))), facts
         )
-        if not conn.is_answer_to(exch.facts.request_id, facts.request_id):
+        if facts.request_id != exch.facts.request_id:
             raise ExchangeFaultError("invalid", "an answer to another request")
         code = head.get(REFUSAL_CODE)
         if code is not None:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -324,6 +324,7 @@
                 server.host,
                 server.port,
                 recent_only=exch.needs_recent_connection,
+                request_id=exch.facts.request_id,
             )
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
@@ -337,8 +338,9 @@
         time_left: float,
     ) -> None:
         server_id = assignment.server.server_id
+        req, request_id = exch.req, exch.facts.request_id
         headers = make_forward_headers(
-            exch.req.headers,
+            req.headers,
             customer=exch.customer.name if exch.customer else None,
             server_id=server_id,
             time_left=time_left,
@@ -348,7 +350,7 @@
         )
         n_requests = conn.n_requests
         try:
-            conn.send(exch.req.method, exch.req.target, headers, exch.req.body)
+            conn.send(req.method, req.target, headers, req.body, request_id=request_id)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
             raise AttemptError("connect", str(exc), Verdict.NOT_RUN) from exc
@@ -367,10 +369,12 @@
             async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
                 facts = _decode_head(head)
-                if conn.is_answer_to(exch.facts.request_id, facts.request_id):
+                if facts.request_id == exch.facts.request_id:
                     return OpenAnswer(conn, head, facts)
                 if not facts.request_id:
-                    raise ExchangeFaultError("invalid", "an answer without request id")
+                    # It may be a copy of an earlier answer, also on a new connection.
+                    message = "an answer that names no request, or several"
+                    raise ExchangeFaultError("invalid", message)
                 exch.record("strange_answer", answers=facts.request_id)
                 await OpenAnswer(conn, head, facts).read_whole()
                 conn.skip_stale_response()
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -22,6 +23,7 @@
 # Informational responses that may precede a response; a server in trouble can send them
 # without end.
 MAX_INTERIM_RESPONSES = 8
+MAX_REMEMBERED_IDS = 64  # ids of the last requests on a connection
 DEFAULT_KEEP_ALIVE = 10.0  # seconds, for servers that send no Keep-Alive header
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\s*timeout=\s*([0-9]{1,6})\s*", re.IGNORECASE)
 
@@ -104,7 +106,7 @@
         self._close_announced = False
         self._keep_alive = DEFAULT_KEEP_ALIVE
         self._idle_since = 0.0
-        self._names_requests = False
+        self._request_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
         self.n_requests = 0
         self.active_at = 0.0
 
@@ -163,7 +165,15 @@
         """Whether the transport is open for writing."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        *,
+        request_id: str = "",
+    ) -> None:
         """Write a complete request.
 
         Parameters
@@ -176,6 +186,8 @@
             Headers without ``Content-Length``, which is added here.
         body : bytes
             Complete body.
+        request_id : str
+            Identity of the request, for ``has_carried``; empty if it has none.
 
         Raises
         ------
@@ -196,9 +208,24 @@
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         assert self._transport is not None
         self.n_requests += 1
+        if request_id:
+            self._request_ids.append(request_id)
         self.active_at = asyncio.get_running_loop().time()
         self._transport.write(b"".join(parts))
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether one of the last requests on the connection had this id.
+
+        A server may send an answer twice. The second copy would be taken for the answer
+        to a request of the same id that is sent on the same connection.
+
+        Parameters
+        ----------
+        request_id : str
+            Identity of a request that is to be sent.
+        """
+        return request_id in self._request_ids
+
     async def read_head(self) -> ResponseHead:
         """Read the status and the headers of the response.
 
@@ -250,27 +277,6 @@
                     "closed", "the connection ended within the response body"
                 )
 
-    def is_answer_to(self, request_id: str, answered_id: str | None) -> bool:
-        """Return whether a response answers the current request, by its request id.
-
-        Parameters
-        ----------
-        request_id : str
-            Id of the current request.
-        answered_id : str or None
-            Id that the response names; None or empty if it names none.
-
-        Returns
-        -------
-        bool
-            False for another id, and for no id after a response on this connection has
-            named one: the late copy of an earlier response may name none.
-        """
-        if not answered_id:
-            return not self._names_requests
-        self._names_requests = True
-        return answered_id == request_id
-
     def skip_stale_response(self) -> None:
         """Discard a response that answers an earlier request.
 
