An error of the next server no longer ends a begun stream with an exception

What callers saw: a resumable stream began and broke off, and the server (or the node) that was asked to go on answered with 400 or 404, or a forwarding node got a 404 or 500: the stream was broken off although a third server and an attempt were left. No byte of the error reached them.

Cause: `_relay_whole`, `_finish_failed` and `Forwarder._relay_answer` wrote such an answer as if nothing had been sent. Only h11 kept its head out of the stream, by an exception that nobody handled; the request's end was not recorded either.

Change: an answer that is no stream is a failed attempt once the caller has events. Then the usual rules decide whether another server gets the request, and the stream is broken off otherwise.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -16,6 +16,7 @@
 
 SEAL = "seal"
 HEALTH_PATH = "/healthz"
+ERROR_TEXT = b'{"error":"foreign failure"}\n\n'
 ENDLESS_PART = b"endless " * 2048
 # An endless response ends here, so that a test can't run forever.
 MAX_ENDLESS_BYTES = 64_000_000
@@ -79,7 +80,23 @@
         ``crash-begun`` also stops listening; ``drip:N`` sends event N one byte every
         200 ms, without its end; ``unframed`` sends no chunks,
         ``unframed-half:N`` ends so inside event N, and ``unframed-empty`` before the
-        first.
+        first; ``reset-after:N`` aborts the connection after event N, and
+        ``silent-after:N`` keeps it open without another byte. ``misdirect`` sends 421
+        and is not executed. Complete streams that are not the requested one:
+        ``unsealed``; ``empty`` has no event, with a length in ``empty-length``;
+        ``restart`` begins with event 1, and ``restart-end`` ends before the first
+        event that the client lacks; ``skip`` lacks that event; ``backwards`` sends
+        the last event first; ``unnamed`` has no ids, and ``huge-id`` an id of 6000
+        digits; ``error-event`` and ``error-data`` have one event, without an id, that
+        contains ``ERROR_TEXT``.
+
+        For streams only, errors with ``ERROR_TEXT`` as their body: ``answer:S`` with
+        status S and a length; ``answer-chunked:S`` and ``answer-unframed:S`` with
+        another framing, ``answer-events:S`` as an event stream with a seal,
+        ``answer-interim:S`` after two informational responses; ``answer-json:S`` with
+        a seal. ``head-after:N`` sends such an error, its head included, in the stream
+        after event N; ``raw-head-after:N`` and ``unframed-head-after:N`` without its
+        chunks.
 
         Endless, until the client closes: ``endless-head`` sends a head without end,
         ``endless-interim`` informational responses, ``endless-refusal`` the body of a
@@ -240,11 +257,12 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Respond to one request; return whether the connection stays open."""
-        if req.headers.get("expect-instance") != self.server_id:
+        kind, _, event_number = self.behaviour(req).partition(":")
+        is_misdirected = req.headers.get("expect-instance") != self.server_id
+        if is_misdirected or kind == "misdirect":
             writer.write(_encode_head(req, 421, 0, "Instance-Id: other\r\n"))
             await writer.drain()
             return True
-        kind, _, event_number = self.behaviour(req).partition(":")
         if kind == "refuse" or not await self._take_slot():
             extra = "Not-Executed: 1\r\n" + self._encode_extra_headers()
             writer.write(_encode_head(req, 503, 0, extra))
@@ -384,6 +402,13 @@
         event_number: float,
     ) -> bool:
         first_event = int(req.headers.get("last-event-id", 0)) + 1
+        if kind in _OTHER_STREAMS or kind.startswith("answer"):
+            response = _make_wrong_response(
+                req, kind, int(event_number), first_event, self.n_events
+            )
+            writer.write(response)
+            await writer.drain()
+            return "unframed" not in kind
         extra = f"Content-Type: text/event-stream\r\nResponse-Seal: {SEAL}\r\n"
         extra += self._encode_extra_headers()
         is_framed = not kind.startswith("unframed")
@@ -414,8 +439,8 @@
                 return False
             writer.write(_encode_chunk(text) if is_framed else text)
             await writer.drain()
-            if kind == "end" and event == event_number:
-                return False
+            if event == event_number and kind.endswith(("end", "-after")):
+                return await self._break_off(req, writer, kind)
             if self.pause:
                 await asyncio.sleep(self.pause * self.slowness)
         if is_framed:
@@ -423,6 +448,86 @@
         await writer.drain()
         return is_framed
 
+    async def _break_off(
+        self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str
+    ) -> bool:
+        """End a stream after an event, without the end of its body."""
+        if kind == "silent-after":
+            await asyncio.sleep(60.0)
+        elif kind == "reset-after":
+            writer.transport.abort()
+        elif kind.endswith("head-after"):
+            error = _encode_head(req, 500, len(ERROR_TEXT), "") + ERROR_TEXT
+            is_chunk = kind == "head-after"
+            writer.write(_encode_chunk(error) + b"0\r\n\r\n" if is_chunk else error)
+            await writer.drain()
+        return False
+
+
+_OTHER_STREAMS = frozenset(
+    {
+        "backwards",
+        "empty",
+        "empty-length",
+        "error-data",
+        "error-event",
+        "huge-id",
+        "restart",
+        "restart-end",
+        "skip",
+        "unnamed",
+        "unsealed",
+    }
+)
+
+
+def _make_wrong_response(
+    req: ReceivedRequest, kind: str, status: int, first_event: int, n_events: int
+) -> bytes:
+    """Return a complete response that is not the rest of the requested stream."""
+    seal = f"Response-Seal: {SEAL}\r\n"
+    event_type = "Content-Type: text/event-stream\r\n"
+    if kind.startswith("answer"):
+        extra = ""
+        if kind == "answer-events":
+            extra = event_type + seal
+        elif kind == "answer-json":
+            extra = "Content-Type: application/json\r\n" + seal
+        if kind in ("answer-chunked", "answer-events"):
+            body = _encode_chunk(ERROR_TEXT) + b"0\r\n\r\n"
+            return _encode_head(req, status, -1, extra) + body
+        length = None if kind == "answer-unframed" else len(ERROR_TEXT)
+        head = _encode_head(req, status, length, extra)
+        if kind == "answer-interim":
+            head = b"HTTP/1.1 102 X\r\n\r\n" * 2 + head
+        return head + ERROR_TEXT
+    numbers = list(range(first_event, n_events + 1))
+    if kind == "restart":
+        numbers = list(range(1, n_events + 1))
+    elif kind == "restart-end":
+        numbers = list(range(1, first_event))
+    elif kind == "skip":
+        del numbers[0]
+    elif kind == "backwards":
+        numbers.reverse()
+    events = [b"id: %d\ndata: %d\n\n" % (number, number) for number in numbers]
+    if kind.startswith("empty"):
+        events = []
+    elif kind == "unnamed":
+        events = [b"data: %d\n\n" % number for number in numbers]
+    elif kind == "huge-id":
+        events[0] = b"id: " + b"9" * 6000 + b"\ndata: 1\n\n"
+    elif kind == "error-event":
+        events = [b"event: error\ndata: " + ERROR_TEXT]
+    elif kind == "error-data":
+        events = [b"data: " + ERROR_TEXT]
+    extra = event_type + ("" if kind == "unsealed" else seal)
+    body = b"".join(events)
+    if kind == "empty-length":
+        return _encode_head(req, 200, 0, extra)
+    chunks = (_encode_chunk(body) if body else b"") + b"0\r\n\r\n"
+    return _encode_head(req, 200, -1, extra) + chunks
+
 
 def _make_endless_response(
     req: ReceivedRequest, kind: str
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -331,6 +331,8 @@
             await exch.responder.finish()
             return Outcome(facts.status, "ok")
         whole = await answer.read_whole()
+        if exch.responder.started:
+            raise ExchangeFaultError("invalid", f"a {facts.status} within a stream")
         exch.states.observe("finish")
         headers = make_response_headers(answer.head.headers)
         await exch.responder.send(facts.status, headers, whole.body)
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -345,8 +345,11 @@
         if facts.status in SUCCESS_STATUSES and (not facts.sealed or facts.encoded):
             message = "successful answer without a valid seal or with an encoded body"
             raise AttemptError("invalid", message, Verdict.MAY_HAVE_RUN)
+        message = f"the server answered {facts.status}"
+        if exch.responder.started:
+            # Only events can follow the events that the caller has.
+            raise AttemptError("failed", message, Verdict.RAN)
         if failed or facts.status in NOT_RUN_STATUSES:
-            message = f"the server answered {facts.status}"
             raise AttemptError("failed", message, Verdict.RAN, answer)
         self._loads.memory.observe_completed(exch)
         exch.states.observe("finish")
