An event id of thousands of digits is an invalid event

What callers saw: a server sent an event whose id has 6000 digits. A request whose stream had not begun lost its connection without an answer, and a begun stream was broken off although a third server was left.

Cause: `int()` raises ValueError for more than 4300 digits, which nobody handles.

Evidence: the four cases `huge-id` of test_broken_streams failed before ("Exceeds the limit (4300 digits)"; empty answer, or two of four events); they pass now.

Change: an id of more than 18 digits is none, like any other text that is no number, so that the attempt fails as one whose stream is invalid.

--- a/packages/medlargate/medlargate/relay/_events.py
+++ b/packages/medlargate/medlargate/relay/_events.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 MAX_EVENT_BYTES = 1_048_576
+MAX_ID_DIGITS = 18  # int() raises ValueError for some thousand digits
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -71,7 +72,7 @@
         Raises
         ------
         EventOrderError
-            If an event id is skipped or missing, or an event exceeds
+            If an event id is skipped, missing or too long, or an event exceeds
             ``MAX_EVENT_BYTES``.
         """
         self._buffer += data
@@ -82,7 +83,7 @@
             event_id = _read_id(raw)
             if event_id is None:
                 # Bytes that are no event of the server must not reach the caller.
-                raise EventOrderError(f"an event of {len(raw)} bytes has no id")
+                raise EventOrderError(f"an event of {len(raw)} bytes has no valid id")
             event = StreamEvent(raw, event_id)
             if self._is_new(event):
                 events.append(event)
@@ -105,5 +106,6 @@
     for line in raw.splitlines():
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            is_valid = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_valid else None
     return None
--- a/packages/medlargate/medlargate/relay/tests/test_broken_streams.py
+++ b/packages/medlargate/medlargate/relay/tests/test_broken_streams.py
@@ -31,7 +31,7 @@
     "answer:200",
     "answer-json:200",
 )
-WRONG_STREAMS = ("unsealed", "skip", "backwards", "unnamed")
+WRONG_STREAMS = ("unsealed", "skip", "backwards", "unnamed", "huge-id")
 ERROR_EVENTS = ("error-event", "error-data")
 EMPTY_STREAMS = ("unframed-empty",)
 LATE_ERRORS = ("head-after:3", "raw-head-after:3", "unframed-head-after:3")
