A rest without a new event no longer completes a broken stream

What callers saw: a stream began and broke off, the next server answered the continuation with an empty, complete event stream, or only with events that the caller had, and the caller's answer ended as complete before its last event.

Cause: `relay_events` took the framed end of any later answer for the end of the stream.

Change: an answer without a new event is a failed attempt, however it is framed, so that another server is asked, and the stream is broken off at last. It is complete only if the caller has as many events as the request's maximum output allows; then also for a caller who takes the stream up itself, and got 502 before.

A break inside an event shows that more was due, a break between two shows nothing, and a second server of the same build may err in the same way.

--- a/packages/medlargate/medlargate/relay/_event_relay.py
+++ b/packages/medlargate/medlargate/relay/_event_relay.py
@@ -23,6 +23,10 @@
 ) -> None:
     """Send the events that the caller does not have yet.
 
+    An answer without such an event is the complete rest of a stream only if the caller
+    has as many events as the request's maximum output allows. Any other may come from
+    a server that has lost the stream, and would end the caller's stream too early.
+
     Parameters
     ----------
     exch : Exchange
@@ -41,8 +45,15 @@
     Raises
     ------
     ExchangeFaultError
-        If the stream breaks off or is not valid.
+        If the stream breaks off, is not valid, or ends without a new event.
     """
+
+    async def start_response() -> None:
+        if not exch.responder.started:
+            headers = make_response_headers(open_answer.head.headers)
+            headers += make_extra_headers()
+            await exch.responder.start(open_answer.facts.status, headers)
+
     splitter = EventSplitter(exch.last_event_id)
     started = False
     # The first event comes after the prefill, which may take longer than any pause
@@ -59,10 +70,7 @@
             if not started:
                 started = True
                 on_first_event()
-            if not exch.responder.started:
-                headers = make_response_headers(open_answer.head.headers)
-                headers += make_extra_headers()
-                await exch.responder.start(open_answer.facts.status, headers)
+            await start_response()
             await exch.responder.write(event.data)
             exch.observe_event(clock())
             exch.last_event_id = event.event_id
@@ -70,7 +78,18 @@
             limit.start_waiting()
         elif started:
             limit.resume_waiting()
-    is_delimited = open_answer.head.is_delimited
-    is_cut = not started and not (is_delimited and exch.responder.started)
-    if splitter.has_partial_event or is_cut:
+    if splitter.has_partial_event:
         raise ExchangeFaultError("closed", "the stream ended inside an event")
+    if not started:
+        if not _has_all_events(exch):
+            kind = "invalid" if open_answer.head.is_delimited else "closed"
+            raise ExchangeFaultError(kind, "the stream ended without a new event")
+        await start_response()
+
+
+def _has_all_events(exch: Exchange) -> bool:
+    """Return whether the caller has the events of the longest possible answer."""
+    engine, max_output = exch.service.engine, exch.facts.max_output_tokens
+    if engine is None or not max_output:
+        return False
+    return (exch.last_event_id or 0) * engine.n_tokens_per_event >= max_output
--- a/packages/medlargate/medlargate/relay/tests/test_broken_streams.py
+++ b/packages/medlargate/medlargate/relay/tests/test_broken_streams.py
@@ -33,7 +33,7 @@
 )
 WRONG_STREAMS = ("unsealed", "skip", "backwards", "unnamed", "huge-id")
 ERROR_EVENTS = ("error-event", "error-data")
-EMPTY_STREAMS = ("unframed-empty",)
+EMPTY_STREAMS = ("empty", "empty-length", "unframed-empty", "restart-end")
 LATE_ERRORS = ("head-after:3", "raw-head-after:3", "unframed-head-after:3")
 WRONG_ANSWERS = ERRORS + WRONG_STREAMS + ERROR_EVENTS + EMPTY_STREAMS + LATE_ERRORS
 
@@ -109,6 +109,8 @@
     "error event": make_peer_stream(3, 2, b"event: error\ndata: " + ERROR_TEXT),
     "error text": make_peer_stream(3, 2, ERROR_TEXT),
     "skip": make_peer_stream(4, 4),
+    "empty": make_peer_stream(3, 2),
+    "events again": make_peer_stream(1, 2),
 }
 
 
@@ -200,6 +202,30 @@
             self.assert_complete(await self.call("/stream/x", broken, "restart"))
 
 
+class CompleteRestTest(BrokenStreamsCase):
+    """The caller has the four events that the request's maximum output allows."""
+
+    async def test_empty_rest_after_the_last_event_completes_the_stream(self):
+        for empty in EMPTY_STREAMS:
+            for broken in ("end:4", "reset-after:4"):
+                raw = await self.call("/stream/x", broken, empty, Token_Usage="9,4")
+                self.assert_complete(raw)
+
+    async def test_empty_rest_after_an_earlier_event_does_not(self):
+        for empty in EMPTY_STREAMS:
+            raw = await self.call("/stream/x", "end:3", empty, Token_Usage="9,4")
+            self.assert_broken_off(raw, 3)
+
+    async def test_caller_who_takes_a_complete_stream_up_gets_its_end(self):
+        for empty in EMPTY_STREAMS:
+            headers = {"Last_Event_Id": "4", "Resumes": "a0", "Token_Usage": "9,4"}
+            raw = await self.call("/stream/x", empty, **headers)
+            self.assertEqual(parse_stream(raw), (b"", True))
+            headers["Last_Event_Id"] = "3"
+            raw = await self.call("/stream/x", empty, empty, **headers)
+            self.assertRegex(raw, rb"^HTTP/1\.1 502")
+
+
 class ThirdServerTest(BrokenStreamsCase):
     async def test_stream_goes_on_after_a_wrong_answer(self):
         for broken in BREAKS:
@@ -224,7 +250,7 @@
 
 class SilentServerTest(BrokenStreamsCase):
     async def test_wrong_answer_after_a_silence_does_not_reach_the_caller(self):
-        wrong = ("answer:404", "answer-events:500", "error-event", "refuse")
+        wrong = ("answer:404", "answer-events:500", "empty", "error-event", "refuse")
         raws = await asyncio.gather(
             *(
                 self.call("/stream/x", "silent-after:2", *[it] * 8, Deadline_Ms="2900")
@@ -256,7 +282,7 @@
             backend.delay = 0.1
         calls = [
             asyncio.create_task(self.call("/stream/x", "cut:3", *[it] * 8))
-            for it in ("answer:404", "answer-chunked:500", "misdirect")
+            for it in ("answer:404", "answer-chunked:500", "empty", "misdirect")
         ]
         await asyncio.sleep(0.15)
         await self.world.nodes[0].stop()
