--- a/packages/medlargate/medlargate/relay/tests/test_unexpected_errors.py
+++ b/packages/medlargate/medlargate/relay/tests/test_unexpected_errors.py
@@ -71,7 +71,7 @@
 
     async def test_errors_after_the_write_do_not_deny_the_run(self):
         for target, name, replacement in (
-            (BackendConnection, "is_answer_to", fail),
+            (BackendConnection, "read_head", fail_async),
             (OpenAnswer, "read_whole", fail_async),
             (self.node.request_handler, "_relay_whole", fail_async),
             (self.node.request_handler, "_deliver", fail_async),
