Windows that no holder can have sealed before a restore of the store are reported

Callers of the usage interface missed all windows of 6 to 7 s after a restore of the store; the first report with the new fencing token came 7 to 8 s after it.

Cause: the first holder after a restore recorded the time at which it began to report as the time of the restore. It takes the duty within half a second, but then waits for 3.5 s for orders of its predecessor. To this time the reporter added 2 s for the difference of clocks, and did not count that each seal waits for MIN_SEAL_DELAY after a window's end.

Change: the reporter records when its node saw the restore, and leaves out only windows that end up to MAX_CLOCK_ERROR - MIN_SEAL_DELAY later. All seals that the store lost were written before any node saw the restore, by a clock at most MAX_CLOCK_ERROR ahead, and at least MIN_SEAL_DELAY after the end of their window, so a later window has no lost seal.

--- a/packages/medlargate/medlargate/fleet/_usage_reporter.py
+++ b/packages/medlargate/medlargate/fleet/_usage_reporter.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -24,7 +25,7 @@
 # A part is one node's counts of one window.
 PART_PREFIX = "medlargate/usage/"
 SEALED_PREFIX = "medlargate/sealed/"
-# Era of the store with the time at which a holder first found it.
+# Era of the store with the time at which its first holder had seen the restore.
 ERA_KEY = "medlargate/era"
 MAX_CLOCK_ERROR = 2.0  # seconds between the times of day of two nodes
 # A window is sealed between MIN_SEAL_DELAY and MAX_SEAL_DELAY after its end, as soon as
@@ -84,12 +85,16 @@
     is_partitioned_since : callable
         Returns whether so many nodes have not been heard since a time of day that they
         are probably partitioned and not stopped.
+    clock : callable, default=time.monotonic
+        Returns the time in seconds on a monotonic clock.
 
     Notes
     -----
     A restored store has lost the newest seals. A window that ended before the restore
     may have been sealed and sent by a holder that this node cannot ask, so it is
-    reported only with the counts that the store or this node still has.
+    reported only with the counts that the store or this node still has. These are the
+    windows that ended up to ``MAX_CLOCK_ERROR - MIN_SEAL_DELAY`` after a node first
+    saw the restore. How long the next holder waits afterwards does not matter.
     """
 
     store: Store
@@ -101,11 +106,17 @@
     get_era: Callable[[], int] = lambda: 0
     may_be_first: Callable[[], bool] = lambda: False
     is_partitioned_since: Callable[[float], bool] = lambda _: False
+    clock: Callable[[], float] = time.monotonic
     _sealed: dict[int, WindowCounts] = field(default_factory=dict)
     _reported: set[int] = field(default_factory=set)
     _first_window: int | None = None
     _known_era: int = 0
     _first_unsealed: int = 0
+    _restore_seen_at: float = float("inf")
+
+    def observe_restore(self) -> None:
+        """Record the time at which this node learns of a restore of the store."""
+        self._restore_seen_at = self.clock()
 
     async def step(self) -> None:
         """Seal and send the windows that are due.
@@ -150,7 +161,7 @@
         record = orjson.loads(entries[0].value) if entries else {}
         if record.get("era") != era:
             is_first = not entries and self.may_be_first()
-            record = {"era": era, "time": 0.0 if is_first else self.now()}
+            record = {"era": era, "time": 0.0 if is_first else self._find_restore()}
             expected = entries[0].mod_revision if entries else 0
             written = await self.store.write(
                 [Compare(ERA_KEY, expected)], [Put(ERA_KEY, orjson.dumps(record))]
@@ -158,10 +169,18 @@
             if isinstance(written, Failure) or not written.unwrap().succeeded:
                 return False
         self._known_era = era
-        started_at = record["time"] + MAX_CLOCK_ERROR
-        self._first_unsealed = self.counts.window_at(started_at)
+        latest_sealed_end = record["time"] + MAX_CLOCK_ERROR - MIN_SEAL_DELAY
+        self._first_unsealed = self.counts.window_at(latest_sealed_end)
         return True
 
+    def _find_restore(self) -> float:
+        """Return a time of day at which the store had been restored.
+
+        This is the time at which this node saw the restore; the present time if the
+        node saw only the restored store.
+        """
+        return self.now() - max(0.0, self.clock() - self._restore_seen_at)
+
     async def _report(self, window: int, *, age: float) -> None:
         if window not in self._sealed:
             sealed = await self._find_sealed(window)
--- a/packages/medlargate/medlargate/fleet/tests/test_restored_store.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_restored_store.py
@@ -119,7 +119,7 @@
         self.sent = []
         self.copy = self.store.snapshot()
 
-    def make_reporter(self, n_requests):
+    def make_reporter(self, n_requests, *, clock_error=0.0):
         counts = UsageCounts(5.0)
         for at in (997.0, 1002.0, 1007.0):
             for _ in range(n_requests):
@@ -129,9 +129,10 @@
             SimpleNamespace(is_holder=lambda: True, fence=7),
             counts,
             self.send,
-            lambda: self.now,
+            lambda: self.now + clock_error,
             get_era=lambda: self.era,
             may_be_first=lambda: self.era == 1,
+            clock=lambda: self.now,
         )
 
     async def send(self, window, counts):
@@ -171,6 +172,32 @@
         await successor.step()
         self.assertEqual(self.list_counts(201), [{"alpha": 5}])
 
+    async def test_windows_that_end_while_the_next_holder_waits_are_reported(self):
+        successor = self.make_reporter(5)
+        await successor.step()
+        self.now = 1003.0
+        self.restore()
+        successor.observe_restore()
+        self.now = 1007.0
+        await successor.step()
+        self.assertEqual(self.list_counts(200), [{"alpha": 5}])
+
+    async def test_windows_that_a_fast_clock_may_have_sealed_are_left_out(self):
+        fast = self.make_reporter(3, clock_error=1.9)
+        successor = self.make_reporter(5)
+        for reporter in (fast, successor):
+            await reporter.step()
+        self.now = 1003.9
+        await fast.step()
+        self.assertEqual(self.list_counts(200), [{"alpha": 3}])
+        self.restore()
+        successor.observe_restore()
+        for _ in range(4):
+            self.now += 1.9
+            await successor.step()
+        self.assertEqual(self.list_counts(200), [{"alpha": 3}])
+        self.assertEqual(self.list_counts(201), [{"alpha": 5}])
+
     async def test_seal_that_the_copy_has_is_sent_again_unchanged(self):
         await self.report_first_window()
         self.copy = self.store.snapshot()
--- a/packages/medlargate/medlargate/relay/_duties.py
+++ b/packages/medlargate/medlargate/relay/_duties.py
@@ -399,6 +399,8 @@
         """Give up the lease and write the usage counts again after a restore."""
         self.lease.observe_restore()
         self._usage_parts.observe_restore()
+        if self._usage is not None:
+            self._usage.observe_restore()
 
     async def release(self) -> None:
         """Write the remaining usage counts and release the lease."""
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -548,6 +548,7 @@
                 lambda: store.era,
                 may_be_first,
                 self.fleet.is_partitioned,
+                self.clock,
             )
         if AUTOSCALE in names:
             scale = ScaleDuty(
--- a/packages/medlargate/medlargate/relay/tests/test_restored_store.py
+++ b/packages/medlargate/medlargate/relay/tests/test_restored_store.py
@@ -1,9 +1,11 @@
 """A relay node while the store comes back from a copy some seconds old."""
 
 import asyncio
+import time
 
 from medlargate_standins.relay_testbed import make_config, make_route
 
+from ...fleet._usage_reporter import MAX_CLOCK_ERROR, MAX_SEAL_DELAY
 from .test_relay import RelayCase
 
 
@@ -62,6 +64,21 @@
         self.assertEqual(tokens, sorted(tokens))
         self.assertGreater(tokens[-1], tokens[0])
 
+    async def test_windows_after_a_restore_are_reported(self):
+        # Guards against windows left out while the next holder of the duties waits.
+        await asyncio.sleep(2.0)
+        restored_at = time.time()
+        await self.restore()
+        await asyncio.sleep(7.0)
+        reported = self.world.platform.usage
+        window = self.node.usage.window_at
+        first = window(restored_at + MAX_CLOCK_ERROR)
+        last = window(time.time() - MAX_SEAL_DELAY) - 1
+        self.assertGreater(last, first)
+        self.assertEqual(set(range(first, last + 1)) - set(reported), set())
+        for reports in reported.values():
+            self.assertEqual([reports[0]] * len(reports), reports)
+
     async def test_node_registers_again(self):
         empty = self.copy.entries.copy()
         del empty["medlargate/nodes/n1"]
