An odd address of a peer no longer closes a node's socket for datagrams

Callers saw: late changes; an operator saw nodes that neither heard nor were heard until they restarted.

Cause: asyncio closes a datagram transport for good if sendto raises anything but an OSError. A node's entry in the store, a status or a question with the port 70000 raised OverflowError there. An entry whose zone or address is no text, or nested, ended the registration again and again. An error in one part of a status lost its other parts.

Change: addresses of nodes are parsed like those of servers, and others are not sent to. Entries of nodes are checked for types. A message that can't be decoded, for whatever reason, is logged; the parts of a status are merged one by one. A socket that is lost all the same is logged and opened again with the next status. A pull of odd form is answered 400, and a pull that fails is logged.

--- a/packages/medlargate/medlargate/_tasks.py
+++ b/packages/medlargate/medlargate/_tasks.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 log = logging.getLogger(__name__)
 
@@ -27,9 +28,28 @@
         try:
             await job()
             return
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            # Only a task that the job awaited was cancelled.
+            _log_failure(job)
         except Exception:
-            log.exception("background task failed; restarting it")
-            await asyncio.sleep(pause)
+            _log_failure(job)
+        await asyncio.sleep(pause)
+
+
+def _log_failure(job: Callable[..., object]) -> None:
+    name = getattr(job, "__qualname__", repr(job))
+    log.exception("background task failed; restarting it", extra={"job": name})
+
+
+def log_task_failure(task: asyncio.Task[Any]) -> None:
+    """Log the exception of a task that nothing awaits, as its done-callback."""
+    if not task.cancelled() and (exc := task.exception()) is not None:
+        log.error(
+            "task failed", extra={"task": task.get_coro().__qualname__}, exc_info=exc
+        )
 
 
 def call_logged(callback: Callable[..., object], *args: object) -> None:
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -7,6 +7,8 @@
 import orjson
 from pydantic import BaseModel, Field
 
+from ..platform import parse_address
+
 
 class StatusMessage(BaseModel):
     """State revisions and loads, common to node and domain statuses.
@@ -255,6 +257,6 @@
         row = orjson.loads(data)
     except orjson.JSONDecodeError:
         return None
-    if not isinstance(row, dict) or not {"zone", "address"} <= set(row):
+    if not isinstance(row, dict) or not isinstance(row.get("zone"), str):
         return None
-    return row
+    return row if parse_address(row.get("address")) is not None else None
--- a/packages/medlargate/medlargate/fleet/_peers.py
+++ b/packages/medlargate/medlargate/fleet/_peers.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import random
 import socket
@@ -18,8 +19,10 @@
 from typing import Any
 
 import orjson
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel
 
+from .._tasks import call_logged
+from ..platform import parse_address
 from ._peer_messages import (
     DomainStatus,
     LoadUpdate,
@@ -54,6 +57,8 @@
 MAX_DATAGRAM = 60_000  # bytes
 MAX_DATAGRAMS_AT_ONCE = 100
 
+_parse_address = functools.lru_cache(maxsize=1024)(parse_address)
+
 
 @dataclass
 class KnownPeer:
@@ -271,8 +276,10 @@
         on_stream_notes: Callable[[StreamNotes], None],
         on_stream_query: Callable[[StreamQuery], None],
         on_rejection: Callable[[RejectionNotice], None],
+        on_lost: Callable[[], None],
     ) -> None:
         self._sock = sock
+        self._on_lost = on_lost
         self._on_status = on_status
         # Each kind of message but a node's status is recognized by a field.
         self._handlers: dict[str, tuple[type[BaseModel], Callable[[Any], None]]] = {
@@ -297,23 +304,30 @@
     def _handle(self, data: bytes, addr: Any) -> None:
         try:
             row = orjson.loads(data)
-            for field_name, (model, handle) in self._handlers.items():
+            model, handle = PeerStatus, self._on_status
+            for field_name, handler in self._handlers.items():
                 if isinstance(row, dict) and field_name in row:
-                    handle(model.model_validate(row))
-                    return
-            status = PeerStatus.model_validate(row)
-        except (orjson.JSONDecodeError, ValidationError) as exc:
+                    model, handle = handler
+                    break
+            message = model.model_validate(row)
+        except Exception as exc:
             log.warning(
                 "datagram not decodable",
                 extra={"peer": addr[0], "fault": str(exc)[:200]},
             )
             return
-        self._on_status(status)
+        call_logged(handle, message)
 
     def error_received(self, exc: Exception) -> None:
         # An unreachable peer is detected by its missing statuses.
         log.debug("datagram not delivered", extra={"fault": str(exc)})
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report a socket that an error has closed."""
+        if exc is not None:
+            log.error("socket for datagrams lost", extra={"fault": repr(exc)})
+            self._on_lost()
+
 
 class PeerMessenger:
     """Sends this node's status to peers and receives theirs.
@@ -364,9 +378,12 @@
         self._make_status = make_status
         self._on_status = on_status
         self._transport: asyncio.DatagramTransport | None = None
+        self._is_lost = False
+        self._address = ("", 0)
 
     async def start(self, host: str, port: int) -> None:
         """Listen for datagrams."""
+        self._address = (host, port)
         loop = asyncio.get_running_loop()
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
@@ -380,10 +397,14 @@
                 self._on_stream_notes,
                 self._on_stream_query,
                 self._on_rejection,
+                self._observe_lost,
             ),
             sock=sock,
         )
 
+    def _observe_lost(self) -> None:
+        self._transport, self._is_lost = None, True
+
     def _receive_status(self, status: PeerStatus) -> None:
         self._table.observe_status(status)
         self._on_status(status)
@@ -428,8 +449,12 @@
             log.error("message too large for a datagram", extra={"n_bytes": len(data)})
             return
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            target = _parse_address(address)
+            if target is not None:
+                self._transport.sendto(data, target)
+                continue
+            # Any other error than an OSError would close the socket.
+            log.warning("address of a peer not usable", extra={"address": address})
 
     def send_status_round(self) -> None:
         """Send this node's status to one round of peers, in this and other domains."""
@@ -454,6 +479,9 @@
     ) -> None:
         random_state = self._table.random_state
         while True:
+            if self._is_lost:
+                self._is_lost = False
+                await self.start(*self._address)
             self.send_status(same_domain=same_domain)
             await asyncio.sleep(decide_interval() * random_state.uniform(0.8, 1.2))
 
--- a/packages/medlargate/medlargate/platform/__init__.py
+++ b/packages/medlargate/medlargate/platform/__init__.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .._lazy import make_lazy_getattr
-from ._bounds import parse_address, parse_count
+from ._bounds import MAX_NUMBER, MAX_REVISION, parse_address, parse_count
 from ._calls import CallClient, PlatformCallError
 from ._decoding import decode_registration, decode_routing_config
 from ._eras import get_era
@@ -64,6 +64,8 @@
 __all__ = [
     "CONFIG_KEY",
     "EVACUATIONS_PREFIX",
+    "MAX_NUMBER",
+    "MAX_REVISION",
     "SERVERS_PREFIX",
     "CallClient",
     "Change",
--- a/packages/medlargate/medlargate/platform/_bounds.py
+++ b/packages/medlargate/medlargate/platform/_bounds.py
@@ -6,32 +6,35 @@
 
 # Whole numbers up to this one are exact as a double and fit into JSON.
 MAX_NUMBER = 2**53 - 1
+MAX_REVISION = 2**63 - 1
 MAX_DURATION = 31_536_000.0  # seconds, a year
 MAX_SLOTS = 65_536  # requests that one server runs concurrently
 MAX_RATE = 1e6  # requests a second of one server
 MAX_TEXT = 200  # characters of a name
 MAX_PORT = 65_535
-_MAX_DIGITS = 18  # int() fails for very long texts
+_MAX_DIGITS = 19  # int() fails for very long texts
 
 
-def parse_count(text: str | None) -> int | None:
+def parse_count(text: str | None, *, largest: int = MAX_NUMBER) -> int | None:
     """Parse a whole number of a header.
 
     Parameters
     ----------
     text : str or None
         Decimal digits, with whitespace around them.
+    largest : int, default=MAX_NUMBER
+        Largest valid number, at most ``MAX_REVISION``.
 
     Returns
     -------
     int or None
-        Number; None for a missing or invalid text and above ``MAX_NUMBER``.
+        Number; None for a missing or invalid text.
     """
     digits = (text or "").strip()
     if not (digits.isascii() and digits.isdigit()):
         return None
     digits = digits.lstrip("0") or "0"
-    if len(digits) > _MAX_DIGITS or int(digits) > MAX_NUMBER:
+    if len(digits) > _MAX_DIGITS or int(digits) > largest:
         return None
     return int(digits)
 
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -12,6 +12,7 @@
 import orjson
 from returns.result import Failure
 
+from .._tasks import call_logged, log_task_failure
 from ..fleet import (
     ALIVE_TIME,
     STATUS_LIFETIME_ROUNDS,
@@ -32,7 +33,17 @@
     decode_node,
     encode_node,
 )
-from ..platform import Change, Entry, PromptPart, Put, Store, StoreResult
+from ..platform import (
+    MAX_REVISION,
+    Change,
+    Entry,
+    PromptPart,
+    Put,
+    Store,
+    StoreResult,
+    parse_address,
+    parse_count,
+)
 from ..policy import ForwardPeer, StreamOrigin, choose_origin_keepers
 from ..routing import IngressLimits
 from ..transport import (
@@ -674,26 +685,40 @@
             log.warning(
                 "time of day corrected", extra={"seconds": round(correction, 3)}
             )
-        self._usage.merge(status.incarnation, status.usage)
-        self._crash_guard.merge_status(status)
-        self._limits.merge(status.limits)
-        self._cold.merge(status.cold, status.traffic_age)
-        self._loads.merge_slow_engines(*status.slow_engines, self._wall_clock.now())
-        self._origins.merge_versions(status.versions)
+        call_logged(self._usage.merge, status.incarnation, status.usage)
+        self._merge_common(status)
         if status.zone == self.table.zone:
             lifetime = max(
                 PEER_LIFETIME,
                 LOAD_LIFETIME_ROUNDS * self.table.compute_intra_domain_round(),
             )
-            self._loads.observe_peer_loads(status.name, status.loads, lifetime=lifetime)
-            self._loads.observe_peer_speeds(status.speeds)
-            self._loads.memory.observe_peer(
-                status.name, status.loads, status.held, lifetime=lifetime
-            )
-            self.observe_consumers(status.name, status.consumers, lifetime)
-        self._merge_capacity(status)
+            call_logged(self._loads.observe_peer_speeds, status.speeds)
+            call_logged(self._merge_loads, status.name, status, lifetime)
         self._compare_state(status)
 
+    def _merge_common(self, status: StatusMessage) -> None:
+        """Merge what all statuses report; a part that fails leaves the others."""
+        now = self._wall_clock.now()
+        call_logged(self._crash_guard.merge_status, status)
+        call_logged(self._limits.merge, status.limits)
+        call_logged(self._cold.merge, status.cold, status.traffic_age)
+        call_logged(self._loads.merge_slow_engines, *status.slow_engines, now)
+        call_logged(self._origins.merge_versions, status.versions)
+        call_logged(self._merge_capacity, status)
+
+    def _merge_loads(
+        self,
+        sender: str,
+        status: StatusMessage,
+        lifetime: float,
+        zone: str | None = None,
+    ) -> None:
+        self._loads.observe_peer_loads(sender, status.loads, lifetime=lifetime)
+        self._loads.memory.observe_peer(
+            sender, status.loads, status.held, lifetime=lifetime, zone=zone
+        )
+        self.observe_consumers(sender, status.consumers, lifetime)
+
     def _receive_domain_status(self, status: DomainStatus) -> None:
         if not self.domains.observe_status(status):
             return
@@ -701,26 +726,14 @@
             self.messenger.broadcast_to_domain(
                 status.model_copy(update={"relayed": True})
             )
-        self._crash_guard.merge_status(status)
-        self._limits.merge(status.limits)
-        self._cold.merge(status.cold, status.traffic_age)
-        self._loads.merge_slow_engines(*status.slow_engines, self._wall_clock.now())
-        self._origins.merge_versions(status.versions)
+        self._merge_common(status)
         lifetime = max(
             MIN_DOMAIN_LOAD_LIFETIME, STATUS_LIFETIME_ROUNDS * status.interval
         )
-        self._loads.observe_peer_loads(status.zone, status.loads, lifetime=lifetime)
-        self._loads.memory.observe_peer(
-            status.zone,
-            status.loads,
-            status.held,
-            lifetime=lifetime,
-            zone=status.zone,
-        )
-        self._merge_capacity(status)
-        self.observe_consumers(status.zone, status.consumers, lifetime)
+        call_logged(self._merge_loads, status.zone, status, lifetime, status.zone)
         for server_id, rows in status.parts:
-            self._loads.observe_parts(server_id, [PromptPart(*row) for row in rows])
+            parts = [PromptPart(*row) for row in rows]
+            call_logged(self._loads.observe_parts, server_id, parts)
         self._compare_state(status)
 
     def _merge_capacity(self, status: StatusMessage) -> None:
@@ -810,6 +823,7 @@
         )
         if behind and (self._pull_task is None or self._pull_task.done()):
             self._pull_task = asyncio.create_task(self._pull(status))
+            self._pull_task.add_done_callback(log_task_failure)
 
     def _merge_evacuations(self, status: StatusMessage) -> bool:
         """Take over evacuations; return whether a peer can confirm this node's reads.
@@ -849,16 +863,18 @@
             # Traffic between failure domains is priced, and this node's own watch of
             # the store delivers the change anyway.
             return
-        host, _, port = status.address.rpartition(":")
+        address = parse_address(status.address)
+        if address is None:
+            return
         target = (
             f"/beliefs?config={freshness.config_revision}"
             f"&servers={freshness.servers_revision}"
         )
         try:
             async with asyncio.timeout(PULL_TIMEOUT):
-                conn = await open_connection(host, int(port), timeout=PULL_TIMEOUT)
+                conn = await open_connection(*address, timeout=PULL_TIMEOUT)
                 try:
-                    conn.send("GET", target, [(b"Host", host.encode())], b"")
+                    conn.send("GET", target, [(b"Host", address[0].encode())], b"")
                     await conn.read_head()
                     body = b"".join([data async for data in conn.read_body()])
                 finally:
@@ -914,9 +930,12 @@
         query = dict(
             item.partition("=")[::2] for item in req.target.partition("?")[2].split("&")
         )
-        response = self._make_pull_response(
-            int(query.get("config", 0)), int(query["servers"])
-        )
+        config_revision = parse_count(query.get("config", "0"), largest=MAX_REVISION)
+        servers_revision = parse_count(query.get("servers"), largest=MAX_REVISION)
+        if config_revision is None or servers_revision is None:
+            await responder.send(400, [], b"")
+            return
+        response = self._make_pull_response(config_revision, servers_revision)
         await responder.send(200, [], orjson.dumps(response))
 
     def _make_pull_response(
