Background tasks go on after an error that nothing expects

Callers saw: nothing yet; found by walking through all tasks, timers and listeners.

Cause: a job whose awaited task was cancelled ended for good, since CancelledError is no Exception. A reply of the store with odd fields raised out of the client into the watch, the poll, the lease or a request. An error in the decision whether to abandon a silent attempt ended the limit, so that the attempt could last up to the deadline. One usage window or part that could not be decoded held up all later windows. A log line with a whole number beyond 64 bits raised an error where it was written. The times of a stored block could be infinite, so that it never expired.

The store's calls return a failure for such replies, with the verdict that the call may have run. Changes of a batch are applied one by one, and the revision advances. The silence limit checks again. Usage windows are reported one by one, and counts are validated. Exceptions of tasks that nothing awaits are logged. A line that can't be encoded is written as text.

--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -223,10 +223,10 @@
         restored = get_era(revision) > get_era(self.servers_revision)
         found = {entry.key: entry for entry in entries}
         for entry in found.values():
-            self._put(entry)
+            call_logged(self._put, entry)
         for key, known in list(self._entries.items()):
             if key not in found and known.mod_revision <= revision:
-                self._remove(key, revision, may_return=restored)
+                call_logged(self._remove, key, revision, restored)
         for key in [key for key in self._withheld if key not in found]:
             del self._withheld[key]
         self.servers_revision = revision
@@ -251,10 +251,11 @@
             When the store confirmed the revision, in seconds on the node's clock.
         """
         for change in changes:
+            # One change that fails must not hold up the others and the revision.
             if change.entry is not None:
-                self._put(change.entry)
+                call_logged(self._put, change.entry)
             else:
-                self._remove(change.key, change.revision)
+                call_logged(self._remove, change.key, change.revision)
         self.servers_revision = max(self.servers_revision, revision)
         self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
         self.drop_lapsed()
@@ -417,7 +418,7 @@
         """Return the number of entries among the registrations that name no server."""
         return len(self._invalid_keys)
 
-    def _remove(self, key: str, revision: int, *, may_return: bool = False) -> None:
+    def _remove(self, key: str, revision: int, may_return: bool = False) -> None:
         self._withheld.pop(key, None)
         known = self._entries.get(key)
         if known is not None and known.mod_revision > revision:
--- a/packages/medlargate/medlargate/fleet/_usage_reporter.py
+++ b/packages/medlargate/medlargate/fleet/_usage_reporter.py
@@ -10,11 +10,22 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Annotated, Any
 
 import orjson
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter
 from returns.result import Failure, Result, Success
 
-from ..platform import Compare, Delete, PlatformCallError, Put, Store
+from ..platform import (
+    MAX_NUMBER,
+    Compare,
+    Delete,
+    Entry,
+    PlatformCallError,
+    Put,
+    Store,
+    parse_count,
+)
 from ..policy import Verdict
 from ._leases import DutyLease
 from ._usage_counts import UsageCounts, WindowCounts
@@ -54,6 +65,16 @@
 WINDOWS_REWRITTEN = 3
 WRITTEN_TOTALS_KEPT = 8  # windows whose written totals are remembered
 
+
+class _EraRecord(BaseModel):
+    model_config = ConfigDict(allow_inf_nan=False)
+
+    era: int
+    time: float
+
+
+_COUNTS = TypeAdapter(dict[str, Annotated[int, Field(ge=0, le=MAX_NUMBER)]])
+
 SendUsage = Callable[[int, WindowCounts], Awaitable[Result[int, PlatformCallError]]]
 
 
@@ -127,7 +148,11 @@
             end = (window + 1) * window_length
             if now < end + self._decide_seal_delay(end):
                 continue
-            await self._report(window, age=now - end)
+            try:
+                await self._report(window, age=now - end)
+            except Exception:
+                # The other windows are reported all the same.
+                log.exception("usage window not reported", extra={"window": window})
         self._reported = {window for window in self._reported if window >= oldest}
         self._sealed = {w: c for w, c in self._sealed.items() if w >= oldest}
 
@@ -147,7 +172,7 @@
         if isinstance(found, Failure):
             return False
         entries = found.unwrap().entries
-        record = orjson.loads(entries[0].value) if entries else {}
+        record = _decode_era(entries[0].value) if entries else {}
         if record.get("era") != era:
             is_first = not entries and self.may_be_first()
             record = {"era": era, "time": 0.0 if is_first else self.now()}
@@ -209,7 +234,7 @@
         if isinstance(found, Failure):
             return found
         entries = found.unwrap().entries
-        return Success(orjson.loads(entries[0].value)) if entries else None
+        return _decode_sealed(entries[0]) if entries else None
 
     async def _seal(self, window: int) -> Result[WindowCounts, PlatformCallError]:
         """Write a window's counts if none are stored; return the stored ones."""
@@ -218,7 +243,9 @@
             return parts
         for entry in parts.unwrap().entries:
             node = entry.key.rpartition("/")[2]
-            self.counts.merge(node, {window: orjson.loads(entry.value)})
+            counts = _decode_counts(entry)
+            if counts is not None:
+                self.counts.merge(node, {window: counts})
         counts = self.counts.sum_window(window)
         key = f"{SEALED_PREFIX}{window}"
         put = Put(key, orjson.dumps(counts, option=orjson.OPT_SORT_KEYS))
@@ -242,7 +269,7 @@
         found = await self.store.read(key)
         if isinstance(found, Failure) or not found.unwrap().entries:
             return Failure(error)
-        return Success(orjson.loads(found.unwrap().entries[0].value))
+        return _decode_sealed(found.unwrap().entries[0])
 
     async def _delete_old_records(self, window: int) -> None:
         """Delete the parts and sealed counts of old windows.
@@ -257,13 +284,43 @@
             if isinstance(found, Failure):
                 return
             for entry in found.unwrap().entries:
-                number = entry.key[len(prefix) :].partition("/")[0]
-                if number.isdigit() and int(number) < window - WINDOWS_SEALED_KEPT:
+                text = entry.key[len(prefix) :].partition("/")[0]
+                number = parse_count(text)
+                if number is not None and number < window - WINDOWS_SEALED_KEPT:
                     keys.append(entry.key)
         if keys:
             await self.store.write([], [Delete(key) for key in keys[:MAX_DELETES]])
 
 
+def _decode_counts(entry: Entry) -> WindowCounts | None:
+    """Return the counts by customer of an entry; None if another writer changed it."""
+    try:
+        return _COUNTS.validate_python(orjson.loads(entry.value))
+    except ValueError as exc:
+        log.error(
+            "usage counts not decodable",
+            extra={"key": entry.key, "fault": str(exc)[:200]},
+        )
+        return None
+
+
+def _decode_sealed(entry: Entry) -> Result[WindowCounts, PlatformCallError]:
+    counts = _decode_counts(entry)
+    if counts is not None:
+        return Success(counts)
+    message = "the counts that were sealed before are not decodable"
+    return Failure(PlatformCallError(Verdict.NOT_RUN, message))
+
+
+def _decode_era(data: bytes) -> dict[str, Any]:
+    """Return the record of the store's era; {} if it is not decodable."""
+    try:
+        return _EraRecord.model_validate(orjson.loads(data)).model_dump()
+    except ValueError as exc:
+        log.error("era record not decodable", extra={"fault": str(exc)[:200]})
+        return {}
+
+
 @dataclass
 class UsagePartWriter:
     """Writes this node's counts to the store while the duty's holder can't hear it.
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -16,6 +16,7 @@
 
 from returns.result import Failure
 
+from .._tasks import call_logged
 from ..platform import Change, Store, StoreResult
 from ._cluster_state import ClusterState
 from ._evacuations import list_evacuated
@@ -264,7 +265,7 @@
                 continue
             if await _call_until_failure(polls):
                 n_failures = 0
-                self.on_confirmed()
+                call_logged(self.on_confirmed)
             else:
                 n_failures += 1
                 retry_at = self.clock() + self._decide_backoff(n_failures)
--- a/packages/medlargate/medlargate/platform/_store.py
+++ b/packages/medlargate/medlargate/platform/_store.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import base64
+import functools
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, ParamSpec, Protocol, TypeVar
 
 from returns.result import Failure, Result, Success
 
+from .._tasks import call_logged
 from ..policy import Verdict
 from ._calls import CallClient, PlatformCallError, Reply
 from ._eras import (
@@ -203,10 +205,47 @@
     return f"{start[:-1]}{chr(ord(start[-1]) - 1)}~"
 
 
+P = ParamSpec("P")
+T = TypeVar("T")
+
+
+def _decodes_reply(
+    call: Callable[P, Awaitable[Result[T, PlatformCallError]]],
+) -> Callable[P, Awaitable[Result[T, PlatformCallError]]]:
+    """Return a call that fails if the fields of the store's reply are not valid."""
+
+    @functools.wraps(call)
+    async def checked_call(
+        *args: P.args, **kwargs: P.kwargs
+    ) -> Result[T, PlatformCallError]:
+        try:
+            return await call(*args, **kwargs)
+        except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError):
+            log.exception("reply of the store not decodable")
+        message = f"the reply to {call.__name__} is not decodable"
+        return Failure(PlatformCallError(Verdict.MAY_HAVE_RUN, message))
+
+    return checked_call
+
+
+def _decode_data(item: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(item.get("Data") or "")
+    except (TypeError, ValueError) as exc:
+        # An empty value is valid for no reader, and the other entries hold.
+        log.warning(
+            "data of an entry not decodable",
+            extra={"key": item["Key"], "fault": str(exc)},
+        )
+        return b""
+
+
 def _decode_entry(item: dict[str, Any], era: int) -> Entry:
+    if not isinstance(item["Key"], str):
+        raise TypeError("the key of an entry is no text")
     return Entry(
         key=item["Key"],
-        value=base64.b64decode(item.get("Data") or ""),
+        value=_decode_data(item),
         mod_revision=make_revision(era, int(item["Revision"])),
         # ``CreatedAt`` is a revision, not a time.
         create_revision=make_revision(era, int(item.get("CreatedAt") or 0)),
@@ -305,7 +344,7 @@
                 self._n_restores += 1
                 log.warning("store restored from a copy", extra={"era": era})
                 for listener in self.restore_listeners:
-                    listener()
+                    call_logged(listener)
         return era == self.era
 
     def _check_body(
@@ -321,6 +360,7 @@
         message = f"store answered {endpoint} with an invalid body: {reason}"
         return Failure(PlatformCallError(Verdict.MAY_HAVE_RUN, message))
 
+    @_decodes_reply
     async def read(
         self, key: str, *, prefix: bool = False, start: str = "", limit: int = 0
     ) -> StoreResult:
@@ -379,6 +419,7 @@
         revision = make_revision(era, int(reply.body.get("At") or 0))
         return Success(StoreResponse(True, revision, entries))
 
+    @_decodes_reply
     async def write(
         self,
         compares: Sequence[Compare],
@@ -456,6 +497,7 @@
     def _is_lease_lost(self, lease: int) -> bool:
         return self._lease_eras.get(lease, self.era) != self.era
 
+    @_decodes_reply
     async def grant(self, ttl: float) -> Result[int, PlatformCallError]:
         """Create a lease.
 
@@ -477,6 +519,7 @@
         self._lease_eras[lease] = self.era
         return Success(lease)
 
+    @_decodes_reply
     async def renew(self, lease: int) -> Result[float, PlatformCallError]:
         """Renew a lease.
 
@@ -523,6 +566,7 @@
         result = await self._call("DELETE", path, accepted=(200, 404))
         return result.map(lambda _: lease)
 
+    @_decodes_reply
     async def poll(
         self, prefix: str, after: int, wait: float
     ) -> Result[Changes, PlatformCallError]:
--- a/packages/medlargate/medlargate/relay/_block_store.py
+++ b/packages/medlargate/medlargate/relay/_block_store.py
@@ -13,7 +13,7 @@
 
 import orjson
 import xxhash
-from pydantic import BaseModel
+from pydantic import BaseModel, ConfigDict
 from returns.result import Failure
 
 from ..platform import Delete, Entry, Put, Store
@@ -45,6 +45,8 @@
         Times of day of the crashes, in seconds since 1970, by run of the server.
     """
 
+    model_config = ConfigDict(allow_inf_nan=False)
+
     request: str = ""
     part: str = ""
     crashed_at: dict[str, float]
--- a/packages/medlargate/medlargate/relay/_cold_servers.py
+++ b/packages/medlargate/medlargate/relay/_cold_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Mapping
 from copy import copy
 
+from .._tasks import call_logged
 from ..fleet import ClusterState
 from ..policy import TokenBucket, decide_cold_end, decide_cold_share
 from ..routing import Registration, ServiceSpec
@@ -129,7 +130,7 @@
         if end > before and self._find_service(server_id) is not None:
             self._log_cold(server_id, end, source)
             for listener in self.cold_listeners:
-                listener()
+                call_logged(listener)
 
     def _log_cold(self, server_id: str, end: float, source: str) -> None:
         service = self._find_service(server_id)
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from .._tasks import call_logged
 from ..fleet import StatusMessage
 from ..policy import CrashHistory, PartCrashes
 from ..routing import Registration
@@ -120,7 +121,7 @@
         self._update_blocks()
         if had_begun:
             for listener in self.crash_listeners:
-                listener()
+                call_logged(listener)
 
     def observe_completed(self, exch: Exchange) -> None:
         """Record that the answer to a request was completed by its server."""
@@ -193,4 +194,4 @@
         self._blocked_requests, self._blocked_parts = requests, parts
         if before != (requests, parts):
             for listener in self.block_listeners:
-                listener()
+                call_logged(listener)
--- a/packages/medlargate/medlargate/relay/_origin_store.py
+++ b/packages/medlargate/medlargate/relay/_origin_store.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 import orjson
-from pydantic import BaseModel
+from pydantic import BaseModel, ConfigDict
 from returns.result import Failure
 
 from ..platform import Delete, Entry, Put, Store
@@ -50,6 +50,8 @@
         Services and versions, by the identity of the caller's attempt.
     """
 
+    model_config = ConfigDict(allow_inf_nan=False)
+
     written_at: float
     versions: dict[str, dict[str, float]]
     origins: dict[str, tuple[str, str]]
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 
+from .._tasks import call_logged, log_task_failure
 from ..policy import (
     OpenAttempt,
     ReachEvidence,
@@ -175,6 +176,7 @@
             task = asyncio.create_task(self._check(service))
             self._checks[service] = task
             task.add_done_callback(lambda _: self._checks.pop(service, None))
+            task.add_done_callback(log_task_failure)
         return task
 
     async def wait_for_check(self, service: str) -> None:
@@ -247,7 +249,7 @@
         )
         self._has_unreachable.set()
         for listener in self.listeners:
-            listener(service)
+            call_logged(listener, service)
 
     def _observe_reached(self, service: str) -> None:
         since = self._unreachable.pop(service)
@@ -257,7 +259,7 @@
             extra={"service": service, "after": round(self._clock() - since, 2)},
         )
         for listener in self.listeners:
-            listener(service)
+            call_logged(listener, service)
 
     async def run_checks(
         self,
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from .._tasks import call_logged
+from .._tasks import call_logged, log_task_failure
 from ..platform import decode_request, make_refusal_headers, make_response_headers
 from ..policy import FleetRetryBudget, ForwardPeer, Refusal, StreamOrigin, Verdict
 from ..routing import Registration
@@ -515,6 +515,7 @@
         )
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
+        task.add_done_callback(log_task_failure)
 
     async def _check_crash(
         self,
--- a/packages/medlargate/medlargate/relay/_silence.py
+++ b/packages/medlargate/medlargate/relay/_silence.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from types import TracebackType
 
 from ..transport import ExchangeFaultError
 
+log = logging.getLogger(__name__)
+
 # A timer that is later than this shows that the process was paused or overloaded.
 MAX_TIMER_DELAY = 0.25  # seconds
 
@@ -92,13 +95,21 @@
             self._waiting_since = now
         if self.waiting:
             left = self._waiting_since + self._seconds - now
-            if left <= 0 and self._may_abandon():
+            if left <= 0 and self._can_abandon():
                 self._timeout.reschedule(now)
                 return
             if left <= 0:
                 left = self._seconds
         self._schedule_check(left)
 
+    def _can_abandon(self) -> bool:
+        try:
+            return self._may_abandon()
+        except Exception:
+            # Without a further check, the attempt would have no limit.
+            log.exception("limit of a server's silence not decided")
+            return False
+
     def _schedule_check(self, delay: float) -> None:
         self._check_at = self._loop.time() + delay
         self._handle = self._loop.call_later(delay, self._check)
--- a/packages/medlargate/medlargate/relay/_stored_models.py
+++ b/packages/medlargate/medlargate/relay/_stored_models.py
@@ -7,7 +7,7 @@
 from typing import TypeVar
 
 import orjson
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel
 
 from ..platform import Entry
 
@@ -38,7 +38,7 @@
     for entry in entries:
         try:
             row = model.model_validate(orjson.loads(entry.value))
-        except (orjson.JSONDecodeError, ValidationError) as exc:
+        except Exception as exc:
             log.warning(message, extra={"key": entry.key, "fault": str(exc)[:200]})
             continue
         yield entry.key, row
--- a/packages/medlargate/medlargate/relay/tests/test_background_errors.py
+++ b/packages/medlargate/medlargate/relay/tests/test_background_errors.py
@@ -7,11 +7,18 @@
 from unittest import mock
 
 import orjson
+from medlargate_standins.relay_testbed import RelayTestbed
+from returns.result import Failure
 
 from medlargate.fleet import DomainStatus, PeerStatus
-from medlargate.platform import Put
+from medlargate.platform import HttpStore, Put
+from medlargate.policy import Verdict
+from medlargate.transport import ExchangeFaultError
 
+from ..._tasks import run_with_restarts
+from .._silence import SilenceLimit
 from .test_odd_entries import NESTED, OddEntriesCase, make_entry
+from .test_relay import RelayCase
 
 ODD_VALUES = (
     None,
@@ -34,6 +41,10 @@
 )
 
 
+def fail(*_, **__):
+    raise RuntimeError("injected")
+
+
 class PeersTest(OddEntriesCase):
     """Two nodes in one failure domain."""
 
@@ -116,5 +127,109 @@
             self.assertTrue(node.cluster_state.servers["p2"].draining)
 
 
+class ListenersTest(RelayCase):
+    async def test_failing_listener_holds_up_no_change(self):
+        state = self.node.cluster_state
+        state.server_listeners.insert(0, fail)
+        state.config_listeners.insert(0, fail)
+        before = state.servers_revision
+        with self.assertLogs("medlargate", "ERROR"):
+            puts = [
+                Put(f"servers/{name}", make_entry(State="draining"))
+                for name in ("p1", "p2")
+            ]
+            self.world.platform.store.write([], puts)
+            await asyncio.sleep(0.4)
+        self.assertTrue(all(state.servers[it].draining for it in ("p1", "p2")))
+        self.assertGreater(state.servers_revision, before)
+
+
+class StoreRepliesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.world = RelayTestbed(n_nodes=0)
+        await self.world.start()
+        self.store = HttpStore(f"http://127.0.0.1:{self.world.platform_port}")
+
+    async def asyncTearDown(self):
+        await self.store.close()
+        await self.world.close()
+
+    async def answer(self, body, call):
+        async def reply(*_, **__):
+            return mock.Mock(
+                unwrap=lambda: mock.Mock(status=200, body=body), spec=["unwrap"]
+            )
+
+        with mock.patch.object(self.store, "_call", reply):
+            return await call
+
+    async def test_replies_with_odd_fields_are_failures(self):
+        odd = (
+            {"Entries": [{"Key": 1}], "events": [{"Key": 1}]},
+            {"Entries": 7, "events": 7, "At": "x"},
+            {"At": "x", "Revision": "x", "LeaseId": None, "TtlMs": "x"},
+        )
+        for body in odd:
+            for call in (
+                self.store.read("servers/", prefix=True),
+                self.store.read("op/config"),
+                self.store.poll("servers/", 1, 1.0),
+                self.store.write([], []),
+                self.store.grant(1.0),
+                self.store.renew(1),
+            ):
+                got = await self.answer(body, call)
+                self.assertIsInstance(got, Failure)
+                self.assertEqual(got.failure().verdict, Verdict.MAY_HAVE_RUN)
+
+    async def test_unreadable_data_of_one_entry_leaves_the_others(self):
+        entries = [
+            {"Key": "servers/a", "Revision": 3, "Data": "%%%"},
+            {"Key": "servers/b", "Revision": 4, "Data": "e30="},
+        ]
+        call = self.store.read("servers/", prefix=True)
+        got = await self.answer({"Entries": entries, "At": 4}, call)
+        self.assertEqual([it.value for it in got.unwrap().entries], [b"", b"{}"])
+
+
+class TasksTest(unittest.IsolatedAsyncioTestCase):
+    async def test_job_goes_on_after_the_cancellation_of_a_task_that_it_awaits(self):
+        n_starts = 0
+
+        async def job():
+            nonlocal n_starts
+            n_starts += 1
+            if n_starts < 3:
+                inner = asyncio.create_task(asyncio.sleep(10))
+                inner.cancel()
+                await asyncio.shield(inner)
+
+        with self.assertLogs("medlargate", "ERROR"):
+            async with asyncio.timeout(1.0):
+                await run_with_restarts(job, pause=0.01)
+        self.assertEqual(n_starts, 3)
+
+    async def test_cancelled_job_ends(self):
+        async def job():
+            await asyncio.sleep(10)
+
+        task = asyncio.create_task(run_with_restarts(job, pause=0.01))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.wait([task], timeout=1.0)
+        self.assertTrue(task.cancelled())
+
+    async def test_silence_limit_goes_on_after_an_error(self):
+        answers = iter((fail, lambda: True))
+        limit = SilenceLimit(0.05, lambda: next(answers)())
+        with (
+            self.assertLogs("medlargate", "ERROR"),
+            self.assertRaises(ExchangeFaultError),
+        ):
+            async with asyncio.timeout(1.0), limit:
+                await asyncio.sleep(10)
+        self.assertIsNone(next(answers, None))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/medlargate/medlargate/telemetry/_writer.py
+++ b/packages/medlargate/medlargate/telemetry/_writer.py
@@ -84,7 +84,13 @@
 
     def _append(self, fields: dict[str, Any]) -> None:
         line = {"time": round(time.time(), 3), **self.static_fields, **fields}
-        self._buffer += orjson.dumps(line, default=_to_text) + b"\n"
+        try:
+            data = orjson.dumps(line, default=_to_text)
+        except TypeError:
+            # For instance a whole number beyond 64 bits. A line that can't be written
+            # must not end what it reports.
+            data = orjson.dumps({str(k): ascii(v) for k, v in line.items()})
+        self._buffer += data + b"\n"
 
     def _report_dropped(self, now: float) -> None:
         if self.n_dropped > self._n_reported and now - self._reported_at > (
