A kept connection is read again after a large answer

While the reader of an answer waits for a slow caller, the socket is no longer read beyond 256 KiB. If the rest of the answer was buffered by then, the connection went back to the pool with reading paused: its end, or bytes that a server sends in between, would be noticed only after the next request was sent, which then ends with 502. Reading resumes when the request is finished.

Evidence: PausedReadingTest failed before ("Expected 'mock' to have been called") and passes now. Found by reading; no run showed a caller that lost a request by it. LeftoverBytesTest guards: whatever part of a second copy arrives before the next request is sent, that request is not sent on the connection (every split of the copy).

--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -334,6 +334,9 @@
             return False
         self._h11.start_next_cycle()
         self._request = None
+        # The end of an idle connection, and bytes that are not due, must be noticed.
+        self._n_buffered = 0
+        self._transport.resume_reading()
         self._idle_since = now
         return True
 
