Tests of copied answers in pieces, of 421, of successes and between nodes

Copies of a refusal, a 421 and a success, named and unnamed, whole, cut in the status line, the headers and the body, with a body in chunks, twice, and without their end: right after the answer, 1 ms and 10 ms later (while the next request runs) and as the next request arrives; GET and POST; at the node, behind a node that forwards, and on the connection between nodes.

--- a/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
@@ -6,6 +6,8 @@
 
 from medlargate_standins.relay_testbed import RelayTestbed, make_route
 
+from .test_partitioned_nodes import cut_off
+
 ROUTES = [
     make_route("read", "idempotent", "plain"),
     make_route("book", "non_idempotent", "plain", MaxAttempts=1),
@@ -15,26 +17,56 @@
     make_route("once-stream-again", "streaming", "engine", MaxAttempts=2),
 ]
 PATHS = [f"/{it['Name']}/x" for it in ROUTES]
+NAMINGS = ("copy", "copy-unnamed")
 WHEN = ("0", "0.001", "0.01", "next")
 DELAY = 0.015  # seconds; a copy after 0.01 s arrives while the next request runs
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 
 
-def keep_whole(copy):
-    return [copy]
+def split_at(*offsets):
+    """Return a function that cuts a copy at offsets, which count from both ends."""
+
+    def split(copy):
+        marks = sorted(it % len(copy) for it in offsets)
+        cuts = [0, *marks, len(copy)]
+        return [copy[a:b] for a, b in itertools.pairwise(cuts)]
+
+    return split
+
+
+def make_chunked(copy):
+    """Return a copy with its body in chunks."""
+    head, _, body = copy.partition(b"\r\n\r\n")
+    lines = [it for it in head.split(b"\r\n") if not it.startswith(b"Content-Length")]
+    lines.append(b"Transfer-Encoding: chunked\r\n\r\n%x" % len(body))
+    return [b"\r\n".join([*lines, body, b"0\r\n\r\n"])]
+
+
+EDITS = {
+    "whole": lambda copy: [copy],
+    "cut in the status line": split_at(7),
+    "cut in the headers": split_at(30),
+    "cut in the body": split_at(-3),
+    "cut everywhere": split_at(7, 30, -9, -3),
+    "chunked": make_chunked,
+    "two copies": lambda copy: [copy, copy],
+    "without its end": lambda copy: [copy[:-3]],
+}
 
 
 class CopiesCase(unittest.IsolatedAsyncioTestCase):
     """One node, and one server per service, so that connections are reused."""
 
+    n_nodes = 1
+
     async def asyncSetUp(self):
-        self.world = RelayTestbed()
+        self.world = RelayTestbed(n_nodes=self.n_nodes)
         await self.world.start(Routes=ROUTES)
         self.node = self.world.nodes[0]
         for name in ("p2", "e2"):
             self.world.unregister(self.world.backends[name])
         async with asyncio.timeout(5):
-            while len(self.node.cluster_state.servers) > 2:
+            while any(len(it.cluster_state.servers) > 2 for it in self.world.nodes):
                 await asyncio.sleep(0.01)
 
     async def asyncTearDown(self):
@@ -47,7 +79,7 @@
     def n_runs(self, request_id):
         return sum(it.runs[request_id] for it in self.world.backends.values())
 
-    def answer_in_turn(self, *behaviours, delay=0.0, edit=keep_whole):
+    def answer_in_turn(self, *behaviours, delay=0.0, edit=EDITS["whole"]):
         for backend in self.world.backends.values():
             turns = itertools.cycle(behaviours)
             backend.behaviour = lambda _, turns=turns: next(turns)
@@ -60,7 +92,7 @@
         for _ in range(n_requests):
             request_id = self.world.make_request_id()
             reply = await self.world.call(
-                path, method=method, request_id=request_id, Deadline_Ms="600"
+                path, method=method, request_id=request_id, Deadline_Ms="250"
             )
             n_runs = self.n_runs(request_id)
             if reply.status in (408, 421, 429, 503):
@@ -123,5 +155,76 @@
                 await self.assert_truthful(path, n_requests=2)
 
 
+class SplitCopiesTest(CopiesCase):
+    async def assert_harmless(self, kind, once_path):
+        for naming, edit, when in itertools.product(NAMINGS, EDITS, WHEN):
+            self.answer_in_turn(
+                f"{kind}-{naming}:{when}", "ok", delay=DELAY, edit=EDITS[edit]
+            )
+            for path, method in (("/read/x", "GET"), (once_path, "POST")):
+                with self.subTest(naming=naming, edit=edit, when=when, path=path):
+                    await self.assert_truthful(path, method, n_requests=2)
+        self.assertGreater(self.n_copies, 100)
+
+    async def test_copy_of_a_refusal(self):
+        await self.assert_harmless("refuse", "/book-again/x")
+
+    async def test_copy_of_an_answer(self):
+        await self.assert_harmless("ok", "/book/x")
+
+    async def test_copy_of_another_servers_refusal(self):
+        n_runs = 0
+        for naming, when in itertools.product(NAMINGS, WHEN):
+            self.answer_in_turn(f"misdirect-{naming}:{when}", "ok", delay=DELAY)
+            for path in ("/read/x", "/book/x", "/once-stream/x"):
+                with self.subTest(naming=naming, when=when, path=path):
+                    replies = await self.assert_truthful(path, n_requests=2)
+                    n_runs += sum(it.status in (200, 502) for it in replies)
+        self.assertGreater(n_runs, 12)
+
+
+class ForwardedCopiesTest(CopiesCase):
+    """A node that reaches no server forwards the requests."""
+
+    n_nodes = 2
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        cut_off(self.node)
+        async with asyncio.timeout(5):
+            while not self.node.fleet.table.list_alive():
+                await asyncio.sleep(0.01)
+
+    async def test_copy_reaches_the_other_node(self):
+        for naming, when, path in itertools.product(NAMINGS, WHEN, PATHS):
+            with self.subTest(naming=naming, when=when, path=path):
+                self.answer_in_turn(f"refuse-{naming}:{when}", "ok", delay=DELAY)
+                await self.assert_truthful(path, n_requests=2)
+        self.assertGreater(self.n_copies, 20)
+
+    async def test_copy_on_the_connection_between_the_nodes(self):
+        handler = self.world.nodes[1].request_handler
+        handle, copies = handler.handle, []
+
+        async def copy_and_handle(req, responder, **kwargs):
+            while copies:
+                responder._conn._write(copies.pop())
+            await handle(req, responder, **kwargs)
+
+        handler.handle = copy_and_handle
+        notice = "Medlargate-Refusal: x\r\nMedlargate-Verdict: not_run\r\n"
+        self.answer_in_turn("ok")
+        for name, path in itertools.product(("Attempt-Id: a0\r\n", ""), PATHS):
+            with self.subTest(name=name, path=path):
+                head = f"HTTP/1.1 503 X\r\n{name}{notice}Content-Length: 0\r\n\r\n"
+                # The second request is sent on the kept connection.
+                for n_copied in (0, 1):
+                    copies += [head.encode()] * n_copied
+                    await self.assert_truthful(path, n_requests=1)
+                self.node.forwarder._pool.close()
+                copies.append(head.encode())
+                await self.assert_truthful(path, n_requests=1)
+
+
 if __name__ == "__main__":
     unittest.main()
