Refuse at once what limited servers cannot serve in time

What callers saw: where all servers limit the rate of requests, refusals came after 1.0 to 1.3 s, and requests that had waited for 1.0 s were refused 0.1 s before a token.

Cause, traced per request: (1) a request on time at arrival finds nobody ahead and is kept; once past its target it yields to later arrivals that are on time, which take the tokens. No check counted that. (2) The only evidence against it was the rate at which its class was served, known after about a second, and wrong there: with a token in 1.5 s it reads 0 between two tokens, so that "inf s of waiting" was predicted. It was also lost each time the refusals emptied the queue, so that each round began anew. Looking at all waiting requests with the old prediction could not help: it was optimistic for all.

Change: if all usable servers limit their rate, the wait is computed from the limits (TokenSupply) and from the share of tokens that requests on time leave to late ones (TokenDemand, measured from arrivals, so that a burst is still queued). All requests of a pass and each new one are looked at, no server is tried that is closed. Served rates are used only while a server is open.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -60,7 +60,13 @@
     choose_short_prompt_engines,
     is_prefill_sensitive,
 )
-from ._rate_limits import TokenBucket, decide_rate
+from ._rate_limits import (
+    TokenBucket,
+    TokenDemand,
+    TokenSupply,
+    decide_rate,
+    predict_token_wait,
+)
 from ._reachability import (
     OpenAttempt,
     ReachEvidence,
@@ -218,6 +224,8 @@
     "SpillPlan",
     "StreamOrigin",
     "TokenBucket",
+    "TokenDemand",
+    "TokenSupply",
     "Verdict",
     "VersionHistory",
     "WaitDecision",
@@ -267,6 +275,7 @@
     "predict_first_token",
     "predict_pause",
     "predict_release",
+    "predict_token_wait",
     "rank_backends",
     "rank_by_hash",
     "select_candidates",
--- a/packages/medlargate/medlargate/policy/tests/test_rate_limits.py
+++ b/packages/medlargate/medlargate/policy/tests/test_rate_limits.py
@@ -1,9 +1,16 @@
 """Division of a limit, replayed with the traffic of a whole fleet."""
 
+import math
 import random
 import unittest
 
-from .._rate_limits import TokenBucket, decide_rate
+from .._rate_limits import (
+    TokenBucket,
+    TokenDemand,
+    TokenSupply,
+    decide_rate,
+    predict_token_wait,
+)
 
 WINDOW = 4.0  # seconds
 INTERVAL = 0.5  # seconds between two decisions on the shares
@@ -78,3 +85,43 @@
 
         self.assertEqual(list_senders(0.0), list_senders(9.0))
         self.assertNotEqual(list_senders(0.0), list_senders(11.0))
+
+
+class TokenWaitTest(unittest.TestCase):
+    """Waits where all servers limit their rate, replayed with random arrivals."""
+
+    def test_late_requests_get_what_those_on_time_leave(self):
+        for arrival_rate, rate in ((1.0, 0.5), (4.0, 1.0), (8.0, 10.0)):
+            random_state = random.Random(1)
+            demand, now, shares = TokenDemand(), 0.0, []
+            while now < 300.0:
+                now += random_state.expovariate(arrival_rate)
+                demand.observe_arrival((1, False), time_on_time=0.25, now=now)
+                shares.append(demand.compute_left_share((1, False), rate=rate, now=now))
+            # Tokens find no request that has arrived in the last 0.25 s.
+            expected = max(math.exp(-0.25 * arrival_rate), 1 - arrival_rate / rate)
+            mean = sum(shares) / len(shares)
+            self.assertAlmostEqual(mean, expected, delta=0.1, msg=arrival_rate)
+
+    def test_burst_is_no_evidence_of_lasting_demand(self):
+        demand = TokenDemand()
+        for _ in range(20):
+            demand.observe_arrival((1, False), time_on_time=2.0, now=5.0)
+        share = demand.compute_left_share((1, False), rate=2.0, now=5.0)
+        self.assertEqual(share, 1.0)
+
+    def test_requests_yield_to_no_lower_class(self):
+        demand = TokenDemand()
+        for number in range(100):
+            demand.observe_arrival((1, True), time_on_time=1.0, now=number / 10)
+        share = demand.compute_left_share((1, False), rate=2.0, now=10.0)
+        self.assertEqual(share, 1.0)
+
+    def test_tokens_beyond_the_next_ones_come_at_the_rate(self):
+        facts = {"time_on_time": 9.0, "left_share": 0.5}
+        supply = TokenSupply((0.2, 0.6), 2.0)
+        waits = [
+            predict_token_wait(supply, n_ahead=number, n_ahead_if_late=9, **facts)
+            for number in range(4)
+        ]
+        self.assertEqual(waits, [0.2, 0.6, 1.1, 1.6])
--- a/packages/medlargate/medlargate/relay/_queue_order.py
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -17,10 +17,13 @@
     ReturnTimes,
     ServedRates,
     ServiceTimes,
+    TokenDemand,
+    TokenSupply,
     Verdict,
     choose_reported_consumers,
     is_over_share,
     make_queue_key,
+    predict_token_wait,
 )
 from ._exchange import Exchange
 
@@ -36,6 +39,7 @@
 class _ServiceOrder:
     shares: CustomerShares = field(default_factory=CustomerShares)
     rates: ServedRates = field(default_factory=ServedRates)
+    demand: TokenDemand = field(default_factory=TokenDemand)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +111,7 @@
 
     # Order
 
-    def observe_arrival(self, exch: Exchange) -> None:
+    def observe_arrival(self, exch: Exchange, times: ServiceTimes) -> None:
         """Count the customer of a request, and recognise a caller that returns."""
         now = self._clock()
         if exch.customer is not None:
@@ -116,6 +120,11 @@
         if exch.queued_as_of is not None:
             # Another attempt of a request that this node has accepted before.
             return
+        self._get(exch.service.name).demand.observe_arrival(
+            (exch.priority, is_over_share(self._compute_excess(exch))),
+            time_on_time=exch.rule.target - _predict_service_time(exch, times),
+            now=now,
+        )
         exch.queued_as_of = exch.arrived_at
         if not self._returns:
             return
@@ -130,6 +139,12 @@
                 exch.request_digest, exch.arrived_at
             )
 
+    def _compute_excess(self, exch: Exchange) -> float:
+        if exch.customer is None:
+            return 0.0
+        shares = self._get(exch.service.name).shares
+        return shares.compute_excess(exch.customer.name, self._clock())
+
     def get_position(self, exch: Exchange, times: ServiceTimes) -> QueuePosition:
         """Return the position of a request in its queue.
 
@@ -146,16 +161,13 @@
             Sort key and class.
         """
         now = self._clock()
-        excess = 0.0
-        if exch.customer is not None:
-            shares = self._get(exch.service.name).shares
-            excess = shares.compute_excess(exch.customer.name, now)
+        excess = self._compute_excess(exch)
         key = make_queue_key(
             priority=exch.priority,
             arrived_at=exch.queued_as_of or exch.arrived_at,
             time_to_target=exch.target_at - now,
             # The answer itself takes time, also if the request is sent now.
-            prefill_time=times.base + exch.n_tokens * times.prefill_per_token,
+            prefill_time=_predict_service_time(exch, times),
             excess=excess,
         )
         return QueuePosition(key, QueueClass(key[0], is_over_share(excess), key[2]))
@@ -236,7 +248,7 @@
         now = self._clock()
         rates = self._get(exch.service.name).rates
         queue_class = position.queue_class
-        service_time = times.base + exch.n_tokens * times.prefill_per_token
+        service_time = _predict_service_time(exch, times)
         wait = rates.predict_wait(
             queue_class, n_ahead=n_ahead, n_ahead_in_class=n_ahead_in_class, now=now
         )
@@ -263,6 +275,59 @@
             dry_run=dry_run,
         )
 
+    def decide_limited_rejection(
+        self,
+        exch: Exchange,
+        position: QueuePosition,
+        times: ServiceTimes,
+        supply: TokenSupply,
+        *,
+        n_ahead: int,
+        n_ahead_if_late: int,
+        dry_run: bool = False,
+    ) -> Refusal | None:
+        """Decide whether limits of all servers would make a request wait too long.
+
+        The limits tell the wait in advance, while the rates at which requests were
+        served show it only after a second of waiting.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Waiting or new request.
+        position : QueuePosition
+            Its position in the queue.
+        times : ServiceTimes
+            Estimated times of the service.
+        supply : TokenSupply
+            Requests that this node may send.
+        n_ahead, n_ahead_if_late : int
+            Numbers of waiting requests that precede it now and once it is late.
+        dry_run : bool, default=False
+            Whether to leave the remembered return times as they are.
+
+        Returns
+        -------
+        Refusal or None
+            Rejection with the time at which the caller may return.
+        """
+        now = self._clock()
+        service_time = _predict_service_time(exch, times)
+        demand = self._get(exch.service.name).demand
+        wait = predict_token_wait(
+            supply,
+            n_ahead=n_ahead,
+            n_ahead_if_late=n_ahead_if_late,
+            time_on_time=exch.target_at - now - service_time,
+            left_share=demand.compute_left_share(
+                position.queue_class[:2], rate=supply.rate, now=now
+            ),
+        )
+        if wait + service_time <= exch.deadline - now:
+            return None
+        reason = f"{wait:.2f} s of waiting for limited servers predicted"
+        return self.make_rejection(exch, position, wait, reason, dry_run=dry_run)
+
     def make_rejection(
         self,
         exch: Exchange,
@@ -381,6 +446,11 @@
                 )
 
 
+def _predict_service_time(exch: Exchange, times: ServiceTimes) -> float:
+    """Return the time to the first token or answer without a wait, in seconds."""
+    return times.base + exch.n_tokens * times.prefill_per_token
+
+
 def count_waiting_by_customer(
     waiting: Iterable[Exchange],
 ) -> dict[tuple[str, str], int]:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Collection
 from copy import copy
@@ -21,6 +23,7 @@
     ServerState,
     ServiceTimes,
     SpillOptions,
+    TokenSupply,
     Verdict,
     accepts_any_server,
     choose_short_prompt_engines,
@@ -369,9 +372,9 @@
         """Return the position of a request; None if shares do not apply."""
         if self._order is None or not self._order.is_active:
             return None
-        if is_new:
-            self._order.observe_arrival(exch)
         times = self._loads.get_service_times(exch.service)
+        if is_new:
+            self._order.observe_arrival(exch, times)
         return self._order.get_position(exch, times)
 
     def _find_certain_lateness(
@@ -386,10 +389,28 @@
         """Return the refusal of a new request that would be served too late."""
         if self._order is None or position is None:
             return None
+        times = self._loads.get_service_times(exch.service)
+        supply = self._find_token_supply(exch.service.name, dry_run=dry_run)
+        if supply is not None and _may_use_any_server(exch):
+            late_key = _make_late_key(position)
+            refusal = self._order.decide_limited_rejection(
+                exch,
+                position,
+                times,
+                supply,
+                n_ahead=n_ahead,
+                n_ahead_if_late=sum(
+                    it.position is not None and _make_late_key(it.position) <= late_key
+                    for it in queue
+                ),
+                dry_run=dry_run,
+            )
+            if refusal is not None or supply.waits[0] > 0:
+                return refusal
         return self._order.decide_rejection(
             exch,
             position,
-            self._loads.get_service_times(exch.service),
+            times,
             n_ahead=n_ahead,
             n_ahead_in_class=sum(
                 it.position is not None
@@ -748,15 +769,28 @@
         n_failed = n_ahead = 0
         n_tokens_ahead = 0.0
         n_ahead_by_class: Counter[QueueClass] = Counter()
+        supply = self._find_token_supply(service)
+        late_keys = []
+        if supply is not None:
+            positions = (it.position for it in queue)
+            late_keys = sorted(_make_late_key(it) for it in positions if it)
         for queued in ordered:
             exch, position = queued.exch, queued.position
             assert position is not None
             refusal = None
-            if n_failed < MAX_FAILED_TRIES or not has_servers:
+            limits = supply if _may_use_any_server(exch) else None
+            is_closed = limits is not None and limits.waits[0] > 0
+            late_rank = 0
+            if late_keys:
+                late_rank = bisect_left(late_keys, _make_late_key(position))
+            if (n_failed < MAX_FAILED_TRIES or not has_servers) and not is_closed:
                 assignment = self._try_place(exch)
                 if assignment is not None:
                     queue.remove(queued)
+                    del late_keys[late_rank : late_rank + 1]
                     queued.future.set_result(self._commit(exch, assignment))
+                    if supply is not None:
+                        supply = self._find_token_supply(service)
                     continue
                 n_failed += 1
                 if exch.service.engine is None and not exch.tried_servers:
@@ -764,11 +798,21 @@
                     n_failed = MAX_FAILED_TRIES
                 self._reserve_server(exch)
                 refusal = self._decide_refusal(queued, n_ahead, n_tokens_ahead)
-            if refusal is None:
+            times = self._loads.get_service_times(exch.service)
+            if refusal is None and limits is not None:
+                refusal = order.decide_limited_rejection(
+                    exch,
+                    position,
+                    times,
+                    limits,
+                    n_ahead=n_ahead,
+                    n_ahead_if_late=late_rank,
+                )
+            if refusal is None and not is_closed:
                 refusal = order.decide_rejection(
                     exch,
                     position,
-                    self._loads.get_service_times(exch.service),
+                    times,
                     n_ahead=n_ahead,
                     n_ahead_in_class=n_ahead_by_class[position.queue_class],
                 )
@@ -778,6 +822,7 @@
                 n_tokens_ahead += exch.held.n_tokens if exch.held else 0.0
             else:
                 queue.remove(queued)
+                del late_keys[late_rank : late_rank + 1]
                 queued.future.set_exception(refusal)
 
     def _reserve_server(self, exch: Exchange) -> None:
@@ -947,6 +992,27 @@
         )
         return n_ahead / total_rate if total_rate else 0.0
 
+    def _find_token_supply(
+        self, service: str, *, dry_run: bool = False
+    ) -> TokenSupply | None:
+        """Return what may be sent to servers that all limit the rate of requests.
+
+        None if a usable server has no limit, or if other nodes share all limits.
+        """
+        limits, cold = self._limits, self._cold
+        get_rate = limits.peek_rate if dry_run else limits.get_rate
+        get_cold_rate = cold.peek_rate if dry_run else cold.get_rate
+        waits, total_rate = [], 0.0
+        for it in self.list_usable_servers(service):
+            rate = get_rate(it.server_id)
+            if math.isinf(rate):
+                return None
+            rate = min(rate, get_cold_rate(it.server_id))
+            if rate:
+                total_rate += rate
+                waits.append(self.get_server_wait(it.server_id, dry_run=dry_run))
+        return TokenSupply(tuple(sorted(waits)), total_rate) if waits else None
+
     async def run(self) -> None:
         """Process all queues periodically while requests wait, until cancelled."""
         while True:
@@ -962,6 +1028,16 @@
     return queued.position.key
 
 
+def _make_late_key(position: QueuePosition) -> tuple[int, int, float]:
+    """Return the key of a request among those that are late."""
+    priority, share_rank, _, arrived_at = position.key
+    return priority, share_rank, arrived_at
+
+
+def _may_use_any_server(exch: Exchange) -> bool:
+    return exch.origin is None and not exch.misdirected_servers
+
+
 def _count_ahead(queue: list[_QueuedRequest], position: QueuePosition | None) -> int:
     """Return the number of waiting requests that precede one; 0 without shares."""
     if position is None:
--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -216,3 +216,39 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LimitedServersTest(QueueCase):
+    """Load: more requests than all servers together, which limit the rate, accept."""
+
+    def set_limits(self, *, wait, rate):
+        self.queue._limits.get_wait = lambda name: wait
+        self.queue._limits.get_rate = lambda name: rate
+
+    async def test_none_of_a_long_queue_waits_for_its_turn_to_be_refused(self):
+        self.make_queue(2)
+        self.loads.n_running.update(e0=40, e1=40)
+        for _ in range(10):
+            await self.send()
+        self.assertEqual(self.queue.count_waiting(), {"work": 10})
+        self.set_limits(wait=30.0, rate=1 / 30)
+        await self.settle()
+        self.assertEqual(self.queue.count_waiting(), {"work": 0})
+
+    async def test_request_that_newer_ones_would_overtake_is_refused_on_arrival(self):
+        self.make_queue(2)
+        self.set_limits(wait=3.0, rate=0.3)
+        for _ in range(8):
+            await self.send()
+            self.now += 0.25
+        n_waiting = self.queue.count_waiting()["work"]
+        await self.send()
+        self.assertTrue(self.tasks[-1].done())
+        self.assertEqual(self.queue.count_waiting()["work"], n_waiting)
+
+    async def test_requests_that_the_limits_allow_wait(self):
+        self.make_queue(2)
+        self.set_limits(wait=1.0, rate=1.0)
+        for _ in range(4):
+            await self.send()
+        self.assertEqual(self.queue.count_waiting(), {"work": 4})
