A job that no free server may run no longer hides its customer's other jobs

What callers saw: a request of tier 0 went on waiting while one of tier 1 got a slot that it could have had, if the same customer had a request in front of it that may not use that server: one that failed there before, one whose route forbids cheap servers, or one that is suspected of crashing servers.

Cause: `FairQueue.list_head_jobs` offered one job for each customer, and the scheduler went on to the next class when it fitted nowhere. The rule of the fuzz test was right (docs/design/0002: a request that no server may take does not block the others).

Change: a customer's jobs are kept by the servers that they may use, and the first of each kind is tried, in the order in which they came.

--- a/packages/medlargate/medlargate/policy/_fairness.py
+++ b/packages/medlargate/medlargate/policy/_fairness.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field
+from heapq import merge
+from operator import itemgetter
 
 from sortedcontainers import SortedList
 
@@ -19,6 +21,58 @@
 HEAVY_UPDATE_INTERVAL = 1.0  # seconds
 
 
+class _JobQueue:
+    """Ordered jobs of one customer.
+
+    Jobs that may run on different servers are kept apart, so that the first of each
+    kind is found without a search.
+    """
+
+    def __init__(self) -> None:
+        self._lanes: dict[Hashable, deque[tuple[int, Job]]] = {}
+        self._n_jobs = 0
+        self._n_added = 0
+
+    def __len__(self) -> int:
+        return self._n_jobs
+
+    def __iter__(self) -> Iterator[Job]:
+        for _, job in merge(*self._lanes.values(), key=itemgetter(0)):
+            yield job
+
+    def add(self, job: Job, *, first: bool = False) -> None:
+        """Add a job at the end, or before all others."""
+        self._n_added += 1
+        self._n_jobs += 1
+        kind = job.cheap_allowed, job.isolated, frozenset(job.excluded_backends)
+        lane = self._lanes.setdefault(kind, deque())
+        if first:
+            lane.appendleft((-self._n_added, job))
+        else:
+            lane.append((self._n_added, job))
+
+    def remove(self, job: Job) -> None:
+        """Remove a job, which is found at once if it is one of ``list_heads``."""
+        kinds = [kind for kind, lane in self._lanes.items() if lane[0][1] is job]
+        for kind in kinds or self._lanes:
+            lane = self._lanes[kind]
+            index = next((i for i, row in enumerate(lane) if row[1] is job), None)
+            if index is not None:
+                del lane[index]
+                self._n_jobs -= 1
+                if not lane:
+                    del self._lanes[kind]
+                return
+        raise ValueError(f"request {job.request_id} is not queued")
+
+    def list_heads(self) -> list[Job]:
+        """List the first job of each kind, in order."""
+        heads = [lane[0] for lane in self._lanes.values()]
+        if len(heads) > 1:
+            heads.sort()
+        return [job for _, job in heads]
+
+
 @dataclass(slots=True)
 class _CustomerQueue:
     customer: str
@@ -28,7 +82,7 @@
     offered_load: DecayingRate = field(
         default_factory=lambda: DecayingRate(OFFERED_LOAD_WINDOW)
     )
-    jobs: deque[Job] = field(default_factory=deque)
+    jobs: _JobQueue = field(default_factory=_JobQueue)
 
 
 class FairQueue:
@@ -119,10 +173,7 @@
             queue.virtual_time = max(queue.virtual_time, floor)
             self._backlogged.add((queue.virtual_time, queue.customer))
         queue.active_at = max(queue.active_at, job.arrived_at)
-        if first:
-            queue.jobs.appendleft(job)
-        else:
-            queue.jobs.append(job)
+        queue.jobs.add(job, first=first)
         self.n_jobs += 1
 
     def peek(self) -> Job | None:
@@ -137,10 +188,10 @@
             return self._requeued[0]
         if not self._backlogged:
             return None
-        return self._customer_queues[self._backlogged[0][1]].jobs[0]
+        return self._customer_queues[self._backlogged[0][1]].jobs.list_heads()[0]
 
     def list_head_jobs(self, max_heads: int) -> list[Job]:
-        """List the requeued jobs and the first job of each customer that is next.
+        """List the requeued jobs and the first jobs of each customer that is next.
 
         Parameters
         ----------
@@ -150,13 +201,14 @@
         Returns
         -------
         list of Job
-            Requeued jobs, then one job for each customer in ascending order of
-            virtual time.
+            Requeued jobs, then for each customer, in ascending order of virtual time,
+            the first job and the first of those that may run on other servers.
         """
         returned = list(self._requeued)[:max_heads]
         return returned + [
-            self._customer_queues[customer].jobs[0]
+            job
             for _, customer in self._backlogged[:max_heads]
+            for job in self._customer_queues[customer].jobs.list_heads()
         ]
 
     def pop(self, job: Job | None = None) -> Job:
@@ -181,7 +233,7 @@
         customer = job.customer
         queue = self._customer_queues[customer]
         self._backlogged.remove((queue.virtual_time, customer))
-        queue.jobs.popleft()
+        queue.jobs.remove(job)
         self.virtual_time = max(self.virtual_time, queue.virtual_time)
         charge = max(0.0, job.work - job.charged_work)
         job.charged_work += charge
--- a/packages/medlargate/medlargate/policy/_scheduler.py
+++ b/packages/medlargate/medlargate/policy/_scheduler.py
@@ -398,7 +398,7 @@
     ) -> Assignment | None:
         """Dispatch the first job that can probe an ejected server or run on another.
 
-        The jobs are the requeued ones, followed by the next job of each customer. A
+        The jobs are the requeued ones, followed by the next jobs of each customer. A
         job that can probe an ejected server is sent there even if another server is
         eligible.
         """
