Soak whose servers also refuse requests and write answers twice

`--copies` lets the servers answer one request in six with a refusal, a 421 or a success and write it once more, named or not, at six points in time, while the other faults are injected. They are drawn from a random state of their own, so that what a seed draws without the option is unchanged.

--- a/packages/medlargate-standins/medlargate_standins/soak/__main__.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/__main__.py
@@ -20,9 +20,15 @@
 @click.option("--count", default=1, show_default=True, help="fresh seeds")
 @click.option("--seconds", default=10.0, show_default=True)
 @click.option("--nodes", default=4, show_default=True)
+@click.option("--copies", is_flag=True, help="servers also write answers twice")
 @click.option("--folder", type=click.Path(path_type=Path), help="logs, by seed")
 def main(
-    seeds: str, count: int, seconds: float, nodes: int, folder: Path | None
+    seeds: str,
+    count: int,
+    seconds: float,
+    nodes: int,
+    copies: bool,
+    folder: Path | None,
 ) -> None:
     """Run soaks one after the other; exit with 1 when a promise broke."""
     logging.disable(logging.CRITICAL)
@@ -33,13 +39,19 @@
     for seed in selected:
         run_folder = folder / str(seed) if folder is not None else None
         report = asyncio.run(
-            run_soak(seed, seconds=seconds, n_nodes=nodes, folder=run_folder)
+            run_soak(
+                seed,
+                seconds=seconds,
+                n_nodes=nodes,
+                folder=run_folder,
+                with_copies=copies,
+            )
         )
         n_failed += not report.passed
         click.echo(
             f"seed {seed}: {report.n_served} of {report.n_calls} served, "
             f"{report.recovered:.2f} after the last of {len(report.injected)} faults, "
-            f"{len(report.violations)} promises broken"
+            f"{len(report.violations)} promises broken, {report.n_copies} answers twice"
         )
         for line in (*report.violations, *report.injected) if report.violations else ():
             click.echo(f"    {line}")
--- a/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
@@ -31,6 +31,10 @@
 DOMAINS = ("fd-a", "fd-b", "fd-c")
 SECOND_KEY = "key-beta"
 FAULTY_BEHAVIOURS = ("error", "reset", "half", "strange", "extra", "refuse", "cut:3")
+# Answers that are written once more. A 421 makes nodes avoid the server, so it is rare.
+COPIED_ANSWERS = ("refuse",) * 6 + ("ok", "ok", "misdirect")
+COPY_NAMINGS = ("copy", "copy-unnamed")
+COPY_TIMES = ("0", "0.002", "0.02", "0.1", "next", "new")
 GRACE_PERIOD = 4.0  # seconds that a stopping node gives its open requests
 USAGE_WINDOW = 2.0  # seconds
 START_TIMEOUT = 15.0  # seconds until a started node must be ready
@@ -169,6 +173,10 @@
         Version of the configuration.
     keys : tuple of str
         API keys that the configuration accepts.
+    copy_rate : float
+        Fraction of the requests whose answers the servers write once more.
+    copy_state : random.Random
+        Source of these requests and their answers.
     crash_rate : float
         Fraction of the streams that callers request with ``CRASHING_PART``.
     arrivals : list of Arrival
@@ -182,6 +190,8 @@
     backends: dict[str, Backend] = field(default_factory=dict)
     links: dict[str, Link] = field(default_factory=dict)
     misbehaviour_rate: float = 0.0
+    copy_rate: float = 0.0
+    copy_state: random.Random = field(default_factory=random.Random)
     version: int = 1
     keys: tuple[str, ...] = (KEY, SECOND_KEY)
     crash_rate: float = 0.0
@@ -247,10 +257,25 @@
             self._crashes.add(task)
             task.add_done_callback(self._crashes.discard)
             return "begun"
+        if self.copy_rate and self.copy_state.random() < self.copy_rate:
+            return self._choose_copied_answer(req)
         if self.random_state.random() >= self.misbehaviour_rate:
             return "ok"
         return self.random_state.choice(FAULTY_BEHAVIOURS)
 
+    def _choose_copied_answer(self, req: ReceivedRequest) -> str:
+        choose = self.copy_state.choice
+        answer, naming, when = map(choose, (COPIED_ANSWERS, COPY_NAMINGS, COPY_TIMES))
+        if "stream" in req.target and answer == "ok":
+            answer = "refuse"
+        return f"{answer}-{naming}:{when}"
+
+    def stop_copies(self) -> None:
+        """Let the servers write each answer once from now on."""
+        self.copy_rate = 0.0
+        for backend in self.backends.values():
+            backend.drop_copies()
+
     async def _crash(self, name: str) -> None:
         """Stop a server that has begun an answer, and start it again."""
         await asyncio.sleep(CRASH_CLOSE_DELAY)
--- a/packages/medlargate-standins/medlargate_standins/soak/_run.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_run.py
@@ -22,6 +22,7 @@
 # Fraction of the requests in RECOVERY_TIME that must be served. The others may still
 # be affected by an earlier fault.
 MIN_RECOVERED = 0.9
+COPY_RATE = 1 / 6  # fraction of the requests whose answers are written once more
 
 
 @dataclass(frozen=True)
@@ -40,6 +41,8 @@
         Description of each violated invariant.
     injected : tuple of str
         Description of each fault with its start time in seconds.
+    n_copies : int
+        Number of answers that the servers wrote once more.
     """
 
     seed: int
@@ -48,6 +51,7 @@
     recovered: float
     violations: tuple[str, ...]
     injected: tuple[str, ...]
+    n_copies: int = 0
 
     @property
     def passed(self) -> bool:
@@ -56,7 +60,12 @@
 
 
 async def run_soak(
-    seed: int, *, seconds: float = 10.0, n_nodes: int = 4, folder: Path | None = None
+    seed: int,
+    *,
+    seconds: float = 10.0,
+    n_nodes: int = 4,
+    folder: Path | None = None,
+    with_copies: bool = False,
 ) -> SoakReport:
     """Run one soak.
 
@@ -70,6 +79,9 @@
         Number of node processes.
     folder : Path or None
         Folder for the settings and logs of the nodes; a temporary one by default.
+    with_copies : bool, default=False
+        Whether the servers also refuse requests and write answers once more while
+        faults are injected. The other faults of a seed stay the same.
 
     Returns
     -------
@@ -78,6 +90,8 @@
     """
     random_state = random.Random(seed)
     fleet = Fleet(n_nodes, random.Random(seed + 1))
+    if with_copies:
+        fleet.copy_rate, fleet.copy_state = COPY_RATE, random.Random(f"{seed}/copies")
     await fleet.start(folder)
     callers = [
         Caller(fleet, node, f"{node.name}c{number}", random.Random(f"{seed}/{number}"))
@@ -88,6 +102,7 @@
     faults = FaultInjector(fleet, random_state)
     try:
         await faults.run(seconds)
+        fleet.stop_copies()
         await asyncio.sleep(SETTLE_TIME)
         settled_at = time.monotonic()
         await asyncio.sleep(RECOVERY_TIME)
@@ -124,6 +139,7 @@
         recovered=recovered,
         violations=tuple(violations),
         injected=tuple(faults.injected),
+        n_copies=sum(it.n_copies for it in fleet.backends.values()),
     )
 
 
--- a/packages/medlargate-standins/medlargate_standins/tests/test_soak.py
+++ b/packages/medlargate-standins/medlargate_standins/tests/test_soak.py
@@ -29,6 +29,11 @@
                 self.assertEqual(report.violations, (), report.injected)
                 self.assertGreater(report.n_served, 100)
 
+    async def test_promises_hold_while_servers_write_answers_twice(self):
+        report = await run_soak(1, seconds=SECONDS, n_nodes=3, with_copies=True)
+        self.assertEqual(report.violations, (), report.injected)
+        self.assertGreater(report.n_copies, 30)
+
 
 class ChecksTest(unittest.TestCase):
     """Each check reports the violation for which it exists."""
