Gateway: a copy of an answer on an idle connection answers no request

A client of the gateway would see "not run" for a request that an engine runs, or the request would go to a second engine, after an engine wrote an earlier 503 once more on a kept connection. Cause: aiohttp keeps an idle connection on which bytes arrived, and takes them for the answer to the next request; engines with OpenAI's API name no request in a refusal. The connector now closes such connections.

Evidence: LateCopyTest.test_copy_on_an_idle_connection_answers_no_request failed before (503 instead of 200) and passes; its second test guards that other connections are reused. gateway: 30 passed. A copy that arrives after the next request was written can't be told from its answer there; that stays open.

--- a/packages/medlargate/medlargate/gateway/_backend_client.py
+++ b/packages/medlargate/medlargate/gateway/_backend_client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 
@@ -15,6 +16,7 @@
 PROBE_TIMEOUT = 0.5  # seconds
 KEEPALIVE_TIMEOUT = 15.0  # seconds
 READ_BUFFER_BYTES = 65_536
+MAX_DISCARDED = 64  # connections with unexpected bytes, per request
 
 
 class BackendDisconnectedError(aiohttp.ClientError):
@@ -63,6 +65,28 @@
         raise BackendDisconnectedError(str(exc) or type(exc).__name__) from exc
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Connector that reuses no connection on which bytes arrived while it was idle.
+
+    Such bytes belong to no request: a server may send an answer twice. aiohttp takes
+    them for the answer to the next request.
+    """
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection that is ready for a request."""
+        for _ in range(MAX_DISCARDED):
+            conn = await super().connect(req, traces, timeout)
+            if conn.protocol is None or not conn.protocol.should_close:
+                return conn
+            conn.close()
+        raise BackendDisconnectedError("the server sends bytes without a request")
+
+
 def make_session() -> aiohttp.ClientSession:
     """Create the HTTP client session for calls to backend servers.
 
@@ -72,7 +96,7 @@
         Session that ignores proxy settings of the environment, stores no cookies,
         does not decompress responses and never retries a request.
     """
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT)
+    connector = _Connector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT)
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
