Headers between nodes are not taken from servers

Callers of a node that forwards saw 503 "not run" for requests that a server ran, if the server's answer had the headers by which a node states a refusal. Cause: the other node passed on all headers of the answer, and the first one took them for the other node's. They are now removed from servers' answers.

Found by reading: no server is known that sends such headers.

--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -30,7 +30,6 @@
     ConnectFaultError,
     ConnectionPool,
     ExchangeFaultError,
-    Headers,
     IncomingRequest,
 )
 from ._event_relay import relay_events
@@ -47,11 +46,11 @@
     OpenAnswer,
     max_event_silence,
     max_head_silence,
+    strip_node_headers,
 )
 from ._silence import SilenceLimit
 
-# Headers between nodes; they reach neither callers nor servers.
-HEADER_PREFIX = b"medlargate-"
+# These begin with NODE_HEADER_PREFIX.
 FORWARDED_BY = "medlargate-forwarded-by"
 N_SENT = "medlargate-n-sent"
 ORIGIN_SERVICE = "medlargate-origin-service"
@@ -110,7 +109,7 @@
     origin = StreamOrigin(service, req.get(ORIGIN_VERSION) or "") if service else None
     n_sent = req.get(N_SENT) or "0"
     forwarded = ForwardedRequest(sender, int(n_sent) if n_sent.isdigit() else 0, origin)
-    return replace(req, headers=tuple(_strip_headers(req.headers))), forwarded
+    return replace(req, headers=tuple(strip_node_headers(req.headers))), forwarded
 
 
 def make_origin_headers(origin: StreamOrigin | None) -> list[tuple[bytes, bytes]]:
@@ -131,10 +130,6 @@
     ]
 
 
-def _strip_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
-    return [row for row in headers if not row[0].startswith(HEADER_PREFIX)]
-
-
 class Forwarder:
     """Sender of requests to other nodes while this node reaches no server.
 
@@ -274,7 +269,7 @@
         host, _, port = peer.address.rpartition(":")
         req, request_id = exch.req, exch.facts.request_id
         headers = make_forwarded_headers(
-            _strip_headers(req.headers),
+            strip_node_headers(req.headers),
             time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
         )
@@ -309,7 +304,7 @@
             head = await conn.read_head()
         facts = decode_response(head.status, head.headers)
         answer = OpenAnswer(
-            conn, replace(head, headers=tuple(_strip_headers(head.headers))), facts
+            conn, replace(head, headers=tuple(strip_node_headers(head.headers))), facts
         )
         if facts.request_id != exch.facts.request_id:
             raise ExchangeFaultError("invalid", "an answer to another request")
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..platform import ResponseInfo, decode_response, make_forward_headers
 from ..policy import OpenAttempt, ReachEvidence, Verdict, is_abandoned
@@ -15,6 +15,7 @@
     ConnectFaultError,
     ConnectionPool,
     ExchangeFaultError,
+    Headers,
     ResponseHead,
 )
 from ._cold_servers import ColdServers
@@ -45,6 +46,8 @@
 MAX_PLAIN_BYTES = 4_194_304
 MAX_REFUSAL_BYTES = 65_536
 MAX_REFUSAL_TIME = 0.5  # seconds for the body of a refusal
+# Headers between nodes; they reach neither callers nor servers, nor come from these.
+NODE_HEADER_PREFIX = b"medlargate-"
 
 
 class AttemptError(Exception):
@@ -95,6 +98,11 @@
     body: bytes
 
 
+def strip_node_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a message without those that nodes send each other."""
+    return [row for row in headers if not row[0].startswith(NODE_HEADER_PREFIX)]
+
+
 def make_priority(exch: Exchange) -> int | None:
     """Return the priority sent to an engine, or None for a plain service."""
     return exch.priority if exch.service.engine is not None else None
@@ -362,7 +370,8 @@
                 head = await conn.read_head()
                 facts = decode_response(head.status, head.headers)
                 if facts.request_id == exch.facts.request_id:
-                    return OpenAnswer(conn, head, facts)
+                    headers = tuple(strip_node_headers(head.headers))
+                    return OpenAnswer(conn, replace(head, headers=headers), facts)
                 if not facts.request_id:
                     # It may be a copy of an earlier answer, also on a new connection.
                     message = "an answer that names no request, or several"
--- a/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
@@ -225,6 +225,17 @@
                 copies.append(head.encode())
                 await self.assert_truthful(path, n_requests=1)
 
+    async def test_server_sends_the_notice_of_a_node(self):
+        self.answer_in_turn("ok")
+        for backend in self.world.backends.values():
+            backend.extra_headers.update(
+                {"Medlargate-Refusal": "x", "Medlargate-Verdict": "not_run"}
+            )
+        for path in PATHS:
+            with self.subTest(path=path):
+                (reply,) = await self.assert_truthful(path, n_requests=1)
+                self.assertEqual(reply.status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
