The test of a busy service does not count the time without processor

Cause: the test's time bound. The requests have 2 s, and caller, node and servers share one process, which on such a machine gets a fraction of a core: the failed runs took 2.7 to 12 s, one on an idle machine 0.8 s. The node's answers were right for requests whose 2 s run out. Reproduced without load: with 50 ms of sleep in each iteration of the event loop, two requests ended at their deadline (504), and eight were rejected as too late with 0.66 s of waiting predicted of less than 0.8 s left (503). A trace of a run that failed by load alone was not caught (0 of 97).

The test keeps its requests, its 2 s and its answers, and measures them by a clock that counts the waits of the event loop, up to the timeout asked for, and the processor time. Calls that block without using the processor are not counted. It is as strict on the node: with the queue looked at only every 0.6 s both clocks fail (3 of 3), and every 0.2 and 0.4 s both pass (3 of 3 each). A second test stalls the process by 0.1 s between waits of 10 ms; by the ordinary clock it failed in 3 of 3 runs.

--- a/packages/medlargate/medlargate/relay/tests/test_relay.py
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -13,6 +13,7 @@
     make_request,
     read_reply,
 )
+from medlargate_standins.unstarved_clock import ignore_starvation
 
 from medlargate.transport import IncomingRequest
 
@@ -446,12 +447,12 @@
         kept.close()
 
 
-class ConnectionsTest(RelayCase):
-    async def test_backend_connections_are_reused(self):
-        for _ in range(10):
-            await self.world.call("/read/x", method="GET")
-        n_opened = sum(it.n_connections for it in self.world.backends.values())
-        self.assertLessEqual(n_opened, 2)
+class BusyServiceTest(RelayCase):
+    async def asyncSetUp(self):
+        # On a busy machine the requests would reach their deadline.
+        clock = ignore_starvation("medlargate.relay._node.read_boot_clock")
+        self.enterContext(clock)
+        await super().asyncSetUp()
 
     async def test_requests_to_a_busy_service_are_queued_and_served(self):
         for backend in self.world.backends.values():
@@ -460,6 +461,25 @@
         replies = await asyncio.gather(*calls)
         self.assertEqual({reply.status for reply in replies}, {200})
 
+    async def test_stalled_process_is_measured_by_its_own_time(self):
+        def stall():
+            time.sleep(0.1)
+            self.stalling = asyncio.get_running_loop().call_later(0.01, stall)
+
+        stall()
+        try:
+            await self.test_requests_to_a_busy_service_are_queued_and_served()
+        finally:
+            self.stalling.cancel()
+
+
+class ConnectionsTest(RelayCase):
+    async def test_backend_connections_are_reused(self):
+        for _ in range(10):
+            await self.world.call("/read/x", method="GET")
+        n_opened = sum(it.n_connections for it in self.world.backends.values())
+        self.assertLessEqual(n_opened, 2)
+
     async def test_pause_of_the_node_causes_no_refusals(self):
         # Guards against refusals of queued requests after the process was paused: all
         # answers of a plain service are overdue then, although its servers are fine.
