--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -110,13 +110,8 @@
     service = req.get(ORIGIN_SERVICE)
     origin = StreamOrigin(service, req.get(ORIGIN_VERSION) or "") if service else None
     n_sent = req.get(N_SENT) or "0"
-<<<<<<< HEAD
     forwarded = ForwardedRequest(sender, parse_count(n_sent) or 0, origin)
-    return replace(req, headers=tuple(_strip_headers(req.headers))), forwarded
-=======
-    forwarded = ForwardedRequest(sender, int(n_sent) if n_sent.isdigit() else 0, origin)
     return replace(req, headers=tuple(strip_node_headers(req.headers))), forwarded
->>>>>>> 7cde554dae4448b3d83d43c027ba7102110dac7e
 
 
 def make_origin_headers(origin: StreamOrigin | None) -> list[tuple[bytes, bytes]]:
