--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
@@ -0,0 +1,62 @@
+"""Forwarded requests: attempts, deadlines, and answers that look like refusals."""
+
+import asyncio
+import time
+import unittest
+
+from .test_partitioned_nodes import PartitionCase, cut_off
+
+
+class ForwardedAttemptsTest(PartitionCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        cut_off(self.world.nodes[0])
+
+    def set_behaviour(self, behaviour):
+        for backend in self.world.backends.values():
+            backend.behaviour = lambda _: behaviour
+
+    def list_received(self):
+        backends = self.world.backends.values()
+        return [req for it in backends for req in it.received_requests]
+
+    async def test_refused_request_is_sent_no_more_often_than_its_route_allows(self):
+        self.set_behaviour("refuse")
+        reply = await self.world.call("/book/x")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(len(self.list_received()), 1)
+
+    async def test_refusals_by_servers_are_not_reported_as_a_partition(self):
+        self.set_behaviour("refuse")
+        reply = await self.world.call("/book/x")
+        self.assertNotIn(b"cut_off", reply.body)
+
+    async def test_nothing_is_forwarded_after_a_deadline_that_passed_in_a_pause(self):
+        pool = self.world.nodes[0].forwarder._pool
+        acquire = pool.acquire
+
+        async def acquire_and_pause(*args, **kwargs):
+            conn = await acquire(*args, **kwargs)
+            time.sleep(0.8)
+            return conn
+
+        pool.acquire = acquire_and_pause
+        reply = await self.world.call("/book/x", Deadline_Ms="600")
+        self.assertIn(reply.status, (503, 504))
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.list_received(), [])
+
+    async def test_headers_between_nodes_are_not_taken_from_a_server(self):
+        for backend in self.world.backends.values():
+            backend.extra_headers = {
+                "Medlargate-Refusal": "other",
+                "Medlargate-Verdict": "not_run",
+            }
+        request_id = self.world.make_request_id()
+        reply = await self.world.call("/book/x", request_id=request_id)
+        self.assertEqual(self.n_runs(request_id), 1)
+        self.assertEqual(reply.status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
