Headers between nodes are not taken from a server's answer

Callers saw 503 "not run", or a booking ran twice, if a server's answer to a forwarded request bore medlargate-refusal and medlargate-verdict: the node that had forwarded it took the answer for its peer's refusal. No known server sends these.

--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -23,7 +23,7 @@
     RouteRule,
     ServiceSpec,
 )
-from ..transport import IncomingRequest, Responder
+from ..transport import Headers, IncomingRequest, Responder
 
 if TYPE_CHECKING:
     from ._forwarding import ForwardedRequest
@@ -38,9 +38,17 @@
 # Statuses of the router's own that leave open whether the request has run.
 UNCERTAIN_STATUSES = frozenset({502, 504})
 
+# Headers between nodes; they reach neither callers nor servers.
+NODE_HEADER_PREFIX = b"medlargate-"
+
 _numbers = itertools.count(1)
 
 
+def strip_node_headers(headers: Headers) -> tuple[tuple[bytes, bytes], ...]:
+    """Return headers without those by which nodes tell each other of a request."""
+    return tuple(it for it in headers if not it[0].startswith(NODE_HEADER_PREFIX))
+
+
 @dataclass
 class Outcome:
     """Outcome of a request.
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -32,7 +32,6 @@
     ConnectFaultError,
     ConnectionPool,
     ExchangeFaultError,
-    Headers,
     IncomingRequest,
 )
 from ._event_relay import relay_events
@@ -42,6 +41,7 @@
     UNCERTAIN_STATUSES,
     Exchange,
     Outcome,
+    strip_node_headers,
 )
 from ._reach import RECHECK_INTERVAL, ReachMonitor
 from ._sender import (
@@ -52,8 +52,6 @@
 )
 from ._silence import SilenceLimit
 
-# Headers between nodes; they reach neither callers nor servers.
-HEADER_PREFIX = b"medlargate-"
 FORWARDED_BY = "medlargate-forwarded-by"
 N_SENT = "medlargate-n-sent"
 ORIGIN_SERVICE = "medlargate-origin-service"
@@ -112,7 +110,7 @@
     origin = StreamOrigin(service, req.get(ORIGIN_VERSION) or "") if service else None
     n_sent = req.get(N_SENT) or "0"
     forwarded = ForwardedRequest(sender, parse_count(n_sent) or 0, origin)
-    return replace(req, headers=tuple(_strip_headers(req.headers))), forwarded
+    return replace(req, headers=strip_node_headers(req.headers)), forwarded
 
 
 def make_origin_headers(origin: StreamOrigin | None) -> list[tuple[bytes, bytes]]:
@@ -133,10 +131,6 @@
     ]
 
 
-def _strip_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
-    return [row for row in headers if not row[0].startswith(HEADER_PREFIX)]
-
-
 class Forwarder:
     """Sender of requests to other nodes while this node reaches no server.
 
@@ -275,7 +269,7 @@
         exch.observe_write()
         req, request_id = exch.req, exch.facts.request_id
         headers = make_forwarded_headers(
-            _strip_headers(req.headers),
+            strip_node_headers(req.headers),
             time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
         )
@@ -312,7 +306,7 @@
             head = await conn.read_head()
         facts = decode_response(head.status, head.headers)
         answer = OpenAnswer(
-            conn, replace(head, headers=tuple(_strip_headers(head.headers))), facts
+            conn, replace(head, headers=strip_node_headers(head.headers)), facts
         )
         if facts.request_id != exch.facts.request_id:
             raise ExchangeFaultError("invalid", "an answer to another request")
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .._tasks import call_logged
 from ..platform import ResponseInfo, decode_response, make_forward_headers
@@ -19,7 +19,7 @@
     ResponseHead,
 )
 from ._cold_servers import ColdServers
-from ._exchange import Exchange
+from ._exchange import Exchange, strip_node_headers
 from ._load_tracker import LoadTracker
 from ._request_queue import ServerAssignment
 from ._server_limits import ServerLimits
@@ -368,6 +368,8 @@
         for _ in range(MAX_MISMATCHED_ANSWERS):
             async with SilenceLimit(max_head_silence(exch), may_abandon):
                 head = await conn.read_head()
+                # A node that forwarded the request takes these for this node's own.
+                head = replace(head, headers=strip_node_headers(head.headers))
                 facts = _decode_head(head)
                 if facts.request_id == exch.facts.request_id:
                     return OpenAnswer(conn, head, facts)
