A request is not forwarded after its deadline has passed

Servers ran requests whose callers had given up, and got more time than was left: the forwarding node took the time left before it opened the connection to the other node, and a pause meanwhile was not counted. The time is now taken when the request is written, as it is for servers; too late, nothing is written and the caller gets 503.

--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -45,6 +45,7 @@
 )
 from ._reach import RECHECK_INTERVAL, ReachMonitor
 from ._sender import (
+    MIN_TIME_LEFT,
     AttemptError,
     OpenAnswer,
     max_event_silence,
@@ -268,14 +269,6 @@
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         exch.observe_write()
         req, request_id = exch.req, exch.facts.request_id
-        headers = make_forwarded_headers(
-            strip_node_headers(req.headers),
-            time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
-            last_event_id=exch.last_event_id if exch.rule.resumable else None,
-        )
-        headers.append((FORWARDED_BY.encode(), self._name.encode()))
-        headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
-        headers += make_origin_headers(exch.origin)
         try:
             address = parse_address(peer.address)
             if address is None:
@@ -286,6 +279,13 @@
                 recent_only=not exch.rule.repeatable,
                 request_id=request_id,
             )
+            time_left = exch.deadline - self._clock()
+            if time_left < MIN_TIME_LEFT:
+                # The process may have been paused while the connection was opened.
+                conn.abort()
+                exch.states.observe("connect_failure")
+                raise TimeoutError
+            headers = self._make_headers(exch, time_left)
             conn.send(req.method, req.target, headers, req.body, request_id=request_id)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
@@ -294,6 +294,19 @@
         exch.n_sent += 1
         return conn
 
+    def _make_headers(
+        self, exch: Exchange, time_left: float
+    ) -> list[tuple[bytes, bytes]]:
+        headers = make_forwarded_headers(
+            strip_node_headers(exch.req.headers),
+            time_left=time_left - DEADLINE_RESERVE,
+            last_event_id=exch.last_event_id if exch.rule.resumable else None,
+        )
+        headers.append((FORWARDED_BY.encode(), self._name.encode()))
+        headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
+        headers += make_origin_headers(exch.origin)
+        return headers
+
     async def _relay_answer(self, exch: Exchange, conn: BackendConnection) -> Outcome:
         def may_abandon() -> bool:
             return (
