The claim of a call whose retry is refused is released if the call has not run

Callers got 429, not run, and when they sent the call again with the same Idempotency-Key, 409: an earlier call was sent. It was never run. The refusal of the retry by the scheduler was raised outside of the code that releases the claim.

--- a/packages/medlargate/medlargate/gateway/_plain.py
+++ b/packages/medlargate/medlargate/gateway/_plain.py
@@ -143,7 +143,11 @@
     """
     claimed: Claimed | None = None
     while True:
-        assignment = await acquire(node, exch)
+        try:
+            assignment = await acquire(node, exch)
+        except Refusal as exc:
+            await _release_claim(node, claimed, exc)
+            raise
         fault: BackendFault | None = None
         try:
             if claimed is None and needs_claim(exch, call):
@@ -166,11 +170,16 @@
         try:
             prepare_retry(node, exch, fault)
         except Refusal as exc:
-            if claimed is not None and exc.verdict is Verdict.NOT_RUN:
-                await node.claims.release(claimed)
+            await _release_claim(node, claimed, exc)
             raise
 
 
+async def _release_claim(node: Node, claimed: Claimed | None, exc: Refusal) -> None:
+    """Release the claim of a call that is refused and has not run."""
+    if claimed is not None and exc.verdict is Verdict.NOT_RUN:
+        await node.claims.release(claimed)
+
+
 def needs_claim(exch: Exchange, call: PlainCall) -> bool:
     """Tell whether a call has to be claimed before it is sent.
 
