--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -41,18 +41,18 @@
     UNCERTAIN_STATUSES,
     Exchange,
     Outcome,
+    strip_node_headers,
 )
 from ._reach import RECHECK_INTERVAL, ReachMonitor
 from ._sender import (
+    MIN_TIME_LEFT,
     AttemptError,
     OpenAnswer,
     max_event_silence,
     max_head_silence,
-    strip_node_headers,
 )
 from ._silence import SilenceLimit
 
-# These begin with NODE_HEADER_PREFIX.
 FORWARDED_BY = "medlargate-forwarded-by"
 N_SENT = "medlargate-n-sent"
 ORIGIN_SERVICE = "medlargate-origin-service"
@@ -111,7 +111,7 @@
     origin = StreamOrigin(service, req.get(ORIGIN_VERSION) or "") if service else None
     n_sent = req.get(N_SENT) or "0"
     forwarded = ForwardedRequest(sender, parse_count(n_sent) or 0, origin)
-    return replace(req, headers=tuple(strip_node_headers(req.headers))), forwarded
+    return replace(req, headers=strip_node_headers(req.headers)), forwarded
 
 
 def make_origin_headers(origin: StreamOrigin | None) -> list[tuple[bytes, bytes]]:
@@ -269,14 +269,6 @@
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         exch.observe_write()
         req, request_id = exch.req, exch.facts.request_id
-        headers = make_forwarded_headers(
-            strip_node_headers(req.headers),
-            time_left=exch.deadline - self._clock() - DEADLINE_RESERVE,
-            last_event_id=exch.last_event_id if exch.rule.resumable else None,
-        )
-        headers.append((FORWARDED_BY.encode(), self._name.encode()))
-        headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
-        headers += make_origin_headers(exch.origin)
         try:
             address = parse_address(peer.address)
             if address is None:
@@ -287,6 +279,13 @@
                 recent_only=not exch.rule.repeatable,
                 request_id=request_id,
             )
+            time_left = exch.deadline - self._clock()
+            if time_left < MIN_TIME_LEFT:
+                # The process may have been paused while the connection was opened.
+                conn.abort()
+                exch.states.observe("connect_failure")
+                raise TimeoutError
+            headers = self._make_headers(exch, time_left)
             conn.send(req.method, req.target, headers, req.body, request_id=request_id)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
@@ -295,6 +294,19 @@
         exch.n_sent += 1
         return conn
 
+    def _make_headers(
+        self, exch: Exchange, time_left: float
+    ) -> list[tuple[bytes, bytes]]:
+        headers = make_forwarded_headers(
+            strip_node_headers(exch.req.headers),
+            time_left=time_left - DEADLINE_RESERVE,
+            last_event_id=exch.last_event_id if exch.rule.resumable else None,
+        )
+        headers.append((FORWARDED_BY.encode(), self._name.encode()))
+        headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
+        headers += make_origin_headers(exch.origin)
+        return headers
+
     async def _relay_answer(self, exch: Exchange, conn: BackendConnection) -> Outcome:
         def may_abandon() -> bool:
             return (
@@ -307,7 +319,7 @@
             head = await conn.read_head()
         facts = decode_response(head.status, head.headers)
         answer = OpenAnswer(
-            conn, replace(head, headers=tuple(strip_node_headers(head.headers))), facts
+            conn, replace(head, headers=strip_node_headers(head.headers)), facts
         )
         if facts.request_id != exch.facts.request_id:
             raise ExchangeFaultError("invalid", "an answer to another request")
