A forwarded request that servers refused is not sent on by further nodes

Seen by callers: a booking with one attempt, refused by a server behind another node, was forwarded to further nodes and sent to further servers, outside the retry budget; the caller then got 503 cut_off, 'no server can be reached', with the wrong Retry-After. Cause: the forwarding node took every 'not run' of another node but three for a failure to connect. Those of servers had used up the attempts of the route. Change: not_run:refused, not_run:misdirected and too_large are final; the code and Retry-After of the other node reach the caller.

--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -65,8 +65,18 @@
 # The other node gives up a silent server after the usual time, and this node a silent
 # node only later.
 PEER_SILENCE_MARGIN = 0.5  # seconds
-# Reasons for which another node would refuse the request as well.
-FINAL_REFUSALS = frozenset({"too_late", "crashes_servers", "timeout_not_run"})
+# Reasons for which another node would refuse the request as well, or must not send it:
+# servers that refused it have used up the attempts of its route.
+FINAL_REFUSALS = frozenset(
+    {
+        "crashes_servers",
+        "not_run:misdirected",
+        "not_run:refused",
+        "timeout_not_run",
+        "too_large",
+        "too_late",
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
