The OpenAI interface does not reuse a connection after an error

Seen by callers: 'not run' for a request that an engine had, if the engine wrote its earlier refusal once more on the kept connection as that request arrived. Cause: engines behind this interface name no request in a refusal, so that a copy can't be told from an answer. Change: a connection is closed after a status of 400 or more; answers of 2xx keep it.

--- a/packages/medlargate/medlargate/gateway/_backend_client.py
+++ b/packages/medlargate/medlargate/gateway/_backend_client.py
@@ -87,6 +87,26 @@
         raise BackendDisconnectedError("the server sends bytes without a request")
 
 
+class _Response(aiohttp.ClientResponse):
+    """Response whose connection is not reused if it is an error.
+
+    Servers name no request in their refusals, so that a second copy of one would be
+    taken for the answer to the next request.
+    """
+
+    async def start(self, connection: aiohttp.connector.Connection) -> _Response:
+        """Read the head of the response."""
+        protocol = connection.protocol
+        await super().start(connection)
+        if self.status >= 400 and protocol is not None:
+            if self.connection is None:
+                # The body has been read, and the connection is already idle.
+                protocol.close()
+            else:
+                protocol.force_close()
+        return self
+
+
 def make_session() -> aiohttp.ClientSession:
     """Create the HTTP client session for calls to backend servers.
 
@@ -103,6 +123,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         middlewares=(_prevent_automatic_resend,),
+        response_class=_Response,
         read_bufsize=READ_BUFFER_BYTES,
     )
 
