Tests of log lines see them under the runner of all tests

run_tests disables logging, so that assertLogs failed and assertNoLogs passed without a look: 28 failures in three modules under run_tests, none under unittest. The tests enable logging for their own time.

--- a/packages/medlargate/medlargate/relay/tests/test_background_errors.py
+++ b/packages/medlargate/medlargate/relay/tests/test_background_errors.py
@@ -17,7 +17,7 @@
 
 from ..._tasks import run_with_restarts
 from .._silence import SilenceLimit
-from .test_odd_entries import NESTED, OddEntriesCase, make_entry
+from .test_odd_entries import NESTED, OddEntriesCase, enable_logs, make_entry
 from .test_relay import RelayCase
 
 ODD_VALUES = (
@@ -128,6 +128,10 @@
 
 
 class ListenersTest(RelayCase):
+    async def asyncSetUp(self):
+        enable_logs(self)
+        await super().asyncSetUp()
+
     async def test_failing_listener_holds_up_no_change(self):
         state = self.node.cluster_state
         state.server_listeners.insert(0, fail)
@@ -193,6 +197,9 @@
 
 
 class TasksTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        enable_logs(self)
+
     async def test_job_goes_on_after_the_cancellation_of_a_task_that_it_awaits(self):
         n_starts = 0
 
--- a/packages/medlargate/medlargate/relay/tests/test_fuzz_odd_values.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fuzz_odd_values.py
@@ -126,8 +126,8 @@
 
 class OddValuesTest(unittest.TestCase):
     def setUp(self):
+        self.addCleanup(logging.disable, logging.root.manager.disable)
         logging.disable(logging.WARNING)
-        self.addCleanup(logging.disable, logging.NOTSET)
 
     def make_state(self):
         return ClusterState(decode_routing_config, decode_registration, lambda: 0.0)
--- a/packages/medlargate/medlargate/relay/tests/test_odd_entries.py
+++ b/packages/medlargate/medlargate/relay/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Guards against entries of another writer among the registrations."""
 
 import asyncio
+import logging
 import unittest
 
 import orjson
@@ -12,6 +13,12 @@
 ROUTES = ("read", "book", "once-stream", "resume-stream")
 
 
+def enable_logs(case):
+    """Let a test see the log lines, which the runner of all tests disables."""
+    case.addCleanup(logging.disable, logging.root.manager.disable)
+    logging.disable(logging.NOTSET)
+
+
 def make_entry(**fields):
     """Encode a registration with odd fields; bytes are put in as they are."""
     row = {
@@ -63,6 +70,7 @@
     n_nodes = 2
 
     async def asyncSetUp(self):
+        enable_logs(self)
         self.world = RelayTestbed(n_nodes=self.n_nodes)
         await self.world.start()
 
--- a/packages/medlargate/medlargate/relay/tests/test_unexpected_errors.py
+++ b/packages/medlargate/medlargate/relay/tests/test_unexpected_errors.py
@@ -16,6 +16,7 @@
 from medlargate.transport import BackendConnection, ConnectFaultError, open_connection
 
 from .._sender import OpenAnswer
+from .test_odd_entries import enable_logs
 from .test_relay import RelayCase
 
 
@@ -39,6 +40,10 @@
 
 
 class InjectedErrorsTest(RelayCase):
+    async def asyncSetUp(self):
+        enable_logs(self)
+        await super().asyncSetUp()
+
     async def call_with(self, target, name, route="book", replacement=fail):
         request_id = self.world.make_request_id()
         with (
