A head with parts of two answers is no refusal

Seen by callers: 503, not run, for a request that a server ran, where the server writes an earlier refusal in pieces and the true answer between two of them. The head then has the status and Not-Executed of the one and the request id of the other. Cause: a value or reason phrase that contains a second status line is valid HTTP.

--- a/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_copied_answers.py
@@ -183,6 +183,30 @@
         self.assertGreater(n_runs, 12)
 
 
+class InterleavedCopiesTest(CopiesCase):
+    """The answer to the next request is written between two pieces of a copy."""
+
+    def interleave(self, backend, n_first):
+        async def send_copy(writer, copy, delay=0.0):
+            del delay
+            backend.n_copies += 1
+            writer.write(copy[:n_first])
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.002, writer.write, copy[n_first:])
+
+        backend._send_copy = send_copy
+
+    async def test_head_of_two_answers_does_not_deny_that_a_request_has_run(self):
+        backend = self.world.backends["p1"]
+        for kind, naming in itertools.product(("refuse", "misdirect"), NAMINGS):
+            for n_first in range(10, 36):  # within the head
+                with self.subTest(kind=kind, naming=naming, n_first=n_first):
+                    self.answer_in_turn(f"{kind}-{naming}:next", "ok")
+                    self.interleave(backend, n_first)
+                    await self.assert_truthful("/book/x", n_requests=2)
+        self.assertGreater(backend.n_copies, 80)
+
+
 class ForwardedCopiesTest(CopiesCase):
     """A node that reaches no server forwards the requests."""
 
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -25,6 +25,7 @@
 MAX_INTERIM_RESPONSES = 8
 MAX_REMEMBERED_IDS = 64  # ids of the last requests on a connection
 DEFAULT_KEEP_ALIVE = 10.0  # seconds, for servers that send no Keep-Alive header
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}\b")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\s*timeout=\s*([0-9]{1,6})\s*", re.IGNORECASE)
 
 
@@ -238,12 +239,15 @@
         Raises
         ------
         ExchangeFaultError
-            If the connection ends, the received bytes are not valid HTTP, or more than
-            ``MAX_INTERIM_RESPONSES`` informational responses arrive.
+            If the connection ends, the received bytes are not valid HTTP, a head has
+            a second status line, or more than ``MAX_INTERIM_RESPONSES`` informational
+            responses arrive.
         """
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if _has_second_status_line(event):
+                    raise ExchangeFaultError("invalid", "two responses in one head")
                 head = ResponseHead(event.status_code, tuple(event.headers))
                 self._update_keep_alive(head)
                 return head
@@ -437,6 +441,16 @@
                 self._data_waiter = None
 
 
+def _has_second_status_line(response: h11.Response) -> bool:
+    """Return whether a head consists of parts of two responses.
+
+    A server that writes two responses at the same time can mix them, so that the status
+    of one is read with the request id of the other.
+    """
+    values = [response.reason, *(value for _, value in response.headers)]
+    return any(_STATUS_LINE.search(value) for value in values)
+
+
 async def open_connection(
     host: str, port: int, *, timeout: float = 0.5
 ) -> BackendConnection:
