A forwarded request that can't be encoded leaves no connection open and is not run

Callers got 502 for a request of which nothing was sent, and the connection to the other node stayed open until it was collected. Cause: only failed connections were handled. Change: writing closes the connection on any error, and the state returns to not sent if no byte was written, as for servers.

--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -278,32 +278,50 @@
 
     async def _send(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         exch.observe_write()
-        req, request_id = exch.req, exch.facts.request_id
         try:
-            address = parse_address(peer.address)
-            if address is None:
-                raise ConnectFaultError(f"{peer.address!r} is no address")
-            conn = await self._pool.acquire(
-                peer.name,
-                *address,
-                recent_only=not exch.rule.repeatable,
-                request_id=request_id,
-            )
-            time_left = exch.deadline - self._clock()
-            if time_left < MIN_TIME_LEFT:
-                # The process may have been paused while the connection was opened.
-                conn.abort()
-                exch.states.observe("connect_failure")
-                raise TimeoutError
-            headers = self._make_headers(exch, time_left)
-            conn.send(req.method, req.target, headers, req.body, request_id=request_id)
+            conn = await self._connect(exch, peer)
         except ConnectFaultError as exc:
             exch.states.observe("connect_failure")
-            message = f"node {peer.name}: {exc}"
-            raise AttemptError("connect", message, Verdict.NOT_RUN) from exc
+            raise _make_connect_error(peer, exc) from exc
+        try:
+            self._write(exch, conn)
+        except ConnectFaultError as exc:
+            raise _make_connect_error(peer, exc) from exc
         exch.n_sent += 1
         return conn
 
+    async def _connect(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
+        address = parse_address(peer.address)
+        if address is None:
+            raise ConnectFaultError(f"{peer.address!r} is no address")
+        return await self._pool.acquire(
+            peer.name,
+            *address,
+            recent_only=not exch.rule.repeatable,
+            request_id=exch.facts.request_id,
+        )
+
+    def _write(self, exch: Exchange, conn: BackendConnection) -> None:
+        """Write a request; close the connection if nothing can be written."""
+        req, n_requests = exch.req, conn.n_requests
+        try:
+            time_left = exch.deadline - self._clock()
+            if time_left < MIN_TIME_LEFT:
+                # The process may have been paused while the connection was opened.
+                raise TimeoutError
+            conn.send(
+                req.method,
+                req.target,
+                self._make_headers(exch, time_left),
+                req.body,
+                request_id=exch.facts.request_id,
+            )
+        except Exception:
+            conn.abort()
+            if conn.n_requests == n_requests:
+                exch.states.observe("connect_failure")
+            raise
+
     def _make_headers(
         self, exch: Exchange, time_left: float
     ) -> list[tuple[bytes, bytes]]:
@@ -395,5 +413,9 @@
         )
 
 
+def _make_connect_error(peer: ForwardPeer, exc: ConnectFaultError) -> AttemptError:
+    return AttemptError("connect", f"node {peer.name}: {exc}", Verdict.NOT_RUN)
+
+
 def _with_margin(silence: float | None) -> float | None:
     return silence + PEER_SILENCE_MARGIN if silence is not None else None
--- a/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
+++ b/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
@@ -46,6 +46,25 @@
         await asyncio.sleep(0.3)
         self.assertEqual(self.list_received(), [])
 
+    async def test_request_that_cannot_be_encoded_leaves_no_open_connection(self):
+        conns = []
+        pool = self.world.nodes[0].forwarder._pool
+        acquire = pool.acquire
+
+        def fail(*args, **kwargs):
+            raise ValueError("not encodable")
+
+        async def acquire_and_break(*args, **kwargs):
+            conns.append(await acquire(*args, **kwargs))
+            conns[-1].send = fail
+            return conns[-1]
+
+        pool.acquire = acquire_and_break
+        reply = await self.world.call("/book/x")
+        self.assertEqual(reply.status, 503)
+        self.assertIn(b'"run":"not_run"', reply.body)
+        self.assertEqual([it.is_open for it in conns], [False])
+
     async def test_headers_between_nodes_are_not_taken_from_a_server(self):
         for backend in self.world.backends.values():
             backend.extra_headers = {
