--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -14,40 +14,23 @@
 
 import orjson
 
-SEAL = "seal"
+from ._backend_messages import (
+    ERROR_TEXT,
+    OTHER_STREAMS,
+    SEAL,
+    ReceivedRequest,
+    encode_chunk,
+    encode_head,
+    make_endless_response,
+    make_wrong_response,
+    read_request,
+)
+
 HEALTH_PATH = "/healthz"
-ERROR_TEXT = b'{"error":"foreign failure"}\n\n'
-ENDLESS_PART = b"endless " * 2048
 # An endless response ends here, so that a test can't run forever.
 MAX_ENDLESS_BYTES = 64_000_000
 COPY_PIECE_INTERVAL = 0.005  # seconds
 
-
-@dataclass(frozen=True)
-class ReceivedRequest:
-    """Request as received by the server.
-
-    Attributes
-    ----------
-    method, target : str
-        Method and target of the request line.
-    headers : dict of str to str
-        Request headers, with names in lower case.
-    body : bytes
-        Complete request body.
-    """
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def request_id(self) -> str:
-        """Request id, from the ``Attempt-Id`` header; empty if there is none."""
-        return self.headers.get("attempt-id", "")
-
-
 Behaviour = Callable[[ReceivedRequest], str]
 
 
@@ -245,10 +228,10 @@
         self.n_connections += 1
         is_new = True
         try:
-            while (req := await _read_request(reader)) is not None:
+            while (req := await read_request(reader)) is not None:
                 if req.target == HEALTH_PATH:
                     self.n_probes += 1
-                    writer.write(_encode_head(req, 200, 0, ""))
+                    writer.write(encode_head(req, 200, 0, ""))
                     await writer.drain()
                     continue
                 self.received_requests.append(req)
@@ -293,7 +276,7 @@
         kind, _, event_number = self.behaviour(req).partition(":")
         is_misdirected = req.headers.get("expect-instance") != self.server_id
         if is_misdirected or kind == "misdirect":
-            writer.write(_encode_head(req, 421, 0, "Instance-Id: other\r\n"))
+            writer.write(encode_head(req, 421, 0, "Instance-Id: other\r\n"))
             await writer.drain()
             return True
         if "-copy" in kind:
@@ -301,7 +284,7 @@
             return True
         if kind == "refuse" or not await self._take_slot():
             extra = "Not-Executed: 1\r\n" + self._encode_extra_headers()
-            writer.write(_encode_head(req, 503, 0, extra))
+            writer.write(encode_head(req, 503, 0, extra))
             await writer.drain()
             return True
         try:
@@ -320,7 +303,7 @@
             body = b"not run"
             status = 503 if kind.startswith("refuse") else 421
             extra = "Not-Executed: 1\r\n"
-        answer = copy = _encode_head(req, status, len(body), extra) + body
+        answer = copy = encode_head(req, status, len(body), extra) + body
         if kind.endswith("-unnamed"):
             copy = answer.replace(f"Attempt-Id: {req.request_id}\r\n".encode(), b"")
         writer.write(answer)
@@ -374,7 +357,7 @@
         if not kind.endswith("-refusal"):
             self.runs[req.request_id] += 1
         if kind.startswith(("endless", "trickle")):
-            head, part, pause = _make_endless_response(req, kind)
+            head, part, pause = make_endless_response(req, kind)
             return await self._send_endless(writer, head, part, pause=pause)
         if kind == "silent":
             await self._wait_for_disconnect(reader)
@@ -397,7 +380,7 @@
             return False
         if kind == "two-ids":
             extra = "Attempt-Id: another\r\nNot-Executed: 1\r\n"
-            writer.write(_encode_head(req, 503, 0, extra))
+            writer.write(encode_head(req, 503, 0, extra))
             await writer.drain()
             return True
         if "stream" in req.target:
@@ -446,7 +429,7 @@
         body = f"{self.server_id} ran {req.request_id}".encode()
         status = 500 if kind in ("error", "denied-500") else 200
         if kind == "unframed":
-            head = _encode_head(req, status, None, f"Response-Seal: {SEAL}\r\n")
+            head = encode_head(req, status, None, f"Response-Seal: {SEAL}\r\n")
             writer.write(head + body)
             await writer.drain()
             return False
@@ -455,7 +438,7 @@
             extra += "Not-Executed: 1\r\n"
         if kind == "denied-interim":
             writer.write(b"HTTP/1.1 103 X\r\nNot-Executed: 1\r\n\r\n")
-        response = _encode_head(req, status, len(body), extra) + body
+        response = encode_head(req, status, len(body), extra) + body
         if kind == "half":
             writer.write(response[:-5])
             await writer.drain()
@@ -463,7 +446,7 @@
         if kind.startswith("strange"):
             other = ReceivedRequest("GET", "/", {"attempt-id": "another"}, b"")
             strange_body = b"not yours"
-            head = _encode_head(other, 200, len(strange_body), extra)
+            head = encode_head(other, 200, len(strange_body), extra)
             if kind == "strange-unnamed":
                 head = head.replace(b"Attempt-Id: another\r\n", b"")
             writer.write(head + strange_body)
@@ -481,8 +464,8 @@
         event_number: float,
     ) -> bool:
         first_event = int(req.headers.get("last-event-id", 0)) + 1
-        if kind in _OTHER_STREAMS or kind.startswith("answer"):
-            response = _make_wrong_response(
+        if kind in OTHER_STREAMS or kind.startswith("answer"):
+            response = make_wrong_response(
                 req, kind, int(event_number), first_event, self.n_events
             )
             writer.write(response)
@@ -493,7 +476,7 @@
         if kind == "denied":
             extra += "Not-Executed: 1\r\n"
         is_framed = not kind.startswith("unframed")
-        writer.write(_encode_head(req, 200, -1 if is_framed else None, extra))
+        writer.write(encode_head(req, 200, -1 if is_framed else None, extra))
         if kind in ("begun", "crash-begun"):
             await writer.drain()
             if kind == "crash-begun":
@@ -507,18 +490,18 @@
         for event in range(first_event, self.n_events + 1):
             text = f"id: {event}\ndata: {event}\n\n".encode()
             if kind == "cut" and event == event_number:
-                writer.write(_encode_chunk(text[: len(text) // 2]))
+                writer.write(encode_chunk(text[: len(text) // 2]))
                 await writer.drain()
                 writer.transport.abort()
                 return False
             if kind == "drip" and event == event_number:
-                drip = _encode_chunk(b" ")
-                writer.write(_encode_chunk(text[:-2]))
+                drip = encode_chunk(b" ")
+                writer.write(encode_chunk(text[:-2]))
                 return await self._send_endless(writer, b"", drip, pause=0.2)
             if kind == "unframed-half" and event == event_number:
                 writer.write(text[: len(text) // 2])
                 return False
-            writer.write(_encode_chunk(text) if is_framed else text)
+            writer.write(encode_chunk(text) if is_framed else text)
             await writer.drain()
             if event == event_number and kind.endswith(("end", "-after")):
                 return await self._break_off(req, writer, kind)
@@ -538,124 +521,8 @@
         elif kind == "reset-after":
             writer.transport.abort()
         elif kind.endswith("head-after"):
-            error = _encode_head(req, 500, len(ERROR_TEXT), "") + ERROR_TEXT
+            error = encode_head(req, 500, len(ERROR_TEXT), "") + ERROR_TEXT
             is_chunk = kind == "head-after"
-            writer.write(_encode_chunk(error) + b"0\r\n\r\n" if is_chunk else error)
+            writer.write(encode_chunk(error) + b"0\r\n\r\n" if is_chunk else error)
             await writer.drain()
         return False
-
-
-_OTHER_STREAMS = frozenset(
-    {
-        "backwards",
-        "empty",
-        "empty-length",
-        "error-data",
-        "error-event",
-        "huge-id",
-        "restart",
-        "restart-end",
-        "skip",
-        "unnamed",
-        "unsealed",
-    }
-)
-
-
-def _make_wrong_response(
-    req: ReceivedRequest, kind: str, status: int, first_event: int, n_events: int
-) -> bytes:
-    """Return a complete response that is not the rest of the requested stream."""
-    seal = f"Response-Seal: {SEAL}\r\n"
-    event_type = "Content-Type: text/event-stream\r\n"
-    if kind.startswith("answer"):
-        extra = ""
-        if kind == "answer-events":
-            extra = event_type + seal
-        elif kind == "answer-json":
-            extra = "Content-Type: application/json\r\n" + seal
-        if kind in ("answer-chunked", "answer-events"):
-            body = _encode_chunk(ERROR_TEXT) + b"0\r\n\r\n"
-            return _encode_head(req, status, -1, extra) + body
-        length = None if kind == "answer-unframed" else len(ERROR_TEXT)
-        head = _encode_head(req, status, length, extra)
-        if kind == "answer-interim":
-            head = b"HTTP/1.1 102 X\r\n\r\n" * 2 + head
-        return head + ERROR_TEXT
-    numbers = list(range(first_event, n_events + 1))
-    if kind == "restart":
-        numbers = list(range(1, n_events + 1))
-    elif kind == "restart-end":
-        numbers = list(range(1, first_event))
-    elif kind == "skip":
-        del numbers[0]
-    elif kind == "backwards":
-        numbers.reverse()
-    events = [b"id: %d\ndata: %d\n\n" % (number, number) for number in numbers]
-    if kind.startswith("empty"):
-        events = []
-    elif kind == "unnamed":
-        events = [b"data: %d\n\n" % number for number in numbers]
-    elif kind == "huge-id":
-        events[0] = b"id: " + b"9" * 6000 + b"\ndata: 1\n\n"
-    elif kind == "error-event":
-        events = [b"event: error\ndata: " + ERROR_TEXT]
-    elif kind == "error-data":
-        events = [b"data: " + ERROR_TEXT]
-    extra = event_type + ("" if kind == "unsealed" else seal)
-    body = b"".join(events)
-    if kind == "empty-length":
-        return _encode_head(req, 200, 0, extra)
-    chunks = (_encode_chunk(body) if body else b"") + b"0\r\n\r\n"
-    return _encode_head(req, 200, -1, extra) + chunks
-
-
-def _make_endless_response(
-    req: ReceivedRequest, kind: str
-) -> tuple[bytes, bytes, float]:
-    """Return the head, the repeated part and the pause of an endless response."""
-    seal = f"Response-Seal: {SEAL}\r\n"
-    if kind == "endless-head":
-        return b"HTTP/1.1 200 X\r\nX-Endless: ", ENDLESS_PART, 0.0
-    if kind == "endless-interim":
-        return b"", b"HTTP/1.1 102 X\r\n\r\n" * 1024, 0.0
-    if kind == "endless-tail":
-        return _encode_head(req, 200, 2, seal) + b"ok", ENDLESS_PART, 0.0
-    if kind.endswith("-refusal"):
-        head = _encode_head(req, 503, None, "Not-Executed: 1\r\n")
-    else:
-        head = _encode_head(req, 200, None, seal)
-    if kind.startswith("trickle"):
-        return head, b"x", 0.05
-    return head, ENDLESS_PART, 0.0
-
-
-def _encode_chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-def _encode_head(
-    req: ReceivedRequest, status: int, length: int | None, extra: str
-) -> bytes:
-    framing = "" if length is None else f"Content-Length: {length}\r\n"
-    if length == -1:
-        framing = "Transfer-Encoding: chunked\r\n"
-    text = (
-        f"HTTP/1.1 {status} X\r\nAttempt-Id: {req.request_id}\r\n{extra}{framing}\r\n"
-    )
-    return text.encode()
-
-
-async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest | None:
-    try:
-        raw = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return None
-    lines = raw.decode("latin-1").split("\r\n")
-    method, target, _ = lines[0].split(" ")
-    headers = {}
-    for line in filter(None, lines[1:]):
-        name, _, value = line.partition(":")
-        headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return ReceivedRequest(method, target, headers, body)
