--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -196,4 +197,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(run, Path(__file__).parent))
+    TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(run, Path(__file__).parent, trouble=TROUBLE))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -642,7 +642,9 @@
         self._folder.cleanup()
 
 
-def run_case(case: Callable[[Record, bool], Any], folder: Path) -> int:
+def run_case(
+    case: Callable[[Record, bool], Any], folder: Path, *, trouble: bool
+) -> int:
     """Run a case and return its exit status.
 
     Parameters
@@ -652,6 +654,8 @@
         It returns the breaks of the rule, as texts.
     folder : Path
         Folder of the case, for ``record.txt``.
+    trouble : bool
+        Whether the disruption takes place.
 
     Returns
     -------
@@ -661,7 +665,6 @@
     # The store's HTTP server reports the watches that end with it.
     logging.disable(logging.CRITICAL)
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=int(trouble))
     try:
         breaks = asyncio.run(case(record, trouble))
