Rejections state their evidence, and metrics count decisions by priority

The collected metric pages are cut, and the rows by customer, class and outcome come first.

Change: field evidence of the line reject; counter medlargate_queue_decisions by decision, priority and evidence, in the first rows of the page. No decision changes.

--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -138,6 +138,7 @@
             lambda: self.settings.load.customer_shares,
             self.metrics.observe_return,
             random_state=self.random_state,
+            observe_decision=self.metrics.observe_queue_decision,
         )
         self.request_queue = RequestQueue(
             self.cluster_state,
--- a/packages/medlargate/medlargate/relay/_queue_order.py
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -74,6 +74,9 @@
         caller of a rejected request returned.
     random_state : random.Random
         Source of the spread of return times.
+    observe_decision : callable
+        Called for each request that is sent to a server or rejected, with
+        ``"begun"`` or ``"rejected"``, the priority and the evidence of a rejection.
     """
 
     def __init__(
@@ -84,7 +87,9 @@
         observe_return: Callable[[float, float], None],
         *,
         random_state: random.Random,
+        observe_decision: Callable[[str, int, str], None] = lambda *_: None,
     ) -> None:
+        self._observe_decision = observe_decision
         self._cluster_state = cluster_state
         self._clock = clock
         self._is_enabled = is_enabled
@@ -205,6 +210,7 @@
     def observe_dispatch(self, exch: Exchange, queue_class: QueueClass) -> None:
         """Count a request that is assigned to a server."""
         now = self._clock()
+        self._observe_decision("begun", exch.priority, "")
         order = self._get(exch.service.name)
         order.rates.observe_served(queue_class, now)
         if self._returns:
@@ -272,6 +278,7 @@
             position,
             wait,
             f"{wait:.2f} s of waiting predicted",
+            evidence="never_served" if math.isinf(wait) else "served_rate",
             dry_run=dry_run,
         )
 
@@ -326,7 +333,9 @@
         if wait + service_time <= exch.deadline - now:
             return None
         reason = f"{wait:.2f} s of waiting for limited servers predicted"
-        return self.make_rejection(exch, position, wait, reason, dry_run=dry_run)
+        return self.make_rejection(
+            exch, position, wait, reason, evidence="server_limits", dry_run=dry_run
+        )
 
     def make_rejection(
         self,
@@ -335,6 +344,7 @@
         wait: float,
         reason: str,
         *,
+        evidence: str,
         dry_run: bool = False,
     ) -> Refusal:
         """Make the rejection of a request, and remember when its caller may return.
@@ -349,6 +359,9 @@
             Predicted time until a server is free for it, in seconds.
         reason : str
             Explanation.
+        evidence : str
+            What the prediction is based on: ``"never_served"`` if other classes got
+            slots and this one none, ``"served_rate"`` or ``"server_limits"``.
         dry_run : bool, default=False
             Whether to leave the remembered return times as they are.
 
@@ -380,8 +393,10 @@
         )
         if dry_run:
             return refusal
+        self._observe_decision("rejected", exch.priority, evidence)
         exch.record(
             "reject",
+            evidence=evidence,
             customer=customer or None,
             priority=exch.priority,
             over_share=position.queue_class.over_share,
--- a/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_deferred_metrics.py
@@ -62,6 +62,23 @@
         if self._metrics is not None:
             self._metrics.observe_event(kind)
 
+    def observe_queue_decision(
+        self, decision: str, priority: int, evidence: str = ""
+    ) -> None:
+        """Count a decision of a queue, once the instruments exist.
+
+        Parameters
+        ----------
+        decision : str
+            ``"begun"`` or ``"rejected"``.
+        priority : int
+            Priority of the request.
+        evidence : str
+            What a rejection is based on; empty if not rejected.
+        """
+        if self._metrics is not None:
+            self._metrics.observe_queue_decision(decision, priority, evidence)
+
     def observe_spill(self, service: str, share: float, gain: float) -> None:
         """Record a spillover decision; dropped until the instruments exist.
 
--- a/packages/medlargate/medlargate/telemetry/_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/_metrics.py
@@ -84,6 +84,12 @@
         self._provider = MeterProvider([reader], views=_make_views())
         meter = self._provider.get_meter("medlargate")
         self._customers = LabelLimiter(max_values=max_label_values)
+        self._queue_decisions = meter.create_counter(
+            "medlargate_queue_decisions", "{request}", "Begun and rejected, by priority"
+        )
+        # An instrument stands on the page in the order of its first use. Collectors
+        # that cut a long page keep these rows.
+        self._queue_decisions.add(0, {"decision": "begun", "priority": 0})
         self._first_token = meter.create_histogram(
             "medlargate_first_token", "s", "Time to the first token"
         )
@@ -122,6 +128,25 @@
             "medlargate_spill_gain", "s", "Time that a request gains by leaving"
         )
 
+    def observe_queue_decision(
+        self, decision: str, priority: int, evidence: str = ""
+    ) -> None:
+        """Count a request that was sent to a server or rejected by its queue.
+
+        Parameters
+        ----------
+        decision : str
+            ``"begun"`` or ``"rejected"``.
+        priority : int
+            Priority of the request.
+        evidence : str
+            What a rejection is based on, from a bounded set; empty if not rejected.
+        """
+        labels = {"decision": decision, "priority": priority}
+        if evidence:
+            labels["evidence"] = evidence
+        self._queue_decisions.add(1, labels)
+
     def observe_spill(self, service: str, share: float, gain: float) -> None:
         """Record the decision how much of a service's work leaves the domain.
 
--- a/packages/medlargate/medlargate/telemetry/tests/test_deferred_metrics.py
+++ b/packages/medlargate/medlargate/telemetry/tests/test_deferred_metrics.py
@@ -37,3 +37,17 @@
         metrics.observe_request(**FACTS)
         await task
         self.assertIn(b"medlargate_requests", metrics.snapshot())
+
+    async def test_decisions_by_priority_come_first_on_the_page(self):
+        metrics = DeferredMetrics()
+        await metrics.load(delay=0.0)
+        metrics.observe_request(**FACTS)
+        metrics.observe_queue_decision("rejected", 1, "never_served")
+        rows = [
+            line
+            for line in metrics.snapshot().decode().splitlines()
+            if line.startswith("medlargate")
+        ]
+        self.assertIn("medlargate_queue_decisions", rows[0])
+        rejected = [it for it in rows if 'evidence="never_served"' in it]
+        self.assertTrue(rejected[0].endswith(" 1.0"), rejected)
