Servers keep room for the more urgent requests of all nodes

Cause: each node's queue is in order, and nothing orders requests of different nodes. A slot that becomes free goes to the node that learns of it first, which is the one whose request has ended; the others learn of it up to a second later, when it is taken again. A node with few requests on the servers gets no slot for seconds, whatever waits there. Beside it, the room of customers below their share went before priorities.

Change: a class of requests fills a server only up to limits that grow with its urgency (policy/_fill_limits.py): a quarter more than the slots for the most urgent class, the slots for the least urgent, by priority first and share second; long urgent prompts also get engines with a longer prefill backlog. What is above the slots waits in the server's queue, which all nodes share and which admits by priority. No message is added.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -40,6 +40,7 @@
     decide_spill,
     select_candidates,
 )
+from ._fill_limits import FillLimits, choose_fill_limits
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
 from ._part_crashes import BLOCK_TIME, PartCrashes
@@ -186,6 +187,7 @@
     "DecayingRate",
     "DomainLoad",
     "FairQueue",
+    "FillLimits",
     "FleetRetryBudget",
     "ForwardPeer",
     "HeldRequest",
@@ -232,6 +234,7 @@
     "ZoneEngines",
     "accepts_any_server",
     "choose_destination",
+    "choose_fill_limits",
     "choose_forward_peer",
     "choose_origin_keepers",
     "choose_probed_services",
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from ._customer_shares import compute_share_rank
+from ._fill_limits import FillLimits
 from ._placement import ServerState
 from ._prefill_isolation import LONG_PREFILL_TIME
 
@@ -25,6 +26,11 @@
 MAX_LONG_PROMPT_BACKLOG_ANY_SERVER = 0.3  # seconds
 # Largest prefill backlog of an engine that is sent a short prompt.
 MAX_SHORT_PROMPT_BACKLOG = 0.9  # seconds
+# Further backlog of an engine that is sent a long prompt of the most urgent class. The
+# limit for one that accepts any server is then that for short prompts.
+MAX_URGENT_BACKLOG_RESERVE = (
+    MAX_SHORT_PROMPT_BACKLOG - MAX_LONG_PROMPT_BACKLOG_ANY_SERVER
+)
 # Fraction of its target time for which a request waits for the best engine.
 BEST_SERVER_WAIT_FRACTION = 0.4
 # Requests sent to a plain server beyond its slots, as a fraction of the slots. Further
@@ -42,6 +48,7 @@
     is_engine: bool,
     prefill_time: float = 0.0,
     accept_any: bool = False,
+    limits: FillLimits | None = None,
 ) -> bool:
     """Return whether a server should be sent another request now.
 
@@ -56,6 +63,8 @@
     accept_any : bool, default=False
         Whether the request has waited long enough for the best server, which raises
         the accepted backlog.
+    limits : FillLimits or None
+        How far requests of this class may fill a server; None if there is one class.
 
     Returns
     -------
@@ -64,9 +73,11 @@
     """
     if not state.has_room:
         return False
+    n_slots = state.n_slots
+    if limits is not None:
+        n_slots = limits.compute_slot_limit(n_slots)
     if not is_engine:
-        limit = state.n_slots * (1 + PLAIN_QUEUE_FRACTION)
-        return state.n_running < limit
+        return state.n_running < n_slots * (1 + PLAIN_QUEUE_FRACTION)
     if state.n_running == 0:
         return True
     max_backlog = MAX_SHORT_PROMPT_BACKLOG
@@ -76,7 +87,10 @@
             if accept_any
             else MAX_LONG_PROMPT_BACKLOG
         )
-    return state.n_running < state.n_slots and state.backlog < max_backlog
+        if limits is not None:
+            # Less urgent long prompts take any engine whose backlog is below theirs.
+            max_backlog += limits.urgency * MAX_URGENT_BACKLOG_RESERVE
+    return state.n_running < n_slots and state.backlog < max_backlog
 
 
 def make_queue_key(
--- a/packages/medlargate/medlargate/relay/_queue_order.py
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -12,6 +12,7 @@
 from ..fleet import ClusterState
 from ..policy import (
     CustomerShares,
+    FillLimits,
     QueueClass,
     Refusal,
     ReturnTimes,
@@ -20,6 +21,7 @@
     TokenDemand,
     TokenSupply,
     Verdict,
+    choose_fill_limits,
     choose_reported_consumers,
     is_over_share,
     make_queue_key,
@@ -29,11 +31,6 @@
 
 QueueKey = tuple[int, int, bool, float]
 
-# While a customer is above its share, a server holds this fraction of its slots in
-# addition for requests of customers that are not. Without it they would wait at the
-# node for a slot that other nodes refill before this one learns of it.
-BELOW_SHARE_QUEUE_FRACTION = 0.25
-
 
 @dataclass(slots=True)
 class _ServiceOrder:
@@ -177,31 +174,31 @@
         )
         return QueuePosition(key, QueueClass(key[0], is_over_share(excess), key[2]))
 
-    def get_slot_limit(self, exch: Exchange, n_slots: int) -> int | None:
-        """Return the number of requests that a server may hold for a new one.
+    def get_fill_limits(self, exch: Exchange) -> FillLimits | None:
+        """Return how far requests like a new one may fill a server.
 
         Parameters
         ----------
         exch : Exchange
             Request to place.
-        n_slots : int
-            Number of the server's slots.
 
         Returns
         -------
-        int or None
-            The slots for a customer above its share, and some more for the others; None
-            as long as no customer is above its share.
+        FillLimits or None
+            Limits by priority and share; None if there is only one class of requests.
         """
         shares = self._get(exch.service.name).shares
-        if exch.customer is None:
-            return None
-        excess = shares.compute_excess(exch.customer.name, self._clock())
-        if is_over_share(excess):
-            return n_slots
-        if not shares.is_contended:
-            return None
-        return n_slots + math.ceil(BELOW_SHARE_QUEUE_FRACTION * n_slots)
+        over_share = None
+        if exch.customer is not None:
+            excess = shares.compute_excess(exch.customer.name, self._clock())
+            if is_over_share(excess) or shares.is_contended:
+                over_share = is_over_share(excess)
+        priorities: tuple[int, ...] = ()
+        table = self._cluster_state.route_table
+        if exch.service.engine is not None and table is not None:
+            # Only engines order the requests that wait there by priority.
+            priorities = table.priorities.get(exch.service.name, ())
+        return choose_fill_limits(exch.priority, priorities, over_share=over_share)
 
     def observe_waiting(self, service: str, classes: Iterable[QueueClass]) -> None:
         """Store which requests of a service wait."""
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -17,6 +17,7 @@
 from ..policy import (
     LONG_PREFILL_TIME,
     SHORT_PROMPT_JITTER,
+    FillLimits,
     Placement,
     QueueClass,
     Refusal,
@@ -449,9 +450,12 @@
         states = self.spillover.select(
             exch, states, times, accept_any=accept_any, dry_run=dry_run
         )
+        limits = self._get_fill_limits(exch)
         if accept_any or exch.service.engine is None:
             states = [
-                it for it in states if self._can_accept(exch, it, times, accept_any)
+                it
+                for it in states
+                if self._can_accept(exch, it, times, accept_any, limits)
             ]
         placement = decide_placement(
             states,
@@ -467,7 +471,7 @@
         if placement is None:
             return None
         state = next(it for it in states if it.name == placement.name)
-        if not self._can_accept(exch, state, times, accept_any):
+        if not self._can_accept(exch, state, times, accept_any, limits):
             return None
         holder = self._cluster_state.servers.get(state.source) if state.source else None
         if holder is not None and holder.zone in self._cluster_state.evacuated:
@@ -564,26 +568,37 @@
             return (
                 "is in another failure domain, and the request stays or goes elsewhere"
             )
-        if not self._can_accept(exch, state, times, accept_any=False):
+        limits = self._get_fill_limits(exch)
+        if not self._can_accept(exch, state, times, False, limits):
             return "has no capacity"
         return None
 
+    def _get_fill_limits(self, exch: Exchange) -> FillLimits | None:
+        if self._order is None or not self._order.is_active:
+            return None
+        return self._order.get_fill_limits(exch)
+
     def _can_accept(
         self,
         exch: Exchange,
         state: ServerState,
         times: ServiceTimes,
         accept_any: bool,
+        limits: FillLimits | None,
     ) -> bool:
         """Return whether a server has capacity for a request now."""
-        if self._order is not None and self._order.is_active:
-            limit = self._order.get_slot_limit(exch, state.n_slots)
-            if limit is not None:
-                view = self._loads.get_view(state.name)
-                if view.count_occupied(time.monotonic()) >= limit:
-                    return False
-                state = replace(state, n_slots=limit)
-        return _can_accept(exch, state, times, accept_any)
+        if limits is not None:
+            view = self._loads.get_view(state.name)
+            n_occupied = view.count_occupied(time.monotonic())
+            if n_occupied >= limits.compute_slot_limit(state.n_slots):
+                return False
+        return has_capacity(
+            state,
+            is_engine=exch.service.engine is not None,
+            prefill_time=_predict_prefill_time(state, times),
+            accept_any=accept_any,
+            limits=limits,
+        )
 
     def _is_short_prompt(self, exch: Exchange, times: ServiceTimes) -> bool:
         """Return whether prefill of the whole prompt takes at most LONG_PREFILL_TIME.
@@ -1133,15 +1148,3 @@
     """Return the prefill time of a request's prompt in seconds, including slowness."""
     slowness = state.slowness * state.machine_slowness
     return state.n_prefill_tokens * times.prefill_per_token * slowness
-
-
-def _can_accept(
-    exch: Exchange, state: ServerState, times: ServiceTimes, accept_any: bool
-) -> bool:
-    """Return whether a server has capacity for a request now."""
-    return has_capacity(
-        state,
-        is_engine=exch.service.engine is not None,
-        prefill_time=_predict_prefill_time(state, times),
-        accept_any=accept_any,
-    )
--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -7,7 +7,7 @@
 from types import SimpleNamespace
 
 from medlargate.platform import PromptPart, RequestInfo
-from medlargate.policy import ServerState, ServiceTimes
+from medlargate.policy import ServerState, ServiceTimes, choose_fill_limits
 from medlargate.relay._exchange import Exchange
 from medlargate.relay._queue_order import QueueOrder
 from medlargate.relay._request_queue import RequestQueue
@@ -93,7 +93,7 @@
             leaving=set(),
             evacuated=frozenset(),
             servers_revision=1,
-            route_table=SimpleNamespace(routing_config=config),
+            route_table=SimpleNamespace(routing_config=config, priorities={}),
         )
         limits = SimpleNamespace(
             get_wait=lambda name: 0.0,
@@ -121,7 +121,7 @@
         self.tasks = []
         self.addCleanup(lambda: [it.cancel() for it in self.tasks])
 
-    async def send(self, customer="a", n_tokens=100):
+    async def send(self, customer="a", n_tokens=100, priority=None):
         """Send a request; return its id."""
         exch = Exchange(
             req=SimpleNamespace(body=b"", target="/r/x"),
@@ -129,7 +129,7 @@
             facts=RequestInfo("id", "k", 9.0, n_tokens, parts=(PromptPart("p", 1),)),
             rule=RULE,
             service=SERVICE,
-            customer=CustomerSpec(customer),
+            customer=CustomerSpec(customer, priority),
             config_version=1,
             arrived_at=self.now,
             deadline=self.now + 9.0,
@@ -201,6 +201,26 @@
         # The customer below its share may use some more than the slots.
         self.assertEqual([it[0] for it in self.loads.sent], [small])
 
+    async def test_urgent_request_is_sent_although_less_urgent_ones_fill_the_slots(
+        self,
+    ):
+        # Other nodes refill each slot before this one learns that it is free.
+        self.queue._cluster_state.route_table.priorities["work"] = (1, 2)
+        await self.send(priority=2)
+        urgent = await self.send(priority=1)
+        self.assertEqual([it[0] for it in self.loads.sent], [urgent])
+
+    async def test_share_of_a_customer_does_not_precede_urgency(self):
+        self.queue._cluster_state.route_table.priorities["work"] = (1, 2)
+        for _ in range(20):
+            self.order._get("work").shares.observe_work("large", 100.0, self.now)
+        # The server holds as many as a less urgent one of a small customer may find.
+        limits = choose_fill_limits(2, (1, 2), over_share=False)
+        self.loads.n_running["e0"] = limits.compute_slot_limit(40)
+        await self.send("small", priority=2)
+        urgent = await self.send("large", priority=1)
+        self.assertEqual([it[0] for it in self.loads.sent], [urgent])
+
     async def test_pass_through_a_long_queue_takes_little_time(self):
         asyncio.get_running_loop().set_debug(False)
         self.make_queue(70)
--- a/packages/medlargate/medlargate/routing/_table.py
+++ b/packages/medlargate/medlargate/routing/_table.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import xxhash
 
@@ -19,10 +20,13 @@
         Configuration that the table indexes.
     routes_by_host : dict of str to tuple of RouteRule
         Routes by lower-case host, longest prefix first.
+    priorities : mapping of str to tuple of int
+        Priorities of the requests that a service may get, the most urgent first.
     """
 
     routing_config: RoutingConfig
     routes_by_host: dict[str, tuple[RouteRule, ...]]
+    priorities: Mapping[str, tuple[int, ...]] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Find the route with the longest prefix that matches a path.
@@ -80,7 +84,21 @@
         host: tuple(sorted(rules, key=lambda rule: -len(rule.prefix)))
         for host, rules in by_host.items()
     }
-    return RouteTable(routing_config, sorted_routes)
+    return RouteTable(routing_config, sorted_routes, _list_priorities(routing_config))
+
+
+def _list_priorities(routing_config: RoutingConfig) -> dict[str, tuple[int, ...]]:
+    # Those of customers replace the priorities of all routes.
+    by_customer = {
+        it.priority
+        for it in routing_config.customers.values()
+        if it.priority is not None
+    }
+    found: dict[str, set[int]] = {}
+    for rule in routing_config.routes:
+        for share in rule.shares:
+            found.setdefault(share.service, set(by_customer)).add(rule.priority)
+    return {service: tuple(sorted(rows)) for service, rows in found.items()}
 
 
 def choose_service(rule: RouteRule, request_id: str) -> str:
