A request is rejected only if it is late at the highest rate that the evidence allows

Cause: the wait is predicted from what this node served in two seconds. On one of many nodes that is a handful of requests, of some classes none by chance.

Change: ServedRates.predict_least_wait uses the upper confidence bound of the rate (Poisson, 0.975), and counts a class as never served only if others of this node got ten slots since. Retry-After still comes from the mean rate.

--- a/packages/medlargate/medlargate/policy/_return_times.py
+++ b/packages/medlargate/medlargate/policy/_return_times.py
@@ -5,11 +5,14 @@
 
 A wait is predicted only from what the queue has shown while requests waited in it: how
 many requests of a class were served in that time. Without such evidence nothing is
-rejected, so that a short burst is queued and served. ``Retry-After`` is the time at
-which the requests ahead and the callers told to return earlier will have been served,
-one caller after the other. A caller that returns at that time is queued by its first
-arrival. One that returns earlier is queued as if it arrived at the time that it was
-given, and a second rejection names the same time.
+rejected, so that a short burst is queued and served. On a node of a large fleet few
+requests are served in that time, and that number is largely chance. So a request is
+rejected only if it would wait too long at the highest rate that agrees with the number.
+
+``Retry-After`` is the time at which the requests ahead and the callers told to return
+earlier will have been served, one caller after the other. A caller that returns at that
+time is queued by its first arrival. One that returns earlier is queued as if it arrived
+at the time that it was given, and a second rejection names the same time.
 """
 
 from __future__ import annotations
@@ -33,6 +36,10 @@
 # Without any request served, the servers pause or are gone, which ends at some time
 # that the rate does not tell.
 MIN_RATE = 0.2  # requests a second of all classes
+# A class that got none of so many slots yields to the classes that got them. Fewer
+# slots may have missed it by chance.
+MIN_SLOTS_OF_OTHERS = 10
+MIN_SERVED = 1e-6  # decayed number below which nothing was served
 # Evidence of a class outlives its last waiting request for this time: rejections empty
 # the class, and without it all of its requests would be accepted again for a while.
 EVIDENCE_LIFETIME = 2.0  # seconds
@@ -79,6 +86,12 @@
             # Decays as the count does, so that their ratio is a rate.
             self.observed_time = self.observed_time * decay + (1 - decay) * RATE_MEMORY
 
+    def compute_highest_rate(self) -> float:
+        """Return the upper confidence bound of the rate, in requests a second."""
+        # Approximates the bound of a Poisson-distributed number, 0.975 on one side.
+        highest = self.n_served + 2.0 + 2.0 * math.sqrt(self.n_served + 1.0)
+        return highest / self.observed_time
+
 
 class ServedRates:
     """Rates at which the waiting requests of a service are served by this node."""
@@ -149,6 +162,41 @@
         """Return the number of waiting requests of a class, as last observed."""
         return self._n_waiting.get(queue_class, 0)
 
+    def predict_least_wait(
+        self,
+        queue_class: QueueClass,
+        *,
+        n_ahead: int,
+        n_ahead_in_class: int,
+        now: float,
+    ) -> float:
+        """Predict for how long a request waits at least.
+
+        Parameters
+        ----------
+        queue_class, n_ahead, n_ahead_in_class, now
+            As for ``predict_wait``.
+
+        Returns
+        -------
+        float
+            Time in seconds that is exceeded with a probability of about 0.975; infinity
+            only if others of the node's requests got ``MIN_SLOTS_OF_OTHERS`` slots and
+            none of the class any.
+        """
+        total_rate = self.get_rate(None, now)
+        if total_rate is None or total_rate < MIN_RATE:
+            return 0.0
+        total, row = self._rows[None], self._rows.get(queue_class)
+        wait = n_ahead / total.compute_highest_rate()
+        if row is None or row.observed_time < MIN_OBSERVED_TIME:
+            return wait
+        row.advance(now)
+        n_others = total.n_served - row.n_served
+        if row.n_served < MIN_SERVED and n_others >= MIN_SLOTS_OF_OTHERS:
+            return math.inf
+        return max(wait, (n_ahead_in_class + 1) / row.compute_highest_rate())
+
     def predict_wait(
         self,
         queue_class: QueueClass,
--- a/packages/medlargate/medlargate/policy/tests/test_return_times.py
+++ b/packages/medlargate/medlargate/policy/tests/test_return_times.py
@@ -1,6 +1,7 @@
 """Rejection on arrival and the order in which rejected callers return."""
 
 import itertools
+import math
 import random
 import time
 import unittest
@@ -45,6 +46,34 @@
         self.assertGreater(self.predict(rates, LATE, 5, now), 100)
         self.assertLess(self.predict(rates, IN_TIME, 5, now), 1)
 
+    def test_node_that_gets_few_slots_does_not_take_chance_for_certainty(self):
+        # One of many nodes: the few slots that it got in 1.5 s went to late requests.
+        rates = ServedRates()
+        waiting = [IN_TIME, LATE, LATE, LATE]
+        now = self.observe(rates, waiting=waiting, served={LATE: 3}, duration=1.5)
+        counts = {"n_ahead": 0, "n_ahead_in_class": 0, "now": now}
+        self.assertEqual(rates.predict_wait(IN_TIME, **counts), math.inf)
+        self.assertLess(rates.predict_least_wait(IN_TIME, **counts), 1.0)
+
+    def test_least_wait_of_a_class_that_yields_to_others_is_certain(self):
+        rates = ServedRates()
+        waiting = [IN_TIME] * 5 + [LATE] * 5
+        now = self.observe(rates, waiting=waiting, served={IN_TIME: 20})
+        counts = {"n_ahead": 5, "n_ahead_in_class": 5, "now": now}
+        self.assertEqual(rates.predict_least_wait(LATE, **counts), math.inf)
+        self.assertLess(rates.predict_least_wait(IN_TIME, **counts), 1.0)
+
+    def test_least_wait_comes_close_to_the_mean_with_much_evidence(self):
+        rates = ServedRates()
+        now = self.observe(rates, waiting=[IN_TIME] * 400, served={IN_TIME: 200})
+        counts = {"n_ahead": 400, "n_ahead_in_class": 400, "now": now}
+        least, mean = (
+            predict(IN_TIME, **counts)
+            for predict in (rates.predict_least_wait, rates.predict_wait)
+        )
+        self.assertLess(least, mean)
+        self.assertGreater(least, 0.85 * mean)
+
     def test_short_burst_is_no_evidence(self):
         # Guards against rejections of a burst that the servers handle in time.
         rates = ServedRates()
--- a/packages/medlargate/medlargate/relay/_queue_order.py
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -252,24 +252,27 @@
         rates = self._get(exch.service.name).rates
         queue_class = position.queue_class
         service_time = _predict_service_time(exch, times)
-        wait = rates.predict_wait(
-            queue_class, n_ahead=n_ahead, n_ahead_in_class=n_ahead_in_class, now=now
-        )
-        if wait <= 0:
-            return None
-        if not queue_class.is_late and wait + service_time > exch.target_at - now:
-            # It becomes late while it waits, and then yields to requests that are not.
-            late_class = queue_class._replace(is_late=True)
-            n_late = rates.count_waiting(late_class)
-            wait = max(
-                wait,
-                rates.predict_wait(
-                    late_class, n_ahead=n_ahead, n_ahead_in_class=n_late, now=now
-                ),
+        n_late = None
+        if not queue_class.is_late:
+            n_late = rates.count_waiting(queue_class._replace(is_late=True))
+
+        def predict(predict_class: Callable[..., float]) -> float:
+            wait = predict_class(
+                queue_class, n_ahead=n_ahead, n_ahead_in_class=n_ahead_in_class, now=now
             )
+            if n_late is not None and 0 < exch.target_at - now - service_time < wait:
+                # It becomes late while it waits, and yields to requests that are not.
+                late_class = queue_class._replace(is_late=True)
+                late_wait = predict_class(
+                    late_class, n_ahead=n_ahead, n_ahead_in_class=n_late, now=now
+                )
+                wait = max(wait, late_wait)
+            return wait
+
         time_left = exch.deadline - now
-        if wait + service_time <= time_left:
+        if predict(rates.predict_least_wait) + service_time <= time_left:
             return None
+        wait = predict(rates.predict_wait)
         return self.make_rejection(
             exch,
             position,
