A stopping node takes only requests that end within its grace period, and answers all

Cause: the stop had one time, its end, at which all connections were aborted. Requests on kept connections were taken until then, and neither waiting nor running ones were answered.

Once the load balancer has removed the node, a request is sent to a server for the first time only if its deadline lies within the grace period; others, also those that wait, are refused at once as not run and may return at another node. At the end of the grace each request ends with 503, or 502 if it may have run; begun streams are broken off. The node waits for answers that are still in its buffers.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -102,6 +102,7 @@
     select_speeds,
 )
 from ._shares import decide_quotas, decide_share, rank_by_hash
+from ._stopping import StopSchedule
 from ._stream_versions import (
     VERSION_LIFETIME,
     StreamOrigin,
@@ -224,6 +225,7 @@
     "SpeedEstimate",
     "SpillOptions",
     "SpillPlan",
+    "StopSchedule",
     "StreamOrigin",
     "TokenBucket",
     "TokenDemand",
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -34,7 +34,7 @@
     decode_registration,
     decode_routing_config,
 )
-from ..policy import LONG_PREFILL_TIME, FleetRetryBudget, SpillOptions
+from ..policy import LONG_PREFILL_TIME, FleetRetryBudget, SpillOptions, StopSchedule
 from ..routing import IngressLimits, Registration, ServiceSpec
 from ..telemetry import DeferredMetrics, LineWriter
 from ..transport import (
@@ -79,6 +79,7 @@
 # Connections that callers open until then are still accepted.
 BALANCER_REMOVAL_TIME = 3.0  # seconds
 CLOSE_RESERVE = 0.7  # seconds of the grace period reserved for closing
+ANSWER_WRITE_TIME = 0.2  # seconds of the reserve in which final answers are written
 METERING, AUTOSCALE = "metering", "autoscale"  # names of the duties in the settings
 LONG_PROMPT_TOKENS = 4_000  # tokens; longer prompts are announced to peers
 STOP_CHECK_INTERVAL = 0.05  # seconds
@@ -618,17 +619,20 @@
         """Leave the load balancer, wait for running requests, then close."""
         self.stopping = True
         self.ingress_server.draining = True
-        started_at = self.clock()
+        now = self.clock()
+        answers_end_at = now + self.ingress.grace - CLOSE_RESERVE
+        admission_ends_at = min(now + BALANCER_REMOVAL_TIME, answers_end_at)
+        self.request_handler.begin_stop(StopSchedule(admission_ends_at, answers_end_at))
         await self._release_duties()
         log.info("node stopping", extra={"n_active": self.request_handler.n_active})
-        stop_at = started_at + self.ingress.grace - CLOSE_RESERVE
-        await asyncio.sleep(BALANCER_REMOVAL_TIME)
-        # A request that arrives later could not be answered within the grace period.
+        await asyncio.sleep(max(0.0, admission_ends_at - self.clock()))
         await self.ingress_server.stop_listening()
-        while self.clock() < stop_at:
+        self.request_handler.end_admission()
+        while self.clock() < answers_end_at + ANSWER_WRITE_TIME:
             self.ingress_server.close_idle()
             if not self.request_handler.n_active and not any(
-                it.awaits_request for it in self.ingress_server.connections
+                it.awaits_request or it.has_unsent_data
+                for it in self.ingress_server.connections
             ):
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL)
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -11,7 +11,14 @@
 
 from .._tasks import call_logged, log_task_failure
 from ..platform import decode_request, make_refusal_headers, make_response_headers
-from ..policy import FleetRetryBudget, ForwardPeer, Refusal, StreamOrigin, Verdict
+from ..policy import (
+    FleetRetryBudget,
+    ForwardPeer,
+    Refusal,
+    StopSchedule,
+    StreamOrigin,
+    Verdict,
+)
 from ..routing import Registration
 from ..transport import IncomingRequest, Responder
 from ._accept import Acceptor
@@ -53,6 +60,8 @@
 # Retries of one request after answers 421, each of which costs a round trip.
 MAX_MISDIRECTED_RETRIES = 3
 NOT_RUN_RETRY_AFTER = 0.3  # seconds; sent when a request was not run
+# The connection is closed, and the load balancer chooses another node.
+STOPPING_RETRY_AFTER = 0.05  # seconds
 CRASHING_RETRY_AFTER = 30.0  # seconds; the request is not run before that
 # After a broken connection, a new connection is tried after this delay: it fails if the
 # server has crashed, and succeeds if only the answer was lost.
@@ -125,8 +134,45 @@
         self._get_budget = get_budget
         self._count_nodes = count_nodes
         self._clock = clock
+        self._stop: StopSchedule | None = None
+        self._timers: dict[int, tuple[Exchange, asyncio.Timeout]] = {}
         self.n_active = 0
 
+    def begin_stop(self, stop: StopSchedule) -> None:
+        """Let each request end before the node does.
+
+        Parameters
+        ----------
+        stop : StopSchedule
+            Times of the planned stop.
+        """
+        self._stop = stop
+        for exch, timer in self._timers.values():
+            if not timer.expired():
+                timer.reschedule(_now() + self._get_time_left(exch))
+
+    def end_admission(self) -> None:
+        """Refuse the waiting requests that could not end before the node does."""
+        self._queue.refuse_waiting(self._find_stop_refusal)
+
+    def _find_stop_refusal(self, exch: Exchange) -> Refusal | None:
+        """Return the refusal of a request that may not be sent during a stop."""
+        if (
+            self._stop is None
+            # A retry may still complete what has begun.
+            or exch.verdict is not Verdict.NOT_RUN
+            or exch.responder.started
+            or self._stop.may_send(deadline=exch.deadline, now=self._clock())
+        ):
+            return None
+        return Refusal(
+            503,
+            "stopping",
+            "not run: the node stops",
+            Verdict.NOT_RUN,
+            retry_after=STOPPING_RETRY_AFTER,
+        )
+
     async def handle(
         self,
         req: IncomingRequest,
@@ -213,10 +259,14 @@
         return Refusal(502, INTERNAL_ERROR, message, verdict)
 
     async def _serve_in_time(self, exch: Exchange) -> Outcome:
-        timer = asyncio.timeout(max(0.0, exch.deadline - self._clock()))
+        timer = asyncio.timeout(max(0.0, self._get_time_left(exch)))
         try:
             async with timer:
-                return await self._serve(exch)
+                self._timers[exch.exchange_id] = exch, timer
+                try:
+                    return await self._serve(exch)
+                finally:
+                    del self._timers[exch.exchange_id]
         except TimeoutError:
             refusal = self._make_timeout(exch)
         except Refusal as exc:
@@ -236,6 +286,12 @@
         return Outcome(refusal.status, refusal.code)
 
     def _make_timeout(self, exch: Exchange) -> Refusal:
+        if self._stop is not None and self._stop.answers_end_at < exch.deadline:
+            refusal = self._find_stop_refusal(exch)
+            if refusal is not None:
+                return refusal
+            message = "the node stopped before the answer was complete"
+            return Refusal(502, "stopping", message, Verdict.MAY_HAVE_RUN)
         if exch.verdict is Verdict.NOT_RUN:
             return Refusal(
                 503,
@@ -257,6 +313,9 @@
             exch.origin = await self._origins.find(exch)
         while True:
             self._raise_if_blocked(exch)
+            refusal = self._find_stop_refusal(exch)
+            if refusal is not None:
+                raise refusal
             await self._reach.wait_for_check(exch.service.name)
             try:
                 peer = self._forwarder.choose_peer(exch)
@@ -357,7 +416,10 @@
         return await self._relay_whole(exch, assignment, answer)
 
     def _get_time_left(self, exch: Exchange) -> float:
-        return exch.deadline - self._clock()
+        end = exch.deadline
+        if self._stop is not None:
+            end = min(end, self._stop.answers_end_at)
+        return end - self._clock()
 
     def _may_abandon(self, exch: Exchange) -> bool:
         """Return whether another attempt can follow a silent one."""
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -368,6 +368,22 @@
             memory.release_reservation(exch.held)
             self._release_reservation(exch)
 
+    def refuse_waiting(
+        self, find_refusal: Callable[[Exchange], Refusal | None]
+    ) -> None:
+        """End the wait of requests that may not be sent any more.
+
+        Parameters
+        ----------
+        find_refusal : callable
+            Returns the refusal of a waiting request; None if it may wait on.
+        """
+        for queue in self._queues.values():
+            for queued in list(queue):
+                refusal = find_refusal(queued.exch)
+                if refusal is not None:
+                    _fail_queued(queue, queued, refusal)
+
     def _get_position(
         self, exch: Exchange, *, is_new: bool = False
     ) -> QueuePosition | None:
--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -190,6 +190,13 @@
         is_new = self._loop.time() - self._connected_at < FIRST_REQUEST_TIME
         return (self._n_requests == 0 and is_new) or self._has_unread_bytes()
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether a part of an answer has not been passed to the socket yet."""
+        return (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
+
     def _has_unread_bytes(self) -> bool:
         if self._transport is None or self._transport.is_closing():
             return False
