A stream of unknown origin goes on only if the node's registrations are confirmed

Cause: a node that knows one version lets any stream that is taken up go on there and asks nobody. It took the registrations that it had for those of the fleet.

Change: StreamOrigins.find first makes sure of the registrations: most nodes of the domain and half of the other domains have stated the same ones within two rounds of statuses (agrees_with_fleet, by the time in the status, so that statuses which waited during a pause do not count), or the store answers a read begun just now. Else the origin is searched, and the stream refused as not run if nobody knows it. A node in touch makes no call and no query.

--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -35,6 +35,7 @@
 # Interval between two checks whether a poll is due, as a fraction of the same time.
 POLL_CHECK_FRACTION = 0.05
 WATCH_CHECK_INTERVAL = 0.5  # seconds between checks whether this node has to watch
+SHARED_READ_TIME = 0.1  # seconds after the start of a read that others wait for
 MIN_RETRY_DELAY = 0.15  # seconds after one failed call
 MAX_RETRY_DELAY = 1.0  # seconds, upper end of the random delay
 # Every node polls while the store is away, and each failed call is billed. The delay
@@ -94,6 +95,8 @@
     store_up: bool = True
     _config_read_revision: int = 0
     _config_read_task: asyncio.Task[bool] | None = None
+    _servers_read_task: asyncio.Task[bool] | None = None
+    _servers_read_at: float = float("-inf")
 
     async def run_config(self) -> None:
         """Watch the configuration until cancelled."""
@@ -221,6 +224,21 @@
             if found.changes:
                 await asyncio.sleep(CHANGE_BATCH_FRACTION * self.servers_bound)
 
+    async def refresh_servers(self) -> bool:
+        """Read the registrations; calls at about the same time share one read.
+
+        Returns
+        -------
+        bool
+            Whether the store answered.
+        """
+        now, task = self.clock(), self._servers_read_task
+        # The answer to an earlier read may have waited while this node stood still.
+        if task is None or now - self._servers_read_at > SHARED_READ_TIME:
+            task = asyncio.create_task(self._read_servers())
+            self._servers_read_task, self._servers_read_at = task, now
+        return await asyncio.shield(task)
+
     async def _read_servers(self) -> bool:
         sent_at = self.clock()
         got = await self.store.read(self.servers_prefix, prefix=True)
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -107,6 +107,7 @@
     VERSION_LIFETIME,
     StreamOrigin,
     VersionHistory,
+    agrees_with_fleet,
     choose_origin_keepers,
 )
 from ._verdict import Refusal, RequestStates, Verdict
@@ -235,6 +236,7 @@
     "WaitDecision",
     "ZoneEngines",
     "accepts_any_server",
+    "agrees_with_fleet",
     "choose_destination",
     "choose_fill_limits",
     "choose_forward_peer",
--- a/packages/medlargate/medlargate/policy/_stream_versions.py
+++ b/packages/medlargate/medlargate/policy/_stream_versions.py
@@ -137,6 +137,34 @@
         return rows
 
 
+def agrees_with_fleet(
+    own_domain: Sequence[bool], other_domains: Sequence[bool]
+) -> bool:
+    """Return whether a node's registrations are those of most of the fleet.
+
+    A node that is cut off, or that stood still, may miss servers of a new version. It
+    would let a stream that began there go on at the version that it knows.
+
+    Parameters
+    ----------
+    own_domain : sequence of bool
+        For each other node of the failure domain, whether it has lately stated the
+        same registrations.
+    other_domains : sequence of bool
+        The same for each other failure domain.
+
+    Returns
+    -------
+    bool
+        True if more than half of the nodes of this domain do, this one included, and
+        at least half of the other domains.
+    """
+    n_own = 1 + sum(own_domain)
+    return 2 * n_own > 1 + len(own_domain) and 2 * sum(other_domains) >= len(
+        other_domains
+    )
+
+
 def choose_origin_keepers(
     request_id: str,
     *,
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -44,7 +44,12 @@
     parse_address,
     parse_count,
 )
-from ..policy import ForwardPeer, StreamOrigin, choose_origin_keepers
+from ..policy import (
+    ForwardPeer,
+    StreamOrigin,
+    agrees_with_fleet,
+    choose_origin_keepers,
+)
 from ..routing import IngressLimits
 from ..transport import (
     ConnectFaultError,
@@ -95,6 +100,8 @@
 # than this share.
 MIN_PARTITION_SHARE = 0.2
 PEER_HEADER_BYTES = 2048  # headers that a peer adds to a request that it forwards
+# Rounds of statuses within which others state the registrations of a node in touch.
+AGREEMENT_ROUNDS = 2.0
 USAGE_WINDOWS_SENT = 2  # usage windows in a status message, the current one included
 
 
@@ -668,6 +675,33 @@
         self.messenger.send(query, [peer.address for peer in peers])
         return len(peers)
 
+    def agrees_with_fleet(self) -> bool:
+        """Return whether most nodes have lately stated this node's registrations.
+
+        Statuses that waited while this node stood still are told by their time.
+        """
+        now, time_of_day = self._clock(), self._wall_clock.now()
+        digest = self._cluster_state.digest()
+
+        def agrees(status: StatusMessage | None, age: float, max_age: float) -> bool:
+            return (
+                status is not None
+                and max(age, time_of_day - status.time) < max_age
+                and status.servers_digest == digest
+            )
+
+        max_age = AGREEMENT_ROUNDS * self.table.compute_intra_domain_round()
+        own_domain = [
+            agrees(peer.status, now - peer.heard_at, max_age)
+            for peer in self.table.peers.values()
+            if peer.zone == self.table.zone and now - peer.heard_at < USAGE_PEER_TIMEOUT
+        ]
+        other_domains = [
+            agrees(status, age, AGREEMENT_ROUNDS * status.interval)
+            for status, age in self.domains.list_reports()
+        ]
+        return agrees_with_fleet(own_domain, other_domains)
+
     def _answer_stream_query(self, query: StreamQuery) -> None:
         rows = {}
         for request_id in query.wanted[:MAX_NOTES]:
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -406,6 +406,7 @@
         )
         self.origins.peers = self.fleet
         self.origins.read_stored = origin_store.read
+        self.origins.read_servers = self.watcher.refresh_servers
         self.fleet.is_holder = self.duties.is_holder
         self.fleet.get_demand = self._get_demand_rates
         self.fleet.get_sensitive_demand = lambda: self.demand.get_sensitive_rates(
--- a/packages/medlargate/medlargate/relay/_stream_origins.py
+++ b/packages/medlargate/medlargate/relay/_stream_origins.py
@@ -20,6 +20,8 @@
 # Peers answer within one round trip unless they are stopped or paused.
 KEEPER_TIMEOUT = 0.06  # seconds
 FLEET_TIMEOUT = 0.12  # seconds
+# The store answers within some ms unless it is disturbed or this node is cut off.
+CONFIRM_TIMEOUT = 0.3  # seconds
 MAX_NOTES = 200  # origins per datagram
 UNKNOWN_ORIGIN_RETRY_AFTER = 0.3  # seconds
 
@@ -44,6 +46,9 @@
     def ask_origin(self, request_id: str, *, all_nodes: bool) -> int:
         """Ask nodes for an origin and return their number."""
 
+    def agrees_with_fleet(self) -> bool:
+        """Return whether most nodes have lately stated this node's registrations."""
+
 
 class StreamOrigins:
     """Software versions at which streams began.
@@ -69,10 +74,14 @@
     read_stored : callable
         Reads the origins from the store; set when the node starts. Returns whether the
         store answered.
+    read_servers : callable
+        Reads the registrations from the store; set when the node starts. Returns
+        whether the store answered.
     """
 
     peers: OriginPeers
     read_stored: Callable[[], Awaitable[bool]]
+    read_servers: Callable[[], Awaitable[bool]]
 
     def __init__(self, cluster_state: ClusterState, clock: Callable[[], float]) -> None:
         self._cluster_state = cluster_state
@@ -214,8 +223,11 @@
         """
         request_id, service = exch.facts.resumed_id, exch.service.name
         origin = self.get(request_id)
-        if origin is None and not self._is_single_version(service):
-            origin = await self._search(request_id)
+        is_current = True
+        if origin is None:
+            is_current = await self._confirm_servers(service)
+            if not is_current or not self._is_single_version(service):
+                origin = await self._search(request_id)
         if origin is not None:
             exch.record("resume", began_at=origin.service, version=origin.version)
             self.observe_begin(exch, origin)
@@ -223,8 +235,8 @@
         versions = self.history.list_versions(service, now=self._clock())
         exch.record("resume", began_at=None, versions=sorted(versions))
         # A node that has just started, and can't read the store, does not know which
-        # versions served before.
-        if len(versions) < 2 and self._knows_past():
+        # versions served before; one that is cut off does not know which do now.
+        if len(versions) < 2 and is_current and self._knows_past():
             return None
         raise Refusal(
             503,
@@ -234,6 +246,21 @@
             retry_after=UNKNOWN_ORIGIN_RETRY_AFTER,
         )
 
+    async def _confirm_servers(self, service: str) -> bool:
+        """Return whether this node knows the servers at which a stream may have begun.
+
+        Servers of several versions need no confirmation: the origin is searched then.
+        """
+        if self.history.is_mixed(service, now=self._clock()):
+            return True
+        if self.peers.agrees_with_fleet():
+            return True
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT):
+                return await self.read_servers()
+        except TimeoutError:
+            return False
+
     def _is_single_version(self, service: str) -> bool:
         """Return whether this node is sure that there was only one version."""
         is_mixed = self.history.is_mixed(service, now=self._clock())
--- a/packages/medlargate/medlargate/relay/tests/test_stream_versions.py
+++ b/packages/medlargate/medlargate/relay/tests/test_stream_versions.py
@@ -4,7 +4,7 @@
 import unittest
 
 from medlargate_standins.backend import Backend
-from medlargate_standins.relay_testbed import RelayTestbed, make_route
+from medlargate_standins.relay_testbed import RelayTestbed, make_config, make_route
 
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 
@@ -16,14 +16,14 @@
 
     async def asyncSetUp(self):
         self.world = RelayTestbed(n_nodes=self.n_nodes)
-        routes = [
+        self.routes = [
             make_route("stream", "streaming", "engine", Resumable=True),
             # A stream of this route is not continued within its answer.
             make_route(
                 "short-stream", "streaming", "engine", Resumable=True, MaxAttempts=1
             ),
         ]
-        await self.world.start(Routes=routes)
+        await self.world.start(Routes=self.routes)
         self.engines = [self.world.backends["e1"], self.world.backends["e2"]]
 
     async def asyncTearDown(self):
@@ -148,6 +148,64 @@
         await self.assert_resumed(request_ids, node=1, n_served=0)
 
 
+class OutOfStepTest(VersionsCase):
+    """A node hears nothing of others while servers of a new version join."""
+
+    def isolate(self, node):
+        """Let a node miss all messages of the others and its watches of the store."""
+
+        async def hang(*_):
+            await asyncio.sleep(60.0)
+
+        node.watcher.store.poll = hang
+        node.fleet.table.observe_status = lambda status: None
+        node.fleet.messenger._on_status = lambda status: None
+        node.origins.merge = lambda rows: None
+        # As on a node that has run for a minute.
+        node.origins._has_read_store = True
+        # Ends the watches that are under way.
+        self.world.put_config(make_config(2, Routes=self.routes))
+        self.world.register(self.world.backends["p1"])
+
+    async def begin_at_new_version(self):
+        """Begin streams at servers that the second node does not know."""
+        await asyncio.sleep(0.3)
+        self.isolate(self.world.nodes[1])
+        await asyncio.sleep(0.2)
+        for name in ("e3", "e4"):
+            engine = Backend(name, "engine", slots=8, version="v2")
+            self.engines.append(await self.world.add_backend(engine))
+        async with asyncio.timeout(5):
+            while "e4" not in self.world.nodes[0].cluster_state.servers:
+                await asyncio.sleep(0.01)
+        self.break_streams(self.engines)
+        return [await self.begin_and_break() for _ in range(8)]
+
+    async def test_stream_of_a_version_that_the_node_does_not_know_is_not_mixed(self):
+        self.world.cut_off_from_store(self.world.nodes[1])
+        for request_id in await self.begin_at_new_version():
+            reply, resumed_id = await self.resume(request_id, node=1)
+            self.assertEqual(reply.status, 503)
+            self.assertEqual(self.list_versions(resumed_id), set())
+
+    async def test_node_that_reaches_the_store_learns_of_the_version(self):
+        for request_id in await self.begin_at_new_version():
+            _, resumed_id = await self.resume(request_id, node=1)
+            self.assertEqual(len(self.list_versions(request_id, resumed_id)), 1)
+        self.assertIn("e4", self.world.nodes[1].cluster_state.servers)
+
+    async def test_node_in_touch_asks_neither_store_nor_peers(self):
+        await asyncio.sleep(1.0)
+        node = self.world.nodes[1]
+        # Otherwise a node that started lately reads which versions served before.
+        node.origins._has_read_store = True
+        n_calls = sum(node.watcher.store.n_calls.values())
+        reply, _ = await self.resume("unknown", node=1)
+        self.assertTrue(reply.complete)
+        self.assertLess(reply.elapsed, 0.2)
+        self.assertLessEqual(sum(node.watcher.store.n_calls.values()) - n_calls, 1)
+
+
 class TakenUpShareTest(VersionsCase):
     """Two of four nodes stop while two servers of the streams' version serve."""
 
