--- a/packages/medlargate/medlargate/transport/tests/test_client.py
+++ b/packages/medlargate/medlargate/transport/tests/test_client.py
@@ -1,9 +1,15 @@
 """Bytes that a server sends when no answer is due on the connection."""
 
+import asyncio
 import unittest
 from unittest import mock
 
-from .. import BackendConnection, ConnectFaultError
+from .. import (
+    BackendConnection,
+    ConnectFaultError,
+    ExchangeFaultError,
+    open_connection,
+)
 from .._client import MAX_BUFFERED_BYTES
 from .test_fuzz_bytes import FakeTransport
 
@@ -58,5 +64,55 @@
         transport.resume_reading.assert_called()
 
 
+class CutHeadTest(unittest.IsolatedAsyncioTestCase):
+    """A server stops in the middle of the head of its answer and closes."""
+
+    FRAMINGS = (b"", b"Content-Length: 2\r\n", b"Transfer-Encoding: chunked\r\n")
+
+    async def read_cut(self, data):
+        """Return what a reader makes of an answer that ends after these bytes."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        try:
+            port = server.sockets[0].getsockname()[1]
+            conn = await open_connection("127.0.0.1", port)
+            conn.send("GET", "/", [(b"Host", b"h")], b"")
+            try:
+                head = await conn.read_head()
+                body = b"".join([part async for part in conn.read_body()])
+            except ExchangeFaultError as exc:
+                return exc.kind
+            finally:
+                conn.abort()
+            return head.status, body
+        finally:
+            server.close()
+
+    async def test_no_part_of_a_head_is_an_answer(self):
+        for framing in self.FRAMINGS:
+            head = b"HTTP/1.1 200 OK\r\nResponse-Seal: x\r\n" + framing + b"\r\n"
+            for n_bytes in range(len(head)):
+                got = await self.read_cut(head[:n_bytes])
+                self.assertEqual(got, "closed", (framing, n_bytes))
+
+    async def test_no_part_of_a_head_after_an_interim_response_is_an_answer(self):
+        interim = b"HTTP/1.1 103 X\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nResponse-Seal: x\r\n\r\n"
+        for n_bytes in range(len(head)):
+            got = await self.read_cut(interim + head[:n_bytes])
+            self.assertEqual(got, "closed", n_bytes)
+
+    async def test_whole_answers_are_read(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        for rest in (b"\r\nok", b"Content-Length: 2\r\n\r\nok"):
+            self.assertEqual(await self.read_cut(head + rest), (200, b"ok"))
+
+
 if __name__ == "__main__":
     unittest.main()
