A request that was answered lately is not blamed for lost servers

Cause: equal requests run on several servers at any time. Servers that are cut off together look like crashes, one each, and three of them block the request; nothing showed that it was sound, although it had been answered hundreds of times.

Change: a node remembers the digests of completed answers (20,000, 60 s). Such a request is not blamed, since one that crashes servers has no completed answer.

Requests that never completed are blocked as before (test_request_that_crashes_servers_is_eventually_refused).

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -20,7 +20,7 @@
     decide_capacity,
 )
 from ._cold_servers import ColdShare, decide_cold_end, decide_cold_share
-from ._crash_history import CrashHistory, make_request_digest
+from ._crash_history import CrashHistory, SoundRequests, make_request_digest
 from ._customer_shares import (
     CustomerShares,
     choose_reported_consumers,
@@ -223,6 +223,7 @@
     "Shed",
     "SlotCapacity",
     "SlowEngines",
+    "SoundRequests",
     "SpeedEstimate",
     "SpillOptions",
     "SpillPlan",
--- a/packages/medlargate/medlargate/policy/_crash_history.py
+++ b/packages/medlargate/medlargate/policy/_crash_history.py
@@ -3,15 +3,21 @@
 A request that crashes servers may be sent again and again, to any node, and each run
 costs a server and every other request on it. A crash is distinguished from a lost
 response by a connection check: a crashed server can no longer be reached.
+
+Many callers may send equal requests, which then run on several servers at any time. A
+partition that makes these unreachable looks like their crashes. A request of which an
+answer was completed lately is sound, since one that crashes servers has none.
 """
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
+from cachetools import LRUCache
 
 # Number of crashed servers after which a request is blocked. When a server crashes for
 # another reason, the crash is recorded for every request that ran there, so that one or
@@ -19,6 +25,8 @@
 MAX_CRASHES = 3
 MAX_REQUESTS = 1_000  # requests whose crashes are kept, the most recent ones
 MAX_SHARED_REQUESTS = 20  # most recent requests that a node reports to its peers
+SOUND_LIFETIME = 60.0  # seconds for which a completed answer shows that one is sound
+MAX_SOUND_REQUESTS = 20_000  # digests of completed answers, about 3 MB
 
 
 def make_request_digest(route: str, customer: str, target: str, body: bytes) -> str:
@@ -45,6 +53,47 @@
     return digest.hexdigest()
 
 
+@dataclass
+class SoundRequests:
+    """Requests of which answers were completed lately, by digest.
+
+    Examples
+    --------
+    >>> sound = SoundRequests()
+    >>> sound.observe_completed("digest", now=1.0)
+    >>> sound.is_sound("digest", now=2.0), sound.is_sound("other", now=2.0)
+    (True, False)
+    """
+
+    _completed_at: LRUCache[str, float] = field(
+        default_factory=lambda: LRUCache(MAX_SOUND_REQUESTS)
+    )
+
+    def observe_completed(self, digest: str, *, now: float) -> None:
+        """Record a completed answer.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        now : float
+            Current time, in seconds.
+        """
+        self._completed_at[digest] = now
+
+    def is_sound(self, digest: str, *, now: float) -> bool:
+        """Return whether an answer was completed within ``SOUND_LIFETIME``.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        now : float
+            Current time, in seconds.
+        """
+        return now - self._completed_at.get(digest, -math.inf) < SOUND_LIFETIME
+
+
 @dataclass
 class CrashHistory:
     """Servers that crashed while running a request, by the request's digest.
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -9,7 +9,7 @@
 
 from .._tasks import call_logged
 from ..fleet import StatusMessage
-from ..policy import CrashHistory, PartCrashes
+from ..policy import CrashHistory, PartCrashes, SoundRequests
 from ..routing import Registration
 from ._exchange import AttemptProgress, Exchange
 
@@ -34,6 +34,8 @@
     ----------
     requests : CrashHistory
         Crashes by the digest of the whole request.
+    sound_requests : SoundRequests
+        Requests that are not blamed for crashes.
     parts : PartCrashes
         Crashes by prompt part.
     observed : deque of str
@@ -50,6 +52,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self.requests = CrashHistory()
+        self.sound_requests = SoundRequests()
         self.parts = PartCrashes()
         self.observed: deque[str] = deque(maxlen=MAX_OBSERVED)
         self.crash_listeners: list[Callable[[], None]] = []
@@ -104,8 +107,10 @@
             return
         # A server may start again under the id that it had.
         server_run = f"{server.server_id}/{server.born}"
-        self.requests.observe_crash(exch.request_digest, server_run)
-        self.observed.append(exch.request_digest)
+        is_sound = self.sound_requests.is_sound(exch.request_digest, now=self._clock())
+        if not is_sound:
+            self.requests.observe_crash(exch.request_digest, server_run)
+            self.observed.append(exch.request_digest)
         had_begun = attempt.has_head and attempt.n_events <= MAX_BLAMED_EVENTS
         if had_begun:
             self.parts.observe_crash(exch.shared_parts, server_run, now=crashed_at)
@@ -114,6 +119,7 @@
             "crash",
             server=server.server_id,
             mark=exch.request_digest,
+            is_sound=is_sound,
             parts=exch.shared_parts[:MAX_LOGGED_PARTS],
             has_head=attempt.has_head,
             n_events=attempt.n_events,
@@ -125,7 +131,9 @@
 
     def observe_completed(self, exch: Exchange) -> None:
         """Record that the answer to a request was completed by its server."""
-        self.parts.observe_sound(exch.shared_parts, now=self._clock())
+        now = self._clock()
+        self.sound_requests.observe_completed(exch.request_digest, now=now)
+        self.parts.observe_sound(exch.shared_parts, now=now)
         if self._blocked_parts:
             self._update_blocks()
 
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -454,6 +454,7 @@
         if failed or facts.status in NOT_RUN_STATUSES:
             raise AttemptError("failed", message, Verdict.RAN, answer)
         self._loads.memory.observe_completed(exch)
+        self._crash_guard.observe_completed(exch)
         exch.states.observe("finish")
         await self._deliver(exch, answer)
         return Outcome(
--- a/packages/medlargate/medlargate/relay/tests/test_relay.py
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -239,6 +239,25 @@
         reply = await self.world.call("/book/x", body=b"harmless", request_id="r9")
         self.assertEqual(reply.status, 502)  # it runs, on a server that crashes too
 
+    async def test_request_that_was_answered_is_not_blocked_when_servers_fail(self):
+        # Equal requests run on several servers that are lost at the same time.
+        reply = await self.world.call("/book/x", body=b"same", request_id="first")
+        self.assertEqual(reply.status, 200)
+        for number in range(4):
+            backend = Backend(f"c{number}", "plain", behaviour=lambda _: "crash")
+            await self.world.add_backend(backend)
+        for name in ("p1", "p2"):
+            self.world.unregister(self.world.backends[name])
+        await asyncio.sleep(0.2)
+        for number in range(4):
+            await self.world.call("/book/x", body=b"same", request_id=f"r{number}")
+            await asyncio.sleep(0.3)
+        for name in ("p1", "p2"):
+            self.world.register(self.world.backends[name])
+        await asyncio.sleep(0.5)
+        reply = await self.world.call("/book/x", body=b"same", request_id="last")
+        self.assertEqual(reply.status, 200)
+
     async def test_lost_answers_do_not_count_as_crashes(self):
         self.set_behaviour("plain", lambda _: "reset")
         for number in range(6):
