A waiting call ends when its caller leaves, also if it may not be repeated

Cause: only streams and repeatable requests were cancelled with their connection.

Change: any request that has reached no server is cancelled; a call that may have run is completed as before.

--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -210,10 +210,19 @@
             call_logged(self._recorder.observe_rejected, request_id, exc)
             await _send_refusal(responder, request_id, exc, forwarded)
             return
-        if exch.rule.streams or exch.rule.repeatable:
-            task = asyncio.current_task()
-            assert task is not None
-            responder.on_disconnect = task.cancel
+        task = asyncio.current_task()
+        assert task is not None
+
+        def cancel() -> None:
+            # A call that may have run, and may not be repeated, is completed.
+            if (
+                exch.rule.streams
+                or exch.rule.repeatable
+                or exch.verdict is Verdict.NOT_RUN
+            ):
+                task.cancel()
+
+        responder.on_disconnect = cancel
         try:
             outcome = await self._serve_in_time(exch)
         except asyncio.CancelledError:
--- a/packages/medlargate/medlargate/relay/tests/test_relay.py
+++ b/packages/medlargate/medlargate/relay/tests/test_relay.py
@@ -283,6 +283,24 @@
             while not sum(it.n_disconnects for it in self.world.backends.values()):
                 await asyncio.sleep(0.01)
 
+    async def test_waiting_call_of_a_caller_that_has_left_is_not_run(self):
+        self.set_behaviour("plain", lambda _: "ok")
+        for backend in self.world.backends.values():
+            backend.delay = 0.6
+        running = [
+            asyncio.create_task(self.world.call("/book/x", request_id=f"r{number}"))
+            for number in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        _, writer = await self.world.open()
+        writer.write(make_request("POST", "/book/x", "left"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.node.request_queue.count_waiting()["plain"], 1)
+        writer.close()
+        await asyncio.gather(*running)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.n_runs("left"), 0)
+
     async def test_caller_disconnect_during_placement_leaves_no_load(self):
         for backend in self.world.backends.values():
             backend.delay = 0.02
