Rooms of all engines are computed at once, and predictions of waits less often

Cause: each try to place a request looked up the facts, the bound and the time of day for each of 70 engines, and each waiting request was predicted anew every 0.1 s, however much time it had left.

Change: MemoryTracker.make_room_function looks up once what does not depend on the engine. A wait with much time left is predicted again after half of it, within 0.1 to 1 s.

--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -187,22 +187,22 @@
         probe = None
         if may_probe and reports_speed:
             probe = self._choose_probe(spec, available, now)
-        trial = self.memory.choose_trial_server(
-            spec, request, [it.server_id for it, _ in candidates]
-        )
-        contended = self.count_waiting(spec.name) > 1
+        compute_room = None
+        if request is not None:
+            compute_room = self.memory.make_room_function(
+                spec,
+                request,
+                trial=self.memory.choose_trial_server(
+                    spec, request, [it.server_id for it, _ in candidates]
+                ),
+                contended=self.count_waiting(spec.name) > 1,
+            )
         states = []
         for server, view in available:
             speed = view.speed.estimate(now) if reports_speed else None
             has_memory, n_free_tokens = True, None
-            if request is not None:
-                has_memory, n_free_tokens = self.memory.compute_room(
-                    spec,
-                    server.server_id,
-                    request,
-                    is_trial=server.server_id == trial,
-                    contended=contended,
-                )
+            if compute_room is not None:
+                has_memory, n_free_tokens = compute_room(server.server_id)
             cached = view.count_cached(parts) if view.cached_parts else 0
             # Fewer tokens than MIN_FETCH_TOKENS are not fetched (`source` is None), but
             # they still count as fetchable: the predictions include the time of a
--- a/packages/medlargate/medlargate/relay/_memory_tracker.py
+++ b/packages/medlargate/medlargate/relay/_memory_tracker.py
@@ -379,61 +379,86 @@
         self._update_peers()
         return self._n_alive - 1
 
-    def compute_room(
+    def make_room_function(
         self,
         spec: ServiceSpec,
-        server_id: str,
         request: HeldRequest,
         *,
-        is_trial: bool,
+        trial: str | None,
         contended: bool,
-    ) -> tuple[bool, float]:
-        """Return whether a request may be sent to a server, and its free tokens.
+    ) -> Callable[[str], tuple[bool, float]]:
+        """Return a function that computes the room for a request at each server.
+
+        What does not depend on the server is looked up once, since each decision
+        compares all servers of a service. The function is valid for one decision.
 
         Parameters
         ----------
         spec : ServiceSpec
             Service of the request.
-        server_id : str
-            Candidate server.
         request : HeldRequest
             Request that waits.
-        is_trial : bool
-            Whether the server is the one that shows whether shared parts are held once.
+        trial : str or None
+            Server that shows whether shared parts are held once.
         contended : bool
             Whether several requests of the service wait at this node.
+
+        Returns
+        -------
+        callable
+            Returns for a server whether the request may be sent there, and the free
+            tokens.
         """
         assert spec.engine is not None
-        memory = self._get(server_id)
-        memory.service, memory.capacity = spec.name, spec.engine.n_cache_tokens
-        shares = self._get_facts(spec.name).shares_parts
-        shared = shares if shares is not None else is_trial
-        capacity = self._get_capacity(memory)
+        facts, n_cache_tokens = self._get_facts(spec.name), spec.engine.n_cache_tokens
+        capacity = n_cache_tokens
+        if facts.capacity is not None:
+            capacity = min(facts.capacity, n_cache_tokens)
         bound = self._compute_bound(capacity)
-        now = self._clock()
-        n_held = self._count_held(memory, now, shared=shared)
-        if memory.reservation is not None and memory.reservation is not request:
-            n_held += memory.reservation.n_tokens
-        size = min(request.n_tokens, capacity)
-        if shared and request.parts:
-            known = {part for it, _ in memory.own.values() for part, _ in it.parts}
-            size -= count_shared(request.parts, known)
-        has_room = fits(
-            size,
-            n_held=n_held,
-            n_recent=sum(
-                it.n_tokens
-                for it, _ in memory.own.values()
-                if now - it.sent_at < TRANSIT_TIME
-            ),
-            typical_size=self._mean_sizes.get(spec.name, size),
-            bound=bound,
-            capacity=capacity,
-            turn=self.has_turn(server_id),
-            contended=contended,
-            n_others=self._n_alive - 1,
-        )
-        return has_room, max(0.0, bound - n_held)
+        now, wall_time = self._clock(), self.get_wall_time()
+        n_others = self._n_alive - 1
+        largest = min(request.n_tokens, capacity)
+
+        def compute(server_id: str) -> tuple[bool, float]:
+            memory = self._get(server_id)
+            memory.service, memory.capacity = spec.name, n_cache_tokens
+            shared = facts.shares_parts
+            if shared is None:
+                shared = server_id == trial
+            n_held = self._count_held(memory, now, shared=shared)
+            if memory.reservation is not None and memory.reservation is not request:
+                n_held += memory.reservation.n_tokens
+            size, n_recent = largest, 0.0
+            if memory.own:
+                if shared and request.parts:
+                    known = {
+                        it for row, _ in memory.own.values() for it, _ in row.parts
+                    }
+                    size -= count_shared(request.parts, known)
+                n_recent = sum(
+                    it.n_tokens
+                    for it, _ in memory.own.values()
+                    if now - it.sent_at < TRANSIT_TIME
+                )
+            has_room = fits(
+                size,
+                n_held=n_held,
+                n_recent=n_recent,
+                typical_size=self._mean_sizes.get(spec.name, size),
+                bound=bound,
+                capacity=capacity,
+                turn=has_turn(
+                    server_id,
+                    rank=self._rank,
+                    n_nodes=self._n_alive,
+                    wall_time=wall_time,
+                ),
+                contended=contended,
+                n_others=n_others,
+            )
+            return has_room, max(0.0, bound - n_held)
+
+        return compute
 
     def choose_trial_server(
         self, spec: ServiceSpec, request: HeldRequest | None, server_ids: list[str]
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -47,8 +47,10 @@
 # Loads that peers put on servers change without an event on this node, so the queues
 # are rechecked periodically.
 RECHECK_INTERVAL = 0.05  # seconds
-# The prediction for a waiting request changes little within this time.
-REFUSAL_CHECK_INTERVAL = 0.1  # seconds
+# The prediction for a waiting request changes little within the first time. One with
+# much time left is predicted again after half of it, within the second time.
+MIN_REFUSAL_CHECK_INTERVAL = 0.1  # seconds
+MAX_REFUSAL_CHECK_INTERVAL = 1.0  # seconds
 # Other nodes report their demand about this often.
 SHORT_PROMPT_ENGINES_INTERVAL = 0.25  # seconds
 # A restarting server is back within a few seconds. A request to a service without a
@@ -136,7 +138,7 @@
     exch: Exchange
     future: asyncio.Future[ServerAssignment] | None
     queued_at: float
-    checked_at: float = float("-inf")
+    check_at: float = float("-inf")
     position: QueuePosition | None = None
 
 
@@ -957,9 +959,9 @@
     ) -> Refusal | None:
         exch = queued.exch
         now = self._clock()
-        if now - queued.checked_at < REFUSAL_CHECK_INTERVAL:
+        if now < queued.check_at:
             return None
-        queued.checked_at = now
+        queued.check_at = now + MIN_REFUSAL_CHECK_INTERVAL
         servers = [
             it
             for it in self.list_usable_servers(exch.service.name)
@@ -980,14 +982,18 @@
                 Verdict.NOT_RUN,
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
+        predicted = self._predict_answer(
+            exch, servers, n_ahead, n_tokens_ahead, dry_run=dry_run
+        )
+        time_left = exch.deadline - now
         decision = decide_wait(
-            predicted_first_token=self._predict_answer(
-                exch, servers, n_ahead, n_tokens_ahead, dry_run=dry_run
-            ),
-            time_left=exch.deadline - now,
+            predicted_first_token=predicted,
+            time_left=time_left,
             time_to_target=exch.target_at - now,
         )
         if decision.wait:
+            pause = max(MIN_REFUSAL_CHECK_INTERVAL, (time_left - predicted) / 2)
+            queued.check_at = now + min(pause, MAX_REFUSAL_CHECK_INTERVAL)
             return None
         return Refusal(
             503,
