Test processes reserve their ports

Cause: find_free_port did not reserve what it found, so that two test runs side by side could take the same port; seen now as OSError 98 in CompleteRestTest.test_caller_who_takes_a_complete_stream_up_gets_its_end beside a whole run.

Change: a lock on a file of each port, held by the process that has chosen it.

--- a/packages/medlargate-standins/medlargate_standins/demo.py
+++ b/packages/medlargate-standins/medlargate_standins/demo.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import secrets
 import signal
 import socket
 import sys
+import tempfile
 import time
+from collections import deque
+from pathlib import Path
+from typing import IO
 
 from medlargate._settings import Settings
 from medlargate.fleet import ConfigReplica, SeedFile
@@ -29,6 +34,8 @@
 
 HOST = "127.0.0.1"
 LISTEN_PORTS = range(12_000, 30_000)  # below the ephemeral ports of the kernel
+MAX_RESERVED_PORTS = 200  # of a process, each with an open file
+_reserved_ports: deque[IO[str]] = deque()
 
 
 class Servers:
@@ -137,8 +144,8 @@
 def find_free_port() -> int:
     """Find a free TCP port below those that the kernel gives to connections.
 
-    The port is not reserved: another process that listens may take it before it is
-    used, but no outgoing connection does.
+    The port is reserved among the processes that use this function, by a lock that
+    lasts until the process ends or has found ``MAX_RESERVED_PORTS`` others.
 
     Returns
     -------
@@ -147,9 +154,20 @@
     """
     while True:
         port = secrets.choice(LISTEN_PORTS)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((HOST, port))
-            return port
+        folder = Path(tempfile.gettempdir(), "medlargate-ports")
+        folder.mkdir(exist_ok=True)
+        lock = (folder / str(port)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with socket.socket() as sock:
+                sock.bind((HOST, port))
+        except OSError:
+            lock.close()
+            continue
+        if len(_reserved_ports) == MAX_RESERVED_PORTS:
+            _reserved_ports.popleft().close()
+        _reserved_ports.append(lock)
+        return port
 
 
 async def run_demo(port: int) -> None:
