A forwarded request is sent to no more servers than its route allows

Cause: a node counted a request that it forwards as one attempt, whatever number of servers the other node then used. When that node fell silent, a third one got the request too.

Change: the forwarding node grants attempts with the request and counts the grant as used. It grants one while another node could make the next, and forwards again after a 502 or a server's own 5xx, so that a failed first attempt costs nobody the second.

--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -137,6 +137,8 @@
         What the node says that forwarded the request; None if a caller sent it.
     tried_peers : set of str
         Names of the nodes that the request was forwarded to.
+    n_granted : int
+        Number of attempts that the last node to which it was forwarded may make.
     held : HeldRequest or None
         Tokens that the current attempt occupies at a server; None if not bounded.
     queued_as_of : float or None
@@ -169,6 +171,7 @@
     origin: StreamOrigin | None = None
     forwarded: ForwardedRequest | None = None
     tried_peers: set[str] = field(default_factory=set)
+    n_granted: int = 0
     held: HeldRequest | None = None
     queued_as_of: float | None = None
 
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -253,6 +253,7 @@
             If the node refused the request for a reason that holds on every node.
         """
         exch.tried_peers.add(peer.name)
+        exch.n_granted = self._grant_attempts(exch)
         exch.placed_at = self._clock()
         exch.record("forward", peer=peer.name, domain=peer.domain, n_sent=exch.n_sent)
         self._n_forwarded[peer.name] += 1
@@ -287,9 +288,19 @@
             self._write(exch, conn)
         except ConnectFaultError as exc:
             raise _make_connect_error(peer, exc) from exc
-        exch.n_sent += 1
+        exch.n_sent += exch.n_granted
         return conn
 
+    def _grant_attempts(self, exch: Exchange) -> int:
+        """Return how many servers the other node may send a request to.
+
+        All of them count as used, since that node may fall silent. One attempt is
+        granted while a further node could make the others.
+        """
+        if self._has_other_peer(exch):
+            return 1
+        return max(1, exch.rule.max_attempts - exch.n_sent)
+
     async def _connect(self, exch: Exchange, peer: ForwardPeer) -> BackendConnection:
         address = parse_address(peer.address)
         if address is None:
@@ -331,7 +342,9 @@
             last_event_id=exch.last_event_id if exch.rule.resumable else None,
         )
         headers.append((FORWARDED_BY.encode(), self._name.encode()))
-        headers.append((N_SENT.encode(), b"%d" % exch.n_sent))
+        # The other node takes what is left of the route's attempts.
+        n_sent = exch.rule.max_attempts - exch.n_granted
+        headers.append((N_SENT.encode(), b"%d" % max(0, n_sent)))
         headers += make_origin_headers(exch.origin)
         return headers
 
@@ -376,6 +389,14 @@
         whole = await answer.read_whole()
         if exch.responder.started:
             raise ExchangeFaultError("invalid", f"a {facts.status} within a stream")
+        if (
+            facts.status >= 500
+            and exch.rule.repeatable
+            and exch.n_attempts < exch.rule.max_attempts
+            and self._has_other_peer(exch)
+        ):
+            message = f"a server of another node answered {facts.status}"
+            raise AttemptError("failed", message, Verdict.RAN, whole)
         exch.states.observe("finish")
         headers = make_response_headers(answer.head.headers)
         await exch.responder.send(facts.status, headers, whole.body)
@@ -397,14 +418,22 @@
     def _raise_refusal(
         self, exch: Exchange, code: str, verdict: str | None, facts: ResponseInfo
     ) -> NoReturn:
+        """Raise what the refusal of another node means for this node's caller."""
         message = (
             f"the node that the request was forwarded to answered {facts.status}"
             f" {code}, {verdict or 'without a verdict'}"
         )
         # Builds without the verdict of a timeout state "not run" with a 504.
         if verdict != Verdict.NOT_RUN or facts.status in UNCERTAIN_STATUSES:
+            if (
+                exch.rule.repeatable
+                and facts.status == 502
+                and exch.n_attempts < exch.rule.max_attempts
+                and self._has_other_peer(exch)
+            ):
+                raise AttemptError("failed", message, Verdict.MAY_HAVE_RUN)
             raise Refusal(facts.status, code, message, Verdict.MAY_HAVE_RUN)
-        exch.n_sent -= 1
+        exch.n_sent -= exch.n_granted
         exch.states.observe("backend_refusal")
         if code not in FINAL_REFUSALS:
             raise AttemptError("connect", message, Verdict.NOT_RUN)
--- a/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
+++ b/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
@@ -1,9 +1,12 @@
 """Forwarded requests: attempts, deadlines, and answers that look like refusals."""
 
 import asyncio
+import itertools
 import time
 import unittest
 
+from medlargate_standins.backend import Backend
+
 from .test_partitioned_nodes import PartitionCase, cut_off
 
 
@@ -77,5 +80,39 @@
         self.assertEqual(reply.status, 200)
 
 
+class AttemptsOfAllNodesTest(PartitionCase):
+    """Servers hang, so that the node that serves a forwarded request tries another."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for number in range(4):
+            await self.world.add_backend(Backend(f"h{number}", "plain"))
+        await self.world.add_node("n-last")
+        cut_off(self.world.nodes[0])
+
+    def count_servers(self, request_id):
+        return sum(bool(it.runs[request_id]) for it in self.world.backends.values())
+
+    async def call(self, kinds):
+        """Send a request; return its reply and the number of servers that ran it."""
+        for backend in self.world.backends.values():
+            backend.behaviour = lambda _: next(kinds, "ok")
+        request_id = self.world.make_request_id()
+        reply = await self.world.call(
+            "/read/x", request_id=request_id, Deadline_Ms="2900"
+        )
+        return reply, self.count_servers(request_id)
+
+    async def test_request_runs_on_no_more_servers_than_its_route_allows(self):
+        reply, n_servers = await self.call(itertools.repeat("silent"))
+        self.assertNotEqual(reply.status, 200)
+        self.assertLessEqual(n_servers, 2)
+
+    async def test_second_attempt_serves_a_request_of_which_the_first_failed(self):
+        for kind in ("error", "reset", "silent"):
+            reply, n_servers = await self.call(iter((kind,)))
+            self.assertEqual((reply.status, n_servers), (200, 2), kind)
+
+
 if __name__ == "__main__":
     unittest.main()
