Nodes report the prefill work of their own prompts only

Cause: a node whose first token is late takes the delay, up to 1.5 s, for prefill that it does not know of. It reported that as work of its own, and all nodes added these reports up. One late engine on which eleven nodes had a prompt counted as 10.8 s of prefill, far above any limit, at every node.

Change: a report contains the prefill of the node's own prompts that have not begun. The delay stays evidence at the node that sees it, where it counts once.

--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -883,7 +883,7 @@
     def get_own_load(self, server_id: str) -> tuple[int, float]:
         """Return this node's running requests and prefill seconds on one server."""
         view = self.get_view(server_id)
-        prefill_time = view.own_prefill_time(time.monotonic())
+        prefill_time = view.sum_own_prompts(time.monotonic())
         return len(view.running), round(prefill_time, 3)
 
     def reports_speed(self, server_id: str) -> bool:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -243,6 +243,18 @@
         left = max(0.0, self.prefill_until - now)
         return max(left, min(overdue, MAX_OVERDUE_TIME)) if overdue > 0 else left
 
+    def sum_own_prompts(self, now: float) -> float:
+        """Return the prefill work of this node's own prompts, in seconds.
+
+        Other nodes add it to theirs. So it contains no time by which a first token is
+        late: that shows the work of all nodes, and would be counted once for each.
+        """
+        ahead = [it for it in self.running.values() if not it.has_started]
+        own_work = sum(it.prefill_time for it in ahead)
+        if any(now - it.sent_at > it.predicted for it in ahead):
+            return own_work
+        return min(own_work, max(0.0, self.prefill_until - now))
+
     def observe_prefill(self, prefill_time: float, now: float) -> None:
         """Append the prefill time of a prompt to the outstanding work."""
         self.prefill_until = max(self.prefill_until, now) + prefill_time
--- a/packages/medlargate/medlargate/relay/tests/test_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/tests/test_load_tracker.py
@@ -4,6 +4,7 @@
 import unittest
 
 from medlargate.platform import PromptPart
+from medlargate.policy import ServerState
 from medlargate.relay._load_tracker import LoadTracker
 from medlargate.routing import EngineSpec, Registration, ServiceSpec
 
@@ -45,6 +46,18 @@
         self.tracker.observe_response_start(1, SPEC, "a0")
         self.assertEqual(self.states()["a0"].backlog, 0.0)
 
+    def test_late_first_tokens_of_many_nodes_are_not_added_up(self):
+        # Each of ten nodes has a short prompt on an engine that is late by a second.
+        peers = [LoadTracker("a") for _ in range(10)]
+        for tracker in (*peers, self.tracker):
+            state = ServerState("a0", "a", 0, 64, n_uncached=400)
+            tracker.observe_send(1, SPEC, state, (), 0.02)
+            tracker.get_view("a0").running[1].sent_at -= 1.0
+        for number, peer in enumerate(peers):
+            self.tracker.observe_peer_loads(f"n{number}", peer.list_own_loads())
+        self.assertGreater(self.states()["a0"].backlog, 0.9)
+        self.assertLess(self.states()["a0"].backlog, 1.3)
+
     def test_prefill_work_of_a_peer_counts(self):
         self.tracker.observe_load_update("n2", "b1", 1, 0.7, PARTS)
         state = self.states()["b1"]
