--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -350,11 +350,7 @@
 
     async def _relay_answer(self, exch: Exchange, conn: BackendConnection) -> Outcome:
         def may_abandon() -> bool:
-            return (
-                exch.rule.repeatable
-                and exch.n_attempts < exch.rule.max_attempts
-                and self._has_other_peer(exch)
-            )
+            return self._may_forward_again(exch)
 
         async with SilenceLimit(_with_margin(max_head_silence(exch)), may_abandon):
             head = await conn.read_head()
@@ -389,12 +385,7 @@
         whole = await answer.read_whole()
         if exch.responder.started:
             raise ExchangeFaultError("invalid", f"a {facts.status} within a stream")
-        if (
-            facts.status >= 500
-            and exch.rule.repeatable
-            and exch.n_attempts < exch.rule.max_attempts
-            and self._has_other_peer(exch)
-        ):
+        if facts.status >= 500 and self._may_forward_again(exch):
             message = f"a server of another node answered {facts.status}"
             raise AttemptError("failed", message, Verdict.RAN, whole)
         exch.states.observe("finish")
@@ -404,6 +395,14 @@
             facts.status, "ok" if facts.status in SUCCESS_STATUSES else "backend"
         )
 
+    def _may_forward_again(self, exch: Exchange) -> bool:
+        """Return whether another node may make the next attempt."""
+        return (
+            exch.rule.repeatable
+            and exch.n_attempts < exch.rule.max_attempts
+            and self._has_other_peer(exch)
+        )
+
     def _has_other_peer(self, exch: Exchange) -> bool:
         peers = self._list_peers(exch.service.name)
         return any(
@@ -425,12 +424,7 @@
         )
         # Builds without the verdict of a timeout state "not run" with a 504.
         if verdict != Verdict.NOT_RUN or facts.status in UNCERTAIN_STATUSES:
-            if (
-                exch.rule.repeatable
-                and facts.status == 502
-                and exch.n_attempts < exch.rule.max_attempts
-                and self._has_other_peer(exch)
-            ):
+            if facts.status == 502 and self._may_forward_again(exch):
                 raise AttemptError("failed", message, Verdict.MAY_HAVE_RUN)
             raise Refusal(facts.status, code, message, Verdict.MAY_HAVE_RUN)
         exch.n_sent -= exch.n_granted
