--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -34,6 +35,55 @@
 Behaviour = Callable[[ReceivedRequest], str]
 
 
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a request costs a server, and the size of its response.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds before the response.
+    n_events : int
+        Number of events, for a stream.
+    pause : float
+        Seconds between two events.
+    n_bytes : int
+        Minimum size of a full response's body.
+    """
+
+    delay: float = 0.0
+    n_events: int = 4
+    pause: float = 0.0
+    n_bytes: int = 0
+
+
+@dataclass(slots=True)
+class Run:
+    """Execution of a request.
+
+    Attributes
+    ----------
+    server_id, request_id : str
+        Ids of the server and the request.
+    began_at : float
+        Time on the monotonic clock, in seconds.
+    ended_at : float or None
+        End of the execution; None while it lasts.
+    outcome : str
+        ``"running"``; ``"finished"`` if the server has written a response as its
+        behaviour asks; ``"dropped"`` if the connection ended before.
+    behaviour : str
+        Behaviour of the server for this request.
+    """
+
+    server_id: str
+    request_id: str
+    began_at: float
+    ended_at: float | None = None
+    outcome: str = "running"
+    behaviour: str = "ok"
+
+
 @dataclass
 class Backend:
     """Simulated backend server.
@@ -109,6 +159,11 @@
         Returns the pieces in which a copied answer is sent, 5 ms apart.
     n_copies : int
         Number of copied answers sent so far.
+    choose_work : callable or None
+        Returns the work of a request; None for ``n_events``, ``delay`` and ``pause``,
+        the same for all requests.
+    executions : list of Run
+        Executions in the order in which they began.
     n_events : int
         Number of events of a complete stream.
     delay, pause : float
@@ -155,6 +210,8 @@
     behaviour: Behaviour = lambda _: "ok"
     edit_copy: Callable[[bytes], Sequence[bytes]] = lambda copy: [copy]
     n_copies: int = 0
+    choose_work: Callable[[ReceivedRequest], Work] | None = None
+    executions: list[Run] = field(default_factory=list)
     n_events: int = 4
     delay: float = 0.0
     pause: float = 0.0
@@ -287,11 +344,26 @@
             writer.write(encode_head(req, 503, 0, extra))
             await writer.drain()
             return True
+        run = Run(self.server_id, req.request_id, time.monotonic(), behaviour=kind)
+        self.executions.append(run)
         try:
-            return await self._run(req, reader, writer, kind, event_number)
+            is_kept = await self._run(req, reader, writer, kind, event_number)
+            run.outcome = "finished"
+            return is_kept
+        except BaseException:
+            run.outcome = "dropped"
+            raise
         finally:
+            run.ended_at = time.monotonic()
             self._free_slot()
 
+    def _get_work(self, req: ReceivedRequest) -> Work:
+        if self.choose_work is not None:
+            return self.choose_work(req)
+        return Work(
+            self.delay * self.slowness, self.n_events, self.pause * self.slowness
+        )
+
     async def _answer_and_copy(
         self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str, when: str
     ) -> None:
@@ -362,17 +434,15 @@
         if kind == "silent":
             await self._wait_for_disconnect(reader)
             return False
-        if self.delay:
+        work = self._get_work(req)
+        if work.delay:
             disconnect = asyncio.create_task(reader.read(1))
-            done, _ = await asyncio.wait(
-                {disconnect}, timeout=self.delay * self.slowness
-            )
+            done, _ = await asyncio.wait({disconnect}, timeout=work.delay)
             disconnect.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await disconnect
             if done:
-                self.n_disconnects += 1
-                return False
+                raise ConnectionResetError("the client closed the connection")
         if kind == "crash":
             self.stop_listening()
         if kind in ("reset", "crash"):
@@ -385,9 +455,9 @@
             return True
         if "stream" in req.target:
             return await self._send_event_stream(
-                req, writer, kind, float(event_number or 0)
+                req, writer, kind, float(event_number or 0), work
             )
-        return await self._send_full_response(req, writer, kind)
+        return await self._send_full_response(req, writer, kind, work)
 
     async def _send_endless(
         self,
@@ -424,9 +494,13 @@
         self.n_disconnects += 1
 
     async def _send_full_response(
-        self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str
+        self,
+        req: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        kind: str,
+        work: Work,
     ) -> bool:
-        body = f"{self.server_id} ran {req.request_id}".encode()
+        body = f"{self.server_id} ran {req.request_id}".encode().rjust(work.n_bytes)
         status = 500 if kind in ("error", "denied-500") else 200
         if kind == "unframed":
             head = encode_head(req, status, None, f"Response-Seal: {SEAL}\r\n")
@@ -462,11 +536,12 @@
         writer: asyncio.StreamWriter,
         kind: str,
         event_number: float,
+        work: Work,
     ) -> bool:
         first_event = int(req.headers.get("last-event-id", 0)) + 1
         if kind in OTHER_STREAMS or kind.startswith("answer"):
             response = make_wrong_response(
-                req, kind, int(event_number), first_event, self.n_events
+                req, kind, int(event_number), first_event, work.n_events
             )
             writer.write(response)
             await writer.drain()
@@ -487,7 +562,7 @@
         if kind == "late":
             await writer.drain()
             await asyncio.sleep(event_number)
-        for event in range(first_event, self.n_events + 1):
+        for event in range(first_event, work.n_events + 1):
             text = f"id: {event}\ndata: {event}\n\n".encode()
             if kind == "cut" and event == event_number:
                 writer.write(encode_chunk(text[: len(text) // 2]))
@@ -505,8 +580,8 @@
             await writer.drain()
             if event == event_number and kind.endswith(("end", "-after")):
                 return await self._break_off(req, writer, kind)
-            if self.pause:
-                await asyncio.sleep(self.pause * self.slowness)
+            if work.pause:
+                await asyncio.sleep(work.pause)
         if is_framed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
--- a/packages/medlargate-standins/medlargate_standins/platform.py
+++ b/packages/medlargate-standins/medlargate_standins/platform.py
@@ -11,6 +11,7 @@
 import base64
 import contextlib
 import time
+from collections.abc import Callable
 from typing import Any
 
 from medlargate.platform import Change, Compare, Delete, Entry, Put, Vm
@@ -26,6 +27,8 @@
 MAX_PAGE_ENTRIES = 500
 OUTAGE_CHECK_INTERVAL = 0.5  # seconds between outage checks of a pending watch
 
+EntryView = Callable[[Entry], Entry]
+
 
 def _encode_entry(entry: Entry) -> dict[str, Any]:
     return {
@@ -37,10 +40,10 @@
     }
 
 
-def _encode_change(change: Change) -> dict[str, Any]:
+def _encode_change(change: Change, view: EntryView) -> dict[str, Any]:
     if change.entry is None:
         return {"Key": change.key, "Revision": change.revision, "Deleted": True}
-    return _encode_entry(change.entry)
+    return _encode_entry(view(change.entry))
 
 
 def _parse_operations(body: dict[str, Any]) -> list[Put | Delete]:
@@ -132,13 +135,18 @@
         return 200 if body == bodies[0] else 409
 
 
-def make_platform_app(platform: Platform) -> Starlette:
+def make_platform_app(
+    platform: Platform, view: EntryView = lambda entry: entry
+) -> Starlette:
     """Create the HTTP application of a simulated platform.
 
     Parameters
     ----------
     platform : Platform
         State that the application serves and changes.
+    view : callable
+        Returns an entry as the callers of this application see it, for instance with
+        the address of a proxy.
 
     Returns
     -------
@@ -166,7 +174,7 @@
         if not result.entries:
             return JSONResponse({"At": result.revision}, 404)
         return respond_or_fail(
-            {**_encode_entry(result.entries[0]), "At": result.revision}
+            {**_encode_entry(view(result.entries[0])), "At": result.revision}
         )
 
     async def kv_range(req: Request) -> Response:
@@ -175,7 +183,7 @@
         prefix, after = req.query_params["Prefix"], req.query_params.get("After", "")
         result = platform.store.read(prefix, prefix=True, start=after)
         found = [entry for entry in result.entries if entry.key > after]
-        page = [_encode_entry(entry) for entry in found[:MAX_PAGE_ENTRIES]]
+        page = [_encode_entry(view(entry)) for entry in found[:MAX_PAGE_ENTRIES]]
         has_more = len(found) > MAX_PAGE_ENTRIES
         return respond_or_fail(
             {"Entries": page, "HasMore": has_more, "At": result.revision}
@@ -196,7 +204,7 @@
             return JSONResponse({"Error": str(exc)}, 400)
         if result.succeeded:
             return respond_or_fail({"Revision": result.revision})
-        items = [_encode_entry(entry) for entry in result.entries]
+        items = [_encode_entry(view(entry)) for entry in result.entries]
         return JSONResponse({"Entries": items, "At": result.revision}, 412)
 
     async def kv_lease(req: Request) -> Response:
@@ -235,7 +243,7 @@
             remaining = deadline - time.monotonic()
             found = () if platform.watches_are_quiet else watch_result.changes
             if found or remaining <= 0:
-                events = [_encode_change(change) for change in found]
+                events = [_encode_change(change, view) for change in found]
                 return JSONResponse({"events": events, "At": watch_result.revision})
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(OUTAGE_CHECK_INTERVAL, remaining)):
--- a/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import signal
 import subprocess
@@ -11,13 +12,13 @@
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 import orjson
 import yaml
-from medlargate.platform import Delete, Put
+from medlargate.platform import Delete, Entry, Put
 
 from ..backend import Backend, ReceivedRequest
 from ..demo import HOST, Servers, find_free_port
@@ -40,6 +41,63 @@
 START_TIMEOUT = 15.0  # seconds until a started node must be ready
 
 
+def _make_default_backend(name: str, service: str, zone: str) -> Backend:
+    is_second_version = int(name.rpartition("-")[2]) % 4 == 3
+    backend = Backend(
+        name, service, zone, slots=16, version="v2" if is_second_version else "v1"
+    )
+    backend.pause = 0.05 if service == "engine" else 0.0
+    return backend
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    Attributes
+    ----------
+    make_config : callable
+        Returns the operator's configuration, given its version and its tenants as
+        ``Tenants``.
+    servers : tuple of (str, str)
+        Name and service of each server.
+    make_backend : callable
+        Returns a backend server, given its name, service and failure domain.
+    domains : tuple of str
+        Failure domains, assigned to nodes and servers in turn.
+    grace : float
+        Seconds that a stopping node gives its open requests.
+    ingress, settings : dict
+        Settings of the nodes in the section ``ingress``, and further sections.
+    faulty_behaviours : tuple of str
+        Behaviours of servers that mishandle a request.
+    has_node_links : bool
+        Whether each node has a link of its own to each server.
+    node_path : str
+        Folder with the packages that the nodes run; empty for the installed ones.
+    """
+
+    make_config: Callable[..., dict[str, Any]] = make_config
+    servers: tuple[tuple[str, str], ...] = tuple(
+        (f"{service}-{number}", service)
+        for number, service in enumerate(("plain", "engine") * 4)
+    )
+    make_backend: Callable[[str, str, str], Backend] = _make_default_backend
+    domains: tuple[str, ...] = DOMAINS
+    grace: float = GRACE_PERIOD
+    ingress: dict[str, Any] = field(
+        default_factory=lambda: {
+            "usage_window": USAGE_WINDOW,
+            "duties": "metering",
+            "lease_ms": 1000,
+        }
+    )
+    settings: dict[str, Any] = field(default_factory=dict)
+    faulty_behaviours: tuple[str, ...] = FAULTY_BEHAVIOURS
+    has_node_links: bool = False
+    node_path: str = ""
+
+
 # Ports given out so far, so that no two nodes get the same port.
 _assigned_ports: set[int] = set()
 
@@ -66,6 +124,11 @@
         Link from the node to the platform.
     settings, logs : Path
         Settings file and log file.
+    server_links : dict of str to Link
+        The node's own links to the servers, by server name; empty if the nodes share
+        their links.
+    package_path : str
+        Folder with the packages that the node runs; empty for the installed ones.
     popen : subprocess.Popen or None
         Process of the node; None before the first start.
     is_paused : bool
@@ -79,6 +142,8 @@
     store_link: Link
     settings: Path
     logs: Path
+    server_links: dict[str, Link] = field(default_factory=dict)
+    package_path: str = ""
     popen: subprocess.Popen[bytes] | None = None
     is_paused: bool = False
 
@@ -90,8 +155,11 @@
     def start(self) -> None:
         """Start the process, which appends its output to the log file."""
         command = [sys.executable, "-m", "medlargate", "serve", str(self.settings)]
+        env = dict(os.environ)
+        if self.package_path:
+            env["PYTHONPATH"] = self.package_path
         with self.logs.open("ab") as logs:
-            self.popen = subprocess.Popen(command, stdout=logs, stderr=logs)
+            self.popen = subprocess.Popen(command, stdout=logs, stderr=logs, env=env)
         self.is_paused = False
 
     def send_signal(self, sig: signal.Signals) -> None:
@@ -112,6 +180,20 @@
             await asyncio.to_thread(self.popen.wait)
 
 
+def _make_view(links: dict[str, Link]) -> Callable[[Entry], Entry]:
+    """Return a view of the store in which servers have the addresses of links."""
+
+    def show(entry: Entry) -> Entry:
+        name = entry.key.removeprefix("servers/")
+        if name == entry.key or name not in links:
+            return entry
+        row = orjson.loads(entry.value)
+        row["Address"] = f"{HOST}:{links[name].port}"
+        return replace(entry, value=orjson.dumps(row))
+
+    return show
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """Request that reached a server.
@@ -153,9 +235,11 @@
     Parameters
     ----------
     n_nodes : int
-        Number of node processes, assigned to three failure domains in turn.
+        Number of node processes, assigned to the failure domains in turn.
     random_state : random.Random
         Source of the requests that a server mishandles and of the kind of fault.
+    plan : FleetPlan
+        What the fleet consists of.
 
     Attributes
     ----------
@@ -169,6 +253,8 @@
         Link to each backend server, by the server's name.
     misbehaviour_rate : float
         Fraction of the requests that the servers mishandle.
+    faulty_servers : set of str
+        Servers that mishandle requests; empty for all.
     version : int
         Version of the configuration.
     keys : tuple of str
@@ -185,11 +271,13 @@
 
     n_nodes: int
     random_state: random.Random
+    plan: FleetPlan = field(default_factory=FleetPlan)
     platform: Platform = field(default_factory=Platform)
     nodes: list[NodeProcess] = field(default_factory=list)
     backends: dict[str, Backend] = field(default_factory=dict)
     links: dict[str, Link] = field(default_factory=dict)
     misbehaviour_rate: float = 0.0
+    faulty_servers: set[str] = field(default_factory=set)
     copy_rate: float = 0.0
     copy_state: random.Random = field(default_factory=random.Random)
     version: int = 1
@@ -205,29 +293,21 @@
         self._folder = tempfile.TemporaryDirectory()
         path = folder or Path(self._folder.name)
         path.mkdir(parents=True, exist_ok=True)
-        platform_port = await self._servers.start(make_platform_app(self.platform))
+        orders_port = await self._servers.start(make_platform_app(self.platform))
         self.put_config()
-        for number in range(8):
-            service = "engine" if number % 2 else "plain"
-            await self._add_backend(f"{service}-{number}", service, number)
+        for number, (name, service) in enumerate(self.plan.servers):
+            await self._add_backend(name, service, number)
         for number in range(self.n_nodes):
-            await self._add_node(number, platform_port, path)
+            await self._add_node(number, orders_port, path)
         ready = await asyncio.gather(*(self.wait_ready(it) for it in self.nodes))
         if not all(ready):
             await self.close()
             raise RuntimeError("a node did not become ready before the first fault")
 
     async def _add_backend(self, name: str, service: str, number: int) -> None:
-        zone = DOMAINS[number % len(DOMAINS)]
-        backend = Backend(
-            name,
-            service,
-            zone,
-            slots=16,
-            version="v2" if number % 4 == 3 else "v1",
-            behaviour=lambda req: self._choose_behaviour(name, req),
-        )
-        backend.pause = 0.05 if service == "engine" else 0.0
+        zone = self.plan.domains[number % len(self.plan.domains)]
+        backend = self.plan.make_backend(name, service, zone)
+        backend.behaviour = lambda req: self._choose_behaviour(name, req)
         await backend.start(HOST)
         link = Link(backend.port)
         await link.start()
@@ -259,9 +339,11 @@
             return "begun"
         if self.copy_rate and self.copy_state.random() < self.copy_rate:
             return self._choose_copied_answer(req)
+        if self.faulty_servers and name not in self.faulty_servers:
+            return "ok"
         if self.random_state.random() >= self.misbehaviour_rate:
             return "ok"
-        return self.random_state.choice(FAULTY_BEHAVIOURS)
+        return self.random_state.choice(self.plan.faulty_behaviours)
 
     def _choose_copied_answer(self, req: ReceivedRequest) -> str:
         choose = self.copy_state.choice
@@ -297,16 +379,32 @@
         """Remove the registration of a server, which keeps running."""
         self.platform.store.write([], [Delete(f"servers/{name}")], [])
 
-    def put_config(self) -> None:
-        """Write the next version of the configuration."""
+    def put_config(self, **overrides: Any) -> None:
+        """Write the next version of the configuration.
+
+        Keyword arguments replace fields of the plan's configuration.
+        """
         self.version += 1
         tenants = [{"Name": "alpha", "ApiKeys": list(self.keys)}]
-        row = make_config(self.version, Tenants=tenants)
+        row = self.plan.make_config(self.version, Tenants=tenants, **overrides)
         put = Put("op/config", orjson.dumps(row))
         self.platform.store.write([], [put], [])
 
-    async def _add_node(self, number: int, platform_port: int, folder: Path) -> None:
-        store = Link(platform_port)
+    async def _start_node_links(self) -> dict[str, Link]:
+        links = {}
+        if self.plan.has_node_links:
+            for name, link in self.links.items():
+                links[name] = Link(link.port)
+                await links[name].start()
+        return links
+
+    async def _add_node(self, number: int, orders_port: int, folder: Path) -> None:
+        server_links = await self._start_node_links()
+        store_port = orders_port
+        if server_links:
+            app = make_platform_app(self.platform, _make_view(server_links))
+            store_port = await self._servers.start(app)
+        store = Link(store_port)
         await store.start()
         ports = [_assign_port() for _ in range(3)]
         name = f"n{number + 1}"
@@ -314,22 +412,31 @@
             "frontend": f"{HOST}:{ports[0]}",
             "readiness": f"{HOST}:{ports[1]}",
             "fleet_port": ports[2],
-            "orders": f"{HOST}:{platform_port}",
-            "usage_window": USAGE_WINDOW,
-            "grace": GRACE_PERIOD,
-            "duties": "metering",
-            "lease_ms": 1000,
+            "orders": f"{HOST}:{orders_port}",
+            "grace": self.plan.grace,
+            **self.plan.ingress,
         }
-        domain = DOMAINS[number % len(DOMAINS)]
+        domain = self.plan.domains[number % len(self.plan.domains)]
         settings = {
             "node": {"name": name, "failure_domain": domain, "address": HOST},
             "platform": {"endpoint": f"{HOST}:{store.port}", "timeout": 1.0},
             "ingress": ingress,
+            **self.plan.settings,
         }
         file = folder / f"{name}.yaml"
         file.write_text(yaml.safe_dump(settings))
         logs = folder / f"{name}.log"
-        node = NodeProcess(name, domain, ports[0], ports[1], store, file, logs)
+        node = NodeProcess(
+            name,
+            domain,
+            ports[0],
+            ports[1],
+            store,
+            file,
+            logs,
+            server_links,
+            self.plan.node_path,
+        )
         self.nodes.append(node)
         node.start()
 
@@ -365,10 +472,15 @@
         for node in self.nodes:
             node.send_signal(signal.SIGCONT)
             node.send_signal(signal.SIGTERM)
-        await asyncio.gather(*(node.wait_exit(GRACE_PERIOD + 2) for node in self.nodes))
+        await asyncio.gather(
+            *(node.wait_exit(self.plan.grace + 2) for node in self.nodes)
+        )
         for task in self._crashes:
             task.cancel()
-        for link in [*self.links.values(), *(node.store_link for node in self.nodes)]:
+        for node in self.nodes:
+            for link in (node.store_link, *node.server_links.values()):
+                await link.close()
+        for link in self.links.values():
             await link.close()
         for backend in self.backends.values():
             await backend.close()
