A reload signal in the first half second of a process no longer ends it

What callers saw: a node that had just been restarted was away again, without a log line.

Cause: the handler of SIGHUP was installed after the imports of the node; until then the signal had its default action. The gateway had no handler at all.

Change: `__main__` holds the signal before the commands are imported (now `_cli.py`), and the node reloads its settings once it has started. The gateway logs that it reads its settings at the next start only.

--- a/packages/medlargate/medlargate/_cli.py
+++ b/packages/medlargate/medlargate/_cli.py
@@ -1,4 +1,4 @@
-"""Command-line interface of a node."""
+"""Commands of a node."""
 
 from __future__ import annotations
 
@@ -258,7 +258,3 @@
 
     configure_logging(level=log_level, node="demo")
     asyncio.run(run_demo(port))
-
-
-if __name__ == "__main__":
-    main()
--- a/packages/medlargate/medlargate/gateway/_server.py
+++ b/packages/medlargate/medlargate/gateway/_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import signal
 import socket
 from collections.abc import Iterator
@@ -13,6 +14,8 @@
 
 from ._node import Node
 
+log = logging.getLogger(__name__)
+
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
 # Seconds between closing the listeners and closing idle connections.
@@ -132,6 +135,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    loop.add_signal_handler(
+        signal.SIGHUP, log.info, "settings are read at the next start only"
+    )
     await node.start()
     serving = asyncio.create_task(server.serve())
     stop_wait = asyncio.create_task(stopping.wait())
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -15,6 +15,7 @@
 
 from .._clock import read_boot_clock
 from .._settings import Settings, SettingsError
+from .._startup_signals import take_held_reload
 from .._tasks import run_with_restarts
 from ..fleet import (
     ClusterState,
@@ -350,6 +351,8 @@
             loop.add_signal_handler(signal_number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         await self.start()
+        if take_held_reload():
+            self._reload_settings()
         await stop.wait()
         await self.stop()
 
--- a/packages/medlargate/medlargate/telemetry/tests/test_logs.py
+++ b/packages/medlargate/medlargate/telemetry/tests/test_logs.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner
 from medlargate_standins.relay_testbed import RelayTestbed
 
-from medlargate.__main__ import main
+from medlargate._cli import main
 from medlargate.telemetry import LineWriter, explain_request, write_logs_to
 
 
