A stopping node admits requests that could outlast it for 2.5 s, not 3.0

What callers saw: streams sent about 3 s after SIGTERM on a kept connection could be passed on and cut at the end of the grace period.

Cause: requests were admitted for 3.0 s from the time at which the node saw the signal; what is sent later than 3.0 s after the signal may not be cut. A busy node sees it late.

Change: ADMISSION_TIME. Requests whose deadline lies beyond the grace period are refused as not run from 2.5 s on; the listener stays open for the load balancer's 3.0 s.

The new test of a node that sees the signal 0.25 s late failed before (the stream was cut) and passes; test_planned_stop 6 passed.

--- a/packages/medlargate/medlargate/policy/_stopping.py
+++ b/packages/medlargate/medlargate/policy/_stopping.py
@@ -4,10 +4,10 @@
 next request on them, requests wait for a server, and answers take longer than the
 grace period.
 
-The load balancer needs some time to remove the node. A request that comes later, or
-that still waits by then, is sent to a server only if its deadline is within the grace
-period: any other could be cut off after it has run. Its caller is told at once that it
-was not run, and finds another node.
+The load balancer needs some time to remove the node. A request that comes at the end of
+this time or later, or that still waits by then, is sent to a server only if its
+deadline is within the grace period: any other could be cut off after it has run. Its
+caller is told at once that it was not run, and finds another node.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
     Attributes
     ----------
     admission_ends_at : float
-        When the load balancer no longer sends new connections.
+        When requests that may outlast the grace period are no longer sent.
     answers_end_at : float
         When each request has its final answer.
     """
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -79,6 +79,9 @@
 # The load balancer probes once a second and removes a node after two failed probes.
 # Connections that callers open until then are still accepted.
 BALANCER_REMOVAL_TIME = 3.0  # seconds
+# Requests that could outlast the grace period are admitted for a shorter time: a busy
+# node sees the signal late, and callers count from the signal.
+ADMISSION_TIME = 2.5  # seconds
 CLOSE_RESERVE = 0.7  # seconds of the grace period reserved for closing
 ANSWER_WRITE_TIME = 0.2  # seconds of the reserve in which final answers are written
 METERING, AUTOSCALE = "metering", "autoscale"  # names of the duties in the settings
@@ -625,13 +628,15 @@
         self.ingress_server.draining = True
         now = self.clock()
         answers_end_at = now + self.ingress.grace - CLOSE_RESERVE
-        admission_ends_at = min(now + BALANCER_REMOVAL_TIME, answers_end_at)
+        admission_ends_at = min(now + ADMISSION_TIME, answers_end_at)
+        listening_ends_at = min(now + BALANCER_REMOVAL_TIME, answers_end_at)
         self.request_handler.begin_stop(StopSchedule(admission_ends_at, answers_end_at))
         await self._release_duties()
         log.info("node stopping", extra={"n_active": self.request_handler.n_active})
         await asyncio.sleep(max(0.0, admission_ends_at - self.clock()))
-        await self.ingress_server.stop_listening()
         self.request_handler.end_admission()
+        await asyncio.sleep(max(0.0, listening_ends_at - self.clock()))
+        await self.ingress_server.stop_listening()
         while self.clock() < answers_end_at + ANSWER_WRITE_TIME:
             self.ingress_server.close_idle()
             if not self.request_handler.n_active and not any(
--- a/packages/medlargate/medlargate/relay/tests/test_planned_stop.py
+++ b/packages/medlargate/medlargate/relay/tests/test_planned_stop.py
@@ -56,17 +56,23 @@
             )
         )
 
-    async def call_late(self, path, *, deadline_ms):
-        """Send a request on a connection whose first answer began before the stop."""
+    async def call_late(self, path, *, deadline_ms, late=LATE, stop_delay=0.0):
+        """Send a request on a connection whose first answer began before the stop.
+
+        The request is sent ``late`` seconds after the signal, which the node gets
+        ``stop_delay`` seconds late.
+        """
         for backend in self.world.backends.values():
-            backend.pause = (LATE + 0.4) / backend.n_events
+            backend.pause = (late + 0.4) / backend.n_events
         reader, writer = await self.world.open()
         writer.write(make_request("POST", "/stream/x", "first", Deadline_Ms="15000"))
         await asyncio.sleep(0.3)
+        signalled_at = time.monotonic()
+        await asyncio.sleep(stop_delay)
         stop = self.stop_node()
         first = await read_reply(reader)
         self.assertNotIn("connection", first.headers)
-        self.assertGreater(time.monotonic() - self.stopped_at, LATE - 0.1)
+        self.assertGreater(time.monotonic() - signalled_at, late - 0.1)
         writer.write(make_request("POST", path, "late", Deadline_Ms=str(deadline_ms)))
         reply = await read_reply(reader)
         self.assertTrue(reply.complete)
@@ -75,18 +81,28 @@
         return reply
 
     async def test_late_request_is_refused_before_it_runs(self):
+        # Guards against bookings that run late in a stop and get no answer.
         reply = await self.call_late("/book/x", deadline_ms=15_000)
         self.assertEqual(reply.status, 503)
         self.assertEqual(reply.headers["connection"], "close")
         self.assertLess(float(reply.headers["retry-after"]), 0.5)
         self.assertEqual(self.count_runs("late"), 0)
 
+    async def test_busy_node_refuses_what_is_sent_three_seconds_after_the_signal(self):
+        # Guards against streams that begin so late and are cut off at the end.
+        reply = await self.call_late(
+            "/stream/x", deadline_ms=15_000, late=3.05, stop_delay=0.25
+        )
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.count_runs("late"), 0)
+
     async def test_late_request_that_ends_in_time_is_served(self):
         reply = await self.call_late("/book/x", deadline_ms=300)
         self.assertEqual(reply.status, 200)
         self.assertEqual(self.count_runs("late"), 1)
 
     async def test_waiting_request_is_refused_once_the_balancer_leaves_the_node(self):
+        # Guards against connections of waiting requests that close without an answer.
         for backend in self.world.backends.values():
             if backend.service == "engine":
                 backend.pause = 2.0
