A slow store no longer delays the refusal of what waits at a stopping node

What callers saw: requests that waited at a node that gets SIGTERM were refused seconds late if the store was slow or away, and new connections were accepted as long.

Cause: the stop released its duties and wrote usage counts, each a call of up to a second, before it refused what waits and closed the listener.

Change: the release runs beside the stop, which waits for it until all answers are due.

Evidence: test_slow_store_does_not_delay_the_refusal_of_waiting_requests failed before (3.82 s of 3.3 allowed) and passes; test_planned_stop 7 passed, test_broken_streams 19, test_silence 13.

--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -16,7 +16,7 @@
 from .._clock import read_boot_clock
 from .._settings import Settings, SettingsError
 from .._startup_signals import take_held_reload
-from .._tasks import run_with_restarts
+from .._tasks import log_task_failure, run_with_restarts
 from ..fleet import (
     ClusterState,
     DutyLease,
@@ -631,7 +631,9 @@
         admission_ends_at = min(now + ADMISSION_TIME, answers_end_at)
         listening_ends_at = min(now + BALANCER_REMOVAL_TIME, answers_end_at)
         self.request_handler.begin_stop(StopSchedule(admission_ends_at, answers_end_at))
-        await self._release_duties()
+        # The store may be slow or away, and requests must not wait for it.
+        release = asyncio.create_task(self._release_duties())
+        release.add_done_callback(log_task_failure)
         log.info("node stopping", extra={"n_active": self.request_handler.n_active})
         await asyncio.sleep(max(0.0, admission_ends_at - self.clock()))
         self.request_handler.end_admission()
@@ -645,6 +647,10 @@
             ):
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL)
+        await asyncio.wait({release}, timeout=max(0.0, answers_end_at - self.clock()))
+        if not release.done():
+            log.warning("duties not released before the end of the grace period")
+            release.cancel()
         log.info("node stopped", extra={"n_active": self.request_handler.n_active})
         await self.close()
 
--- a/packages/medlargate/medlargate/relay/tests/test_planned_stop.py
+++ b/packages/medlargate/medlargate/relay/tests/test_planned_stop.py
@@ -119,6 +119,25 @@
         await stop
         await asyncio.gather(*running)
 
+    async def test_slow_store_does_not_delay_the_refusal_of_waiting_requests(self):
+        # Guards against a stop that waits for the store before it does its work.
+        for backend in self.world.backends.values():
+            backend.pause = 2.0
+        running = [self.call("/stream/x", f"r{number}") for number in range(16)]
+        await asyncio.sleep(0.5)
+        waiting = self.call("/stream/x", "waits")
+        await asyncio.sleep(0.2)
+        self.node.duties.release = lambda: asyncio.sleep(4.0)
+        stop = self.stop_node()
+        reply = await waiting
+        self.assertEqual((reply.status, reply.complete), (503, True))
+        self.assertLess(time.monotonic() - self.stopped_at, 3.3)
+        await asyncio.sleep(self.stopped_at + 3.3 - time.monotonic())
+        with self.assertRaises(OSError):
+            await self.world.open()
+        await stop
+        await asyncio.gather(*running)
+
     async def test_request_that_runs_to_the_end_of_the_grace_gets_an_answer(self):
         self.set_delay(10.0)
         call = self.call("/book/x", "long")
