A stopping node no longer closes a connection in the moment of the next request

What callers saw: a request sent right after an answer on a kept connection could meet the close of a stopping node and get no answer.

Cause: close_idle took a connection for idle as soon as its answer had ended; the idle timer did not look for unread bytes.

Change: for 0.2 s after an answer the next request is expected; close_if_idle keeps a connection with unread bytes.

--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -22,6 +22,9 @@
 BACKLOG = 1024  # connections that wait to be accepted
 # A caller that has just connected sends its request within this time.
 FIRST_REQUEST_TIME = 0.5  # seconds
+# A caller that keeps a connection may send its next request as soon as it has the last
+# answer. A close within this time would cross that request.
+NEXT_REQUEST_TIME = 0.2  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,20 +178,23 @@
         self._responder: Responder | None = None
         self._task: asyncio.Task[None] | None = None
         self._connected_at = self._loop.time()
+        self._answered_at = float("-inf")
         self._n_requests = 0
         self._writable = asyncio.Event()
         self._writable.set()
 
     @property
     def awaits_request(self) -> bool:
-        """Whether a request is expected: unread, incomplete, in progress or the first.
+        """Whether a request is expected: unread, incomplete, in progress or the next.
 
         Bytes that wait in the socket belong to a request that the caller has sent.
         """
         if not self.is_idle:
             return True
-        is_new = self._loop.time() - self._connected_at < FIRST_REQUEST_TIME
-        return (self._n_requests == 0 and is_new) or self._has_unread_bytes()
+        now = self._loop.time()
+        is_new = self._n_requests == 0 and now - self._connected_at < FIRST_REQUEST_TIME
+        was_answered = now - self._answered_at < NEXT_REQUEST_TIME
+        return is_new or was_answered or self._has_unread_bytes()
 
     @property
     def has_unsent_data(self) -> bool:
@@ -348,6 +354,7 @@
             return
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
+            self._answered_at = self._loop.time()
             self._start_timer(self._server.limits().idle_timeout, self.close_if_idle)
             self._process_events()
         elif self._h11.our_state is h11.MUST_CLOSE:
@@ -430,8 +437,10 @@
         self._reject_and_close(408, "the body was not complete in time")
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.is_idle and self._transport is not None:
+        """Close the connection unless a request is in progress or unread."""
+        if self._transport is None or self._has_unread_bytes():
+            return
+        if self.is_idle:
             self._transport.close()
 
 
