Servers that crash together count once against a request

What callers saw: a request that many of them send alike could be refused by all nodes (503, crashes_servers) after several servers were lost at the same time.

Cause: each lost server counted as one crash of each request that ran there. Only a request of which an answer was completed in the last minute was not blamed.

Change: a crash counts only if its request was sent after the last counted one, or 0.1 s after it. Peers get the crashes of the last 30 s and the blocked requests, those with the most crashes first, up to 64 in place of the latest 20.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -114,7 +114,8 @@
         ``crash-begun`` also stops listening; ``drip:N`` sends event N one byte every
         200 ms, without its end; ``unframed`` sends no chunks,
         ``unframed-half:N`` ends so inside event N, and ``unframed-empty`` before the
-        first; ``reset-after:N`` aborts the connection after event N, and
+        first; ``reset-after:N`` aborts the connection after event N,
+        ``crash-after:N`` aborts all connections and stops listening, and
         ``silent-after:N`` keeps it open without another byte. ``misdirect`` sends 421
         and is not executed. Complete streams that are not the requested one:
         ``unsealed``; ``empty`` has no event, with a length in ``empty-length``;
@@ -199,6 +200,8 @@
         Number of requests that wait at the server, in order of arrival, while all
         slots are taken; more are answered like ``refuse``. Each response then states
         the load. None for a server that runs any number of requests at once.
+    has_crashed : bool
+        Whether ``crash`` was called.
     port : int
         TCP port; 0 before ``start``.
     """
@@ -228,6 +231,7 @@
     cold_ms: int = 0
     n_endless_bytes: int = 0
     max_waiting: int | None = None
+    has_crashed: bool = False
     port: int = 0
     _n_running: int = 0
     _waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
@@ -235,6 +239,7 @@
     _n_held: int = 0
     _slots: asyncio.Semaphore | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     # Copies to send when the next request of a connection, or of a new one (None),
     # arrives.
     _due_copies: dict[asyncio.StreamWriter | None, bytes] = field(default_factory=dict)
@@ -249,6 +254,13 @@
         assert self._server is not None
         self._server.close()
 
+    def crash(self) -> None:
+        """Abort all connections and stop listening."""
+        self.has_crashed = True
+        self.stop_listening()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
@@ -282,6 +294,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         self.n_connections += 1
         is_new = True
         try:
@@ -302,6 +315,7 @@
             self.n_disconnects += 1
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             self._due_copies.pop(writer, None)
             writer.close()
 
@@ -593,6 +607,8 @@
         """End a stream after an event, without the end of its body."""
         if kind == "silent-after":
             await asyncio.sleep(60.0)
+        elif kind == "crash-after":
+            self.crash()
         elif kind == "reset-after":
             writer.transport.abort()
         elif kind.endswith("head-after"):
--- a/packages/medlargate/medlargate/policy/_crash_history.py
+++ b/packages/medlargate/medlargate/policy/_crash_history.py
@@ -6,7 +6,11 @@
 
 Many callers may send equal requests, which then run on several servers at any time. A
 partition that makes these unreachable looks like their crashes. A request of which an
-answer was completed lately is sound, since one that crashes servers has none.
+answer was completed lately is sound, since one that crashes servers has none. Servers
+that crash at the same time have a common cause and count as one.
+
+A request may crash its server at any point of its answer, so that each crash is
+recorded for all requests that ran there. Only one that comes again gathers crashes.
 """
 
 from __future__ import annotations
@@ -24,7 +28,14 @@
 # two crashes are weak evidence.
 MAX_CRASHES = 3
 MAX_REQUESTS = 1_000  # requests whose crashes are kept, the most recent ones
-MAX_SHARED_REQUESTS = 20  # most recent requests that a node reports to its peers
+# Requests that a node reports to its peers: as many as a server may run at a time,
+# since each may be the one that has crashed it.
+MAX_SHARED_REQUESTS = 64
+# Peers get a crash in many status messages in this time.
+SHARE_TIME = 30.0  # seconds
+# Servers of runs that had begun before the last counted crash, and that crash within
+# this time of it, count once.
+MIN_CRASH_SPACING = 0.1  # seconds
 SOUND_LIFETIME = 60.0  # seconds for which a completed answer shows that one is sound
 MAX_SOUND_REQUESTS = 20_000  # digests of completed answers, about 3 MB
 
@@ -94,6 +105,19 @@
         return now - self._completed_at.get(digest, -math.inf) < SOUND_LIFETIME
 
 
+@dataclass
+class _CrashRecord:
+    """Crashed servers of one request, and times in seconds."""
+
+    servers: set[str] = field(default_factory=set)
+    crashed_at: float = -math.inf
+    changed_at: float = -math.inf
+
+    @property
+    def is_blocked(self) -> bool:
+        return len(self.servers) >= MAX_CRASHES
+
+
 @dataclass
 class CrashHistory:
     """Servers that crashed while running a request, by the request's digest.
@@ -101,15 +125,17 @@
     Examples
     --------
     >>> history = CrashHistory()
-    >>> for server in ("a", "b", "c"):
-    ...     history.observe_crash("digest", server)
+    >>> for number, server in enumerate("abc"):  # one a second
+    ...     history.observe_crash("digest", server, began_at=number, now=number)
     >>> history.is_blocked("digest"), history.is_blocked("other")
     (True, False)
     """
 
-    _servers: OrderedDict[str, set[str]] = field(default_factory=OrderedDict)
+    _records: OrderedDict[str, _CrashRecord] = field(default_factory=OrderedDict)
 
-    def observe_crash(self, digest: str, server_id: str) -> None:
+    def observe_crash(
+        self, digest: str, server_id: str, *, began_at: float, now: float
+    ) -> None:
         """Record that a server crashed while running a request.
 
         Parameters
@@ -118,24 +144,43 @@
             Digest of the request.
         server_id : str
             Identifier of the server and of its start.
+        began_at : float
+            Time at which the request was sent to the server, in seconds.
+        now : float
+            Time of the crash, in seconds.
         """
-        self._servers.setdefault(digest, set()).add(server_id)
-        self._servers.move_to_end(digest)
-        while len(self._servers) > MAX_REQUESTS:
-            self._servers.popitem(last=False)
-
-    def merge(self, crashes: Mapping[str, Iterable[str]]) -> None:
+        record = self._records.get(digest)
+        if (
+            record is not None
+            and began_at <= record.crashed_at
+            and abs(now - record.crashed_at) < MIN_CRASH_SPACING
+        ):
+            return
+        self._add(digest, server_id, now).crashed_at = now
+
+    def _add(self, digest: str, server_id: str, now: float) -> _CrashRecord:
+        record = self._records.setdefault(digest, _CrashRecord())
+        if server_id not in record.servers:
+            record.servers.add(server_id)
+            record.changed_at = now
+            self._records.move_to_end(digest)
+        while len(self._records) > MAX_REQUESTS:
+            self._records.popitem(last=False)
+        return record
+
+    def merge(self, crashes: Mapping[str, Iterable[str]], *, now: float) -> None:
         """Merge the crashes recorded by a peer.
 
         Parameters
         ----------
         crashes : mapping of str to iterable of str
             Identifiers of the crashed servers by request digest.
+        now : float
+            Current time, in seconds.
         """
         for digest, servers in crashes.items():
             for server_id in servers:
-                if server_id not in self._servers.get(digest, ()):
-                    self.observe_crash(digest, server_id)
+                self._add(digest, server_id, now)
 
     def is_blocked(self, digest: str) -> bool:
         """Return whether a request must not be run any more.
@@ -150,23 +195,39 @@
         bool
             True once the request has crashed ``MAX_CRASHES`` servers.
         """
-        return len(self._servers.get(digest, ())) >= MAX_CRASHES
+        record = self._records.get(digest)
+        return record is not None and record.is_blocked
 
     def list_blocked(self) -> dict[str, list[str]]:
         """Return the crashed servers of the blocked requests by digest."""
         return {
-            digest: sorted(servers)
-            for digest, servers in self._servers.items()
-            if len(servers) >= MAX_CRASHES
+            digest: sorted(record.servers)
+            for digest, record in self._records.items()
+            if record.is_blocked
         }
 
-    def snapshot(self) -> dict[str, list[str]]:
-        """Return the most recently recorded crashes, to be sent to peers.
+    def list_recent(self, *, now: float) -> dict[str, list[str]]:
+        """Return the crashes that peers should know.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
 
         Returns
         -------
         dict of str to list of str
-            Identifiers of the crashed servers by request digest.
+            Identifiers of the crashed servers by request digest: of blocked requests,
+            and of those with a crash in the last ``SHARE_TIME``, at most
+            ``MAX_SHARED_REQUESTS``. Those that crashed the most servers come first.
         """
-        latest = list(self._servers.items())[-MAX_SHARED_REQUESTS:]
-        return {digest: sorted(servers) for digest, servers in latest}
+        recent = [
+            (digest, record)
+            for digest, record in reversed(self._records.items())
+            if record.is_blocked or now - record.changed_at < SHARE_TIME
+        ]
+        recent.sort(key=lambda item: -len(item[1].servers))
+        return {
+            digest: sorted(record.servers)
+            for digest, record in recent[:MAX_SHARED_REQUESTS]
+        }
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -86,7 +86,7 @@
         *,
         memory_full: bool = False,
     ) -> None:
-        """Blame a request, and its parts if it was being answered, for a crash.
+        """Blame a request, and its parts if its answer had just begun, for a crash.
 
         Parameters
         ----------
@@ -109,7 +109,12 @@
         server_run = f"{server.server_id}/{server.born}"
         is_sound = self.sound_requests.is_sound(exch.request_digest, now=self._clock())
         if not is_sound:
-            self.requests.observe_crash(exch.request_digest, server_run)
+            self.requests.observe_crash(
+                exch.request_digest,
+                server_run,
+                began_at=attempt.began_at,
+                now=crashed_at,
+            )
             self.observed.append(exch.request_digest)
         had_begun = attempt.has_head and attempt.n_events <= MAX_BLAMED_EVENTS
         if had_begun:
@@ -157,7 +162,7 @@
         """
         if not requests and not parts and not sound_at:
             return
-        self.requests.merge(requests)
+        self.requests.merge(requests, now=self._clock())
         self.parts.merge(parts, sound_at)
         self._update_blocks()
 
@@ -178,7 +183,7 @@
         now = self._clock()
         sound_at = self.parts.list_recently_sound(now=now)
         return {
-            "crashes": self.requests.snapshot(),
+            "crashes": self.requests.list_recent(now=now),
             "part_crashes": {
                 part: {run: round(now - at, 2) for run, at in record.items()}
                 for part, record in self.parts.list_recent(now=now).items()
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -72,12 +72,15 @@
 
     Attributes
     ----------
+    began_at : float
+        Time on the node's clock at which the attempt began, in seconds.
     has_head : bool
         Whether the head of an answer arrived that says that the request is run.
     n_events : int
         Number of complete stream events that arrived.
     """
 
+    began_at: float = 0.0
     has_head: bool = False
     n_events: int = 0
 
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -365,7 +365,7 @@
         """Let another node serve a request."""
         if self._get_time_left(exch) < MIN_TIME_LEFT:
             raise self._make_timeout(exch)
-        exch.attempt = AttemptProgress()
+        exch.attempt = AttemptProgress(self._clock())
         try:
             return await self._forwarder.forward(exch, peer)
         except AttemptError as fault:
@@ -399,7 +399,7 @@
     async def _attempt(self, exch: Exchange, assignment: ServerAssignment) -> Outcome:
         if self._get_time_left(exch) < MIN_TIME_LEFT:
             raise self._make_timeout(exch)
-        exch.attempt = AttemptProgress()
+        exch.attempt = AttemptProgress(self._clock())
         if exch.n_sent == 0 and not (exch.forwarded and exch.forwarded.n_sent):
             self._get_budget(exch.service.name).observe_request(self._clock())
 
--- a/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
+++ b/packages/medlargate/medlargate/relay/tests/test_forwarded_attempts.py
@@ -104,6 +104,7 @@
         return reply, self.count_servers(request_id), self.n_runs(request_id)
 
     async def test_request_runs_on_no_more_servers_than_its_route_allows(self):
+        # Guards against attempts that each of several nodes counts for itself.
         reply, n_servers, _ = await self.call(itertools.repeat("silent"))
         self.assertNotEqual(reply.status, 200)
         self.assertLessEqual(n_servers, 2)
--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_late_crashes.py
@@ -0,0 +1,65 @@
+"""Requests that crash their servers in the middle of a stream."""
+
+import asyncio
+import unittest
+
+from medlargate_standins.backend import Backend
+from medlargate_standins.relay_testbed import RelayTestbed
+
+N_ENGINES = 8
+SETTLE_TIME = 0.5  # seconds until a crash is detected and the other nodes know it
+
+
+class LateCrashTest(unittest.IsolatedAsyncioTestCase):
+    """Two nodes of different failure domains before eight engines."""
+
+    async def asyncSetUp(self):
+        self.world = RelayTestbed(n_nodes=2, domains=("fd-a", "fd-b"))
+        await self.world.start()
+        self.addAsyncCleanup(self.world.close)
+        for name in ("e1", "e2"):
+            backend = self.world.backends.pop(name)
+            self.world.unregister(backend)
+            await backend.close()
+        for number in range(N_ENGINES):
+            await self.world.add_backend(Backend(f"c{number}", "engine"))
+        for backend in self.world.backends.values():
+            backend.n_events, backend.pause = 12, 0.02
+            backend.behaviour = self.decide_behaviour
+        await asyncio.sleep(SETTLE_TIME)
+
+    def decide_behaviour(self, req):
+        n_held = int(req.headers.get("last-event-id", 0))
+        return f"crash-after:{n_held + 3}" if req.target.endswith("/bad") else "ok"
+
+    async def send(self, name, *, node=0, path="/once-stream", body=b"same"):
+        return await self.world.call(f"{path}/{name}", node=node, body=body)
+
+    def count_crashed(self):
+        return sum(it.has_crashed for it in self.world.backends.values())
+
+    async def crash_together(self, pause):
+        """Crash the engines of equal streams at once; each node serves one more."""
+        for backend in self.world.backends.values():
+            backend.pause = pause
+        calls = [asyncio.create_task(self.send("popular")) for _ in range(24)]
+        await asyncio.sleep(0.6)
+        busy = [it for it in self.world.backends.values() if it.runs][:5]
+        self.assertGreater(len(busy), 3)
+        for backend in busy:
+            backend.crash()
+        await asyncio.gather(*calls)
+        await asyncio.sleep(SETTLE_TIME)
+        for node in range(2):
+            self.assertEqual((await self.send("popular", node=node)).status, 200)
+
+    async def test_equal_streams_on_engines_that_crash_together_are_not_blocked(self):
+        # Guards against a popular request that the loss of a domain blocks.
+        await self.crash_together(0.2)
+
+    async def test_equal_streams_that_begin_when_engines_crash_are_not_blocked(self):
+        await self.crash_together(0.7)
+
+
+if __name__ == "__main__":
+    unittest.main()
