A request that crashes servers late in its answer is recognised

Cause: a crash was looked for only if at most one event of the answer had arrived.

Change: each connection that a crash has broken is evidence against the whole request. Prompt parts and memory limits are blamed for early crashes only, as before. Checks of one server at one time share a connection.

--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -131,6 +131,7 @@
         self._forwarder = forwarder
         self._can_reach = can_reach
         self._crash_checks: set[asyncio.Task[None]] = set()
+        self._probes: dict[tuple[str, int], asyncio.Future[bool]] = {}
         self._get_budget = get_budget
         self._count_nodes = count_nodes
         self._clock = clock
@@ -572,10 +573,7 @@
             if not self._loads.get_refusal_time(server_id):
                 view.observe_result(True, _now())
             exch.states.observe("backend_refusal")
-        elif (
-            fault.kind in CONNECTION_LOSSES
-            and exch.attempt.n_events <= MAX_BLAMED_EVENTS
-        ):
+        elif fault.kind in CONNECTION_LOSSES:
             self._spawn_crash_check(exch, assignment.server)
         if exch.service.engine is None and fault.verdict is Verdict.MAY_HAVE_RUN:
             # A plain server usually starts a request immediately, even if the answer
@@ -605,15 +603,25 @@
         It is no crash if this node reaches no server at all.
         """
         await asyncio.sleep(CRASH_CHECK_DELAY)
-        if await self._can_reach(server):
+        if await self._accepts_connections(server):
             return
         if await self._reach.reaches_any_server(exch.service.name):
-            run = f"{server.server_id}/{server.born}"
-            self._loads.memory.observe_crash(server.server_id, run)
+            if attempt.n_events <= MAX_BLAMED_EVENTS:
+                run = f"{server.server_id}/{server.born}"
+                self._loads.memory.observe_crash(server.server_id, run)
             self._crash_guard.observe_crash(
                 exch, server, attempt, broken_at, memory_full=memory_full
             )
 
+    async def _accepts_connections(self, server: Registration) -> bool:
+        """Return whether a server can be reached; checks at one time share a probe."""
+        run = (server.server_id, server.born)
+        task = self._probes.get(run)
+        if task is None:
+            task = self._probes[run] = asyncio.ensure_future(self._can_reach(server))
+            task.add_done_callback(lambda _: self._probes.pop(run, None))
+        return await asyncio.shield(task)
+
     def _find_stop_reason(
         self, exch: Exchange, fault: AttemptError, n_unreachable: int
     ) -> str | None:
--- a/packages/medlargate/medlargate/relay/tests/test_late_crashes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_late_crashes.py
@@ -38,6 +38,37 @@
     def count_crashed(self):
         return sum(it.has_crashed for it in self.world.backends.values())
 
+    async def test_request_that_crashes_after_its_third_event_is_blocked(self):
+        # Guards against engines that one request crashes without end.
+        replies = []
+        for number in range(6):
+            replies.append(await self.send("bad", node=number % 2))
+            await asyncio.sleep(SETTLE_TIME)
+        self.assertEqual(self.count_crashed(), 3)
+        self.assertEqual([it.status for it in replies], [200] * 3 + [503] * 3)
+        self.assertFalse(any(it.complete for it in replies[:3]))
+
+    async def test_resumed_request_is_blocked_on_the_way(self):
+        statuses = []
+        for number in range(3):
+            reply = await self.send("bad", node=number % 2, path="/resume-stream")
+            statuses.append(reply.status)
+            await asyncio.sleep(SETTLE_TIME)
+        self.assertEqual(statuses, [200, 200, 503])
+        # The second attempt of a request begins before the crash under the first one is
+        # known.
+        self.assertLessEqual(self.count_crashed(), 4)
+
+    async def test_streams_beside_the_crashing_one_stay_sound(self):
+        for number in range(3):
+            calls = [self.send(f"good{it}", body=b"%d" % it) for it in range(6)]
+            await asyncio.gather(self.send("bad", node=number % 2), *calls)
+            await asyncio.sleep(SETTLE_TIME)
+        for number in range(6):
+            reply = await self.send(f"good{number}", body=b"%d" % number)
+            self.assertEqual(reply.status, 200)
+        self.assertEqual((await self.send("bad")).status, 503)
+
     async def crash_together(self, pause):
         """Crash the engines of equal streams at once; each node serves one more."""
         for backend in self.world.backends.values():
