--- a/packages/medlargate-standins/medlargate_standins/soak/_series.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_series.py
@@ -6,13 +6,15 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from contextlib import contextmanager
+from typing import Any
 
 from ._fleet import Fleet, NodeProcess
 from ._lost_requests import Fault
 
-# Steps that a series is made of, by the name of its profile.
+# Steps of a series by the name of its profile; one that stands twice is drawn twice as
+# often.
 PROFILES = {
     "planned": (
         "stop_in_turn",
@@ -79,7 +81,7 @@
         seconds : float
             Time in which steps start.
         """
-        steps: dict[str, Callable[[], Awaitable[None]]] = {
+        steps: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
             "stop_in_turn": self._stop_in_turn,
             "reload": self._reload,
             "change_config": self._change_config,
@@ -95,7 +97,7 @@
         try:
             while time.monotonic() < end:
                 step = steps[self._random_state.choice(PROFILES[profile])]
-                tasks.append(asyncio.create_task(_run_step(step)))
+                tasks.append(asyncio.create_task(step()))
                 await asyncio.sleep(
                     self._random_state.uniform(MIN_INTERVAL, MAX_INTERVAL)
                 )
@@ -239,7 +241,3 @@
                     )
                     await self._start(node)
             await asyncio.sleep(WATCH_INTERVAL)
-
-
-async def _run_step(step: Callable[[], Awaitable[None]]) -> None:
-    await step()
