--- a/packages/medlargate/medlargate/relay/tests/test_server_capacity.py
+++ b/packages/medlargate/medlargate/relay/tests/test_server_capacity.py
@@ -49,8 +49,8 @@
 class EndlessStreamBackend(Backend):
     """Engine whose stream is longer than any buffer; counts the bytes written."""
 
-    async def _send_event_stream(self, req, writer, kind, event_number):
-        del kind, event_number
+    async def _send_event_stream(self, req, writer, kind, event_number, work):
+        del kind, event_number, work
         head = (
             f"HTTP/1.1 200 X\r\nAttempt-Id: {req.request_id}\r\nResponse-Seal: s\r\n"
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
