Stand-ins: one way to remove a server, one test of overlap, no unused body size

Cause: four places unregistered and closed a backend server with the same three lines, two judges of the soak compared periods with the same two comparisons, and the size of a body in `Work` was set by nobody.

Change: RelayTestbed.remove_backend and Fault.overlaps serve them, the field is gone, and KeptConnection is a data class. Behaviour and assertions are the same.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """What a request costs a server, and the size of its response.
+    """What a request costs a server.
 
     Attributes
     ----------
@@ -47,14 +47,11 @@
         Number of events, for a stream.
     pause : float
         Seconds between two events.
-    n_bytes : int
-        Minimum size of a full response's body.
     """
 
     delay: float = 0.0
     n_events: int = 4
     pause: float = 0.0
-    n_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -471,7 +468,7 @@
             return await self._send_event_stream(
                 req, writer, kind, float(event_number or 0), work
             )
-        return await self._send_full_response(req, writer, kind, work)
+        return await self._send_full_response(req, writer, kind)
 
     async def _send_endless(
         self,
@@ -508,13 +505,9 @@
         self.n_disconnects += 1
 
     async def _send_full_response(
-        self,
-        req: ReceivedRequest,
-        writer: asyncio.StreamWriter,
-        kind: str,
-        work: Work,
+        self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str
     ) -> bool:
-        body = f"{self.server_id} ran {req.request_id}".encode().rjust(work.n_bytes)
+        body = f"{self.server_id} ran {req.request_id}".encode()
         status = 500 if kind in ("error", "denied-500") else 200
         if kind == "unframed":
             head = encode_head(req, status, None, f"Response-Seal: {SEAL}\r\n")
--- a/packages/medlargate-standins/medlargate_standins/limited_backend.py
+++ b/packages/medlargate-standins/medlargate_standins/limited_backend.py
@@ -137,9 +137,7 @@
     async def start_servers(self, make_backend, n_servers: int = 9) -> None:
         """Replace the default servers; ``make_backend`` gets a name."""
         for name in list(self.backends):
-            backend = self.backends.pop(name)
-            self.unregister(backend)
-            await backend.close()
+            await self.remove_backend(name)
         self.make_backend = make_backend
         self.names = (f"s{number}" for number in itertools.count())
         for _ in range(n_servers):
--- a/packages/medlargate-standins/medlargate_standins/relay_testbed.py
+++ b/packages/medlargate-standins/medlargate_standins/relay_testbed.py
@@ -198,6 +198,12 @@
         self.register(backend)
         return backend
 
+    async def remove_backend(self, server_id: str) -> None:
+        """Unregister a backend server and close it."""
+        backend = self.backends.pop(server_id)
+        self.unregister(backend)
+        await backend.close()
+
     def register(self, backend: Backend, *, state: str = "ready") -> None:
         """Write a backend server's registration to the store."""
         key = f"servers/{backend.server_id}"
--- a/packages/medlargate-standins/medlargate_standins/soak/_attempt_counts.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_attempt_counts.py
@@ -51,7 +51,10 @@
         counted = {
             it
             for it in servers[call.request_id]
-            if not _is_disturbed(it, call.sent_at, call.ended_at, faults)
+            if not any(
+                fault.target == it and fault.overlaps(call.sent_at, call.ended_at)
+                for fault in faults
+            )
         }
         if len(counted) > max_attempts[call.kind]:
             found.append(
@@ -61,15 +64,6 @@
     return found
 
 
-def _is_disturbed(
-    server: str, since: float, until: float, faults: Sequence[Fault]
-) -> bool:
-    return any(
-        it.target == server and it.started_at <= until and it.ended_at >= since
-        for it in faults
-    )
-
-
 def find_worst_window(
     sent_at: Sequence[float],
     repeated_at: Sequence[float],
--- a/packages/medlargate-standins/medlargate_standins/soak/_lost_requests.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_lost_requests.py
@@ -39,6 +39,10 @@
     started_at: float
     ended_at: float
 
+    def overlaps(self, since: float, until: float) -> bool:
+        """Return whether a part of it lies within a period."""
+        return self.started_at <= until and self.ended_at >= since
+
 
 @dataclass(frozen=True, slots=True)
 class LostRequest:
@@ -154,8 +158,7 @@
     return any(
         it.kind not in ("stop", "reload", "config", "store")
         and it.target in targets
-        and it.started_at <= call.ended_at
-        and it.ended_at >= call.sent_at - CONTACT_TIME
+        and it.overlaps(call.sent_at - CONTACT_TIME, call.ended_at)
         for it in faults
     )
 
--- a/packages/medlargate-standins/medlargate_standins/soak/_traffic.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_traffic.py
@@ -101,19 +101,14 @@
         return self._n_failed.get(node.name, 0) < MAX_FAILED_PROBES
 
 
+@dataclass
 class KeptConnection:
     """Connection to a node that carries one request after the other."""
 
-    def __init__(
-        self,
-        node: NodeProcess,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        self.node = node
-        self.reader = reader
-        self.writer = writer
-        self.n_answered = 0
+    node: NodeProcess
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    n_answered: int = 0
 
     @property
     def is_closed(self) -> bool:
--- a/packages/medlargate/medlargate/relay/tests/test_late_crashes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_late_crashes.py
@@ -18,9 +18,7 @@
         await self.world.start()
         self.addAsyncCleanup(self.world.close)
         for name in ("e1", "e2"):
-            backend = self.world.backends.pop(name)
-            self.world.unregister(backend)
-            await backend.close()
+            await self.world.remove_backend(name)
         for number in range(N_ENGINES):
             await self.world.add_backend(Backend(f"c{number}", "engine"))
         for backend in self.world.backends.values():
--- a/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
@@ -22,9 +22,7 @@
         self.numbers = itertools.count()
         self.bad_ids, self.good_ids = [], []
         for name in ("e1", "e2"):
-            backend = self.world.backends.pop(name)
-            self.world.unregister(backend)
-            await backend.close()
+            await self.world.remove_backend(name)
         for number in range(N_ENGINES):
             await self.world.add_backend(Backend(f"c{number}", "engine"))
         for backend in self.world.backends.values():
--- a/packages/medlargate/medlargate/relay/tests/test_server_capacity.py
+++ b/packages/medlargate/medlargate/relay/tests/test_server_capacity.py
@@ -91,9 +91,7 @@
     async def crash(self, tokens):
         """Run requests with a shared part until their engine crashes."""
         server = self.world.backends["e1"]
-        other = self.world.backends.pop("e2")
-        self.world.unregister(other)
-        await other.close()
+        await self.world.remove_backend("e2")
         await asyncio.sleep(0.2)
         server.delay = 0.4
         server.behaviour = lambda _: "crash-begun"
@@ -140,9 +138,7 @@
         # Bytes that a node buffers for callers that read slowly once could exceed its
         # memory.
         for name in ("e1", "e2"):
-            backend = self.world.backends.pop(name)
-            self.world.unregister(backend)
-            await backend.close()
+            await self.world.remove_backend(name)
         engine = await self.world.add_backend(EndlessStreamBackend("e3", "engine"))
         await asyncio.sleep(0.3)
         reader, writer = await asyncio.open_connection(
