Tasks in progress are shared in one place, and a server's run has one identity

Cause: the probe of a server after a crash repeated how checks of a service in progress are shared, without the log line for a failed task; the identity of a server's run was put together in two places and as a tuple in a third; two limits of crashes stood in two modules; a connection was polled for unread bytes before the cheaper look whether it is idle.

Change: `share_task`, `Registration.run_id`, the limits of `_part_crashes`, and the cheap look first. Behaviour is the same.

--- a/packages/medlargate/medlargate/_tasks.py
+++ b/packages/medlargate/medlargate/_tasks.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine, Hashable
+from typing import Any, TypeVar
 
 log = logging.getLogger(__name__)
 
+Key = TypeVar("Key", bound=Hashable)
+Value = TypeVar("Value")
+
 RESTART_PAUSE = 1.0  # seconds between a failure and the restart
 
 
@@ -44,6 +47,33 @@
     log.exception("background task failed; restarting it", extra={"job": name})
 
 
+def share_task(
+    tasks: dict[Key, asyncio.Task[Value]],
+    key: Key,
+    start: Callable[[], Coroutine[Any, Any, Value]],
+) -> asyncio.Task[Value]:
+    """Return the task in progress for a key, or start one.
+
+    Callers await it shielded, so that one that is cancelled does not end it for the
+    others.
+
+    Parameters
+    ----------
+    tasks : dict
+        Tasks in progress by key; an ended one is removed.
+    key : hashable
+        What the task is about.
+    start : callable
+        Returns the coroutine of a new task.
+    """
+    task = tasks.get(key)
+    if task is None:
+        task = tasks[key] = asyncio.create_task(start())
+        task.add_done_callback(lambda _: tasks.pop(key, None))
+        task.add_done_callback(log_task_failure)
+    return task
+
+
 def log_task_failure(task: asyncio.Task[Any]) -> None:
     """Log the exception of a task that nothing awaits, as its done-callback."""
     if not task.cancelled() and (exc := task.exception()) is not None:
--- a/packages/medlargate/medlargate/policy/_crash_history.py
+++ b/packages/medlargate/medlargate/policy/_crash_history.py
@@ -23,6 +23,8 @@
 import xxhash
 from cachetools import LRUCache
 
+from ._part_crashes import MIN_CRASH_SPACING, SHARE_TIME
+
 # Number of crashed servers after which a request is blocked. When a server crashes for
 # another reason, the crash is recorded for every request that ran there, so that one or
 # two crashes are weak evidence.
@@ -31,11 +33,6 @@
 # Requests that a node reports to its peers: as many as a server may run at a time,
 # since each may be the one that has crashed it.
 MAX_SHARED_REQUESTS = 64
-# Peers get a crash in many status messages in this time.
-SHARE_TIME = 30.0  # seconds
-# Servers of runs that had begun before the last counted crash, and that crash within
-# this time of it, count once.
-MIN_CRASH_SPACING = 0.1  # seconds
 SOUND_LIFETIME = 60.0  # seconds for which a completed answer shows that one is sound
 MAX_SOUND_REQUESTS = 20_000  # digests of completed answers, about 3 MB
 
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -105,20 +105,18 @@
         if memory_full:
             exch.record("crash_by_memory", server=server.server_id)
             return
-        # A server may start again under the id that it had.
-        server_run = f"{server.server_id}/{server.born}"
         is_sound = self.sound_requests.is_sound(exch.request_digest, now=self._clock())
         if not is_sound:
             self.requests.observe_crash(
                 exch.request_digest,
-                server_run,
+                server.run_id,
                 began_at=attempt.began_at,
                 now=crashed_at,
             )
             self.observed.append(exch.request_digest)
         had_begun = attempt.has_head and attempt.n_events <= MAX_BLAMED_EVENTS
         if had_begun:
-            self.parts.observe_crash(exch.shared_parts, server_run, now=crashed_at)
+            self.parts.observe_crash(exch.shared_parts, server.run_id, now=crashed_at)
             self.observed.extend(exch.shared_parts)
         exch.record(
             "crash",
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 
-from .._tasks import call_logged, log_task_failure
+from .._tasks import call_logged, share_task
 from ..policy import (
     OpenAttempt,
     ReachEvidence,
@@ -171,13 +171,7 @@
 
     def _start_check(self, service: str) -> asyncio.Task[bool]:
         """Return the check in progress, or start one."""
-        task = self._checks.get(service)
-        if task is None:
-            task = asyncio.create_task(self._check(service))
-            self._checks[service] = task
-            task.add_done_callback(lambda _: self._checks.pop(service, None))
-            task.add_done_callback(log_task_failure)
-        return task
+        return share_task(self._checks, service, lambda: self._check(service))
 
     async def wait_for_check(self, service: str) -> None:
         """Wait for a check in progress.
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from typing import Any
 
 import orjson
 
-from .._tasks import call_logged, log_task_failure
+from .._tasks import call_logged, log_task_failure, share_task
 from ..platform import decode_request, make_refusal_headers, make_response_headers
 from ..policy import (
     FleetRetryBudget,
@@ -115,7 +116,7 @@
         origins: StreamOrigins,
         reach: ReachMonitor,
         forwarder: Forwarder,
-        can_reach: Callable[[Registration], Awaitable[bool]],
+        can_reach: Callable[[Registration], Coroutine[Any, Any, bool]],
         get_budget: Callable[[str], FleetRetryBudget],
         count_nodes: Callable[[], int],
         clock: Callable[[], float],
@@ -131,7 +132,7 @@
         self._forwarder = forwarder
         self._can_reach = can_reach
         self._crash_checks: set[asyncio.Task[None]] = set()
-        self._probes: dict[tuple[str, int], asyncio.Future[bool]] = {}
+        self._probes: dict[str, asyncio.Task[bool]] = {}
         self._get_budget = get_budget
         self._count_nodes = count_nodes
         self._clock = clock
@@ -607,20 +608,16 @@
             return
         if await self._reach.reaches_any_server(exch.service.name):
             if attempt.n_events <= MAX_BLAMED_EVENTS:
-                run = f"{server.server_id}/{server.born}"
-                self._loads.memory.observe_crash(server.server_id, run)
+                self._loads.memory.observe_crash(server.server_id, server.run_id)
             self._crash_guard.observe_crash(
                 exch, server, attempt, broken_at, memory_full=memory_full
             )
 
     async def _accepts_connections(self, server: Registration) -> bool:
         """Return whether a server can be reached; checks at one time share a probe."""
-        run = (server.server_id, server.born)
-        task = self._probes.get(run)
-        if task is None:
-            task = self._probes[run] = asyncio.ensure_future(self._can_reach(server))
-            task.add_done_callback(lambda _: self._probes.pop(run, None))
-        return await asyncio.shield(task)
+        return await asyncio.shield(
+            share_task(self._probes, server.run_id, lambda: self._can_reach(server))
+        )
 
     def _find_stop_reason(
         self, exch: Exchange, fault: AttemptError, n_unreachable: int
--- a/packages/medlargate/medlargate/routing/_model.py
+++ b/packages/medlargate/medlargate/routing/_model.py
@@ -296,3 +296,8 @@
     revision: int = 0
     born: int = 0
     software_version: str = ""
+
+    @property
+    def run_id(self) -> str:
+        """Identity of this run: a server may start again under the id that it had."""
+        return f"{self.server_id}/{self.born}"
--- a/packages/medlargate/medlargate/transport/_server.py
+++ b/packages/medlargate/medlargate/transport/_server.py
@@ -438,10 +438,9 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or unread."""
-        if self._transport is None or self._has_unread_bytes():
-            return
-        if self.is_idle:
-            self._transport.close()
+        transport = self._transport
+        if transport and self.is_idle and not self._has_unread_bytes():
+            transport.close()
 
 
 class IngressServer:
