make run prints its JSON line first in a fresh clone too

Cause: make echoed the commands that set up .venv on standard output, before the line that README.md promises as the first.

Change: they are not echoed.

--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,10 @@
 .PHONY: run test fuzz mutants bench capacity lint format load faults membership soak
 
 $(VENV)/installed: requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install -q --disable-pip-version-check $(EDITABLE) \
+	@$(PYTHON) -m venv $(VENV) 1>&2
+	@$(BIN)/python -m pip install -q --disable-pip-version-check $(EDITABLE) \
 		-r requirements-dev.txt 1>&2
-	touch $@
+	@touch $@
 
 run: $(VENV)/installed
 	@$(BIN)/medlargate demo --port $(PORT)
