Rejections by a predicted first token say which part of it was too long

The log and the metric of queue decisions left out the rejections by RequestQueue._decide_refusal, so that a request that waited for memory could not be told from one that waited for prefill. The record of a rejection now names the largest part of the prediction, the tokens ahead, and the number of servers whose free memory would have held the request. The decisions are the same.

--- a/packages/medlargate/medlargate/relay/_queue_order.py
+++ b/packages/medlargate/medlargate/relay/_queue_order.py
@@ -393,19 +393,42 @@
         )
         if dry_run:
             return refusal
+        self.observe_rejection(
+            exch,
+            evidence=evidence,
+            wait=wait,
+            over_share=position.queue_class.over_share,
+            late=position.queue_class.is_late,
+            return_in=round(retry_after, 3),
+        )
+        return refusal
+
+    def observe_rejection(
+        self, exch: Exchange, *, evidence: str, wait: float, **facts: object
+    ) -> None:
+        """Count a rejection, and record what it is based on.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Rejected request.
+        evidence : str
+            What the prediction of its wait is based on.
+        wait : float
+            Predicted wait, in seconds.
+        **facts : object
+            Further fields of the record.
+        """
         self._observe_decision("rejected", exch.priority, evidence)
         exch.record(
             "reject",
             evidence=evidence,
-            customer=customer or None,
+            customer=exch.customer.name if exch.customer is not None else None,
             priority=exch.priority,
-            over_share=position.queue_class.over_share,
-            late=position.queue_class.is_late,
             wait=round(wait, 3) if wait < math.inf else None,
-            time_left=round(time_left, 3),
-            return_in=round(retry_after, 3),
+            time_left=round(exch.deadline - self._clock(), 3),
+            **facts,
         )
-        return refusal
 
     # Exchange with peers
 
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -133,6 +133,34 @@
     refusal: Refusal | None
 
 
+@dataclass(frozen=True, slots=True)
+class _AnswerPrediction:
+    """Parts of the time until a waiting request is answered, in seconds.
+
+    ``n_free`` is the number of servers whose free memory would hold the request,
+    whether or not this node may fill it now.
+    """
+
+    earliest: float
+    queue_wait: float
+    memory_wait: float
+    n_free: int
+
+    @property
+    def total(self) -> float:
+        return self.earliest + self.queue_wait + self.memory_wait
+
+    @property
+    def evidence(self) -> str:
+        """Name of the largest part."""
+        parts = {
+            "memory": self.memory_wait,
+            "server_limits": self.queue_wait,
+            "prefill": self.earliest,
+        }
+        return max(parts, key=parts.__getitem__)
+
+
 @dataclass(eq=False)
 class _QueuedRequest:
     exch: Exchange
@@ -558,7 +586,7 @@
             n_tokens_ahead = sum(it.held.n_tokens for it in ahead if it.held)
             wait = self._predict_answer(
                 exch, usable, len(ahead), n_tokens_ahead, dry_run=True
-            )
+            ).total
         return PlacementOutlook(assignment, rows, times, ahead, wait, refusal)
 
     def _precedes(self, first: _QueuedRequest, second: _QueuedRequest) -> bool:
@@ -982,9 +1010,10 @@
                 Verdict.NOT_RUN,
                 retry_after=NO_SERVER_RETRY_AFTER,
             )
-        predicted = self._predict_answer(
+        prediction = self._predict_answer(
             exch, servers, n_ahead, n_tokens_ahead, dry_run=dry_run
         )
+        predicted = prediction.total
         time_left = exch.deadline - now
         decision = decide_wait(
             predicted_first_token=predicted,
@@ -995,6 +1024,16 @@
             pause = max(MIN_REFUSAL_CHECK_INTERVAL, (time_left - predicted) / 2)
             queued.check_at = now + min(pause, MAX_REFUSAL_CHECK_INTERVAL)
             return None
+        if self._order is not None and not dry_run:
+            self._order.observe_rejection(
+                exch,
+                evidence=prediction.evidence,
+                wait=predicted,
+                n_ahead=n_ahead,
+                n_tokens_ahead=round(n_tokens_ahead),
+                memory_wait=round(prediction.memory_wait, 3),
+                n_free=prediction.n_free,
+            )
         return Refusal(
             503,
             "too_late",
@@ -1011,8 +1050,8 @@
         n_tokens_ahead: float,
         *,
         dry_run: bool = False,
-    ) -> float:
-        """Return an optimistic time to the first token or answer, in seconds."""
+    ) -> _AnswerPrediction:
+        """Return an optimistic time to the first token or answer."""
         times = self._loads.get_service_times(exch.service)
         states = self._loads.make_states(
             exch.service,
@@ -1022,7 +1061,7 @@
             exch.held,
             may_probe=False,
         )
-        memory_wait = 0.0
+        memory_wait, n_free = 0.0, len(states)
         if exch.held is not None and not any(it.has_room for it in states):
             memory = self._loads.memory
             if not dry_run:
@@ -1030,13 +1069,14 @@
                 memory.try_reserve(exch, (it.name for it in states), waited=waited)
             free = [it.n_free_tokens or 0.0 for it in states]
             memory_wait = memory.predict_wait(exch, n_tokens_ahead, free)
+            n_free = sum(it >= exch.held.n_tokens for it in free)
         earliest = min(
             _predict_earliest_answer(exch, state, times)
             + self.get_server_wait(state.name, dry_run=dry_run)
             for state in states
         )
         queue_wait = self._predict_queue_wait(servers, n_ahead, dry_run=dry_run)
-        return earliest + queue_wait + memory_wait
+        return _AnswerPrediction(earliest, queue_wait, memory_wait, n_free)
 
     def _predict_queue_wait(
         self, servers: list[Registration], n_ahead: int, *, dry_run: bool = False
