Failing test: urgent requests that get no memory while less urgent ones do

Twelve nodes, nine engines of 12,000 tokens, an urgent kind that takes a third of the memory and a less urgent one of over twice its size.

--- a/packages/medlargate/medlargate/relay/tests/test_urgent_refused.py
+++ b/packages/medlargate/medlargate/relay/tests/test_urgent_refused.py
@@ -31,7 +31,7 @@
     body: bytes = b""
 
 
-class _Load:
+class Load:
     """Callers of two routes at random nodes."""
 
     def __init__(self, world, seed=1):
@@ -98,12 +98,12 @@
         )
 
 
-async def start_world(n_nodes, tenants):
+async def start_world(n_nodes, tenants, *, memory=400_000):
     options = {"Priority": 1, "TtftGoalMs": 500, "TimeoutMs": 4000, "Resumable": True}
     urgent = make_route("urgent", "streaming", "work", **options)
     options |= {"Priority": 2, "TtftGoalMs": 1500, "TimeoutMs": 8000}
     long = make_route("long", "streaming", "work", **options)
-    engine = {"Slots": N_SLOTS, "KvCapacity": 400_000, "Stride": 20}
+    engine = {"Slots": N_SLOTS, "KvCapacity": memory, "Stride": 20}
     service = {
         "Name": "work",
         "HealthPath": "/healthz",
@@ -114,7 +114,7 @@
     await world.start(Routes=[urgent, long], Services=[service], Tenants=tenants)
     for number in range(N_ENGINES):
         domain = f"fd-{'abc'[number % 3]}"
-        server = PriorityBackend(f"w{number}", "work", domain, N_SLOTS)
+        server = PriorityBackend(f"w{number}", "work", domain, N_SLOTS, memory=memory)
         server.get_run_time = lambda req: (
             LONG_TIME if req.target.startswith("/long") else URGENT_TIME
         )
@@ -133,19 +133,13 @@
             await asyncio.sleep(0.01)
 
 
-class UrgentRequestsRefusedTest(unittest.IsolatedAsyncioTestCase):
-    """Load of 1.4 times what the engines bear, the urgent kind alone 0.4 of it.
-
-    Nodes of a large fleet have few slots each, so that a node may get none for seconds
-    while the others serve their urgent requests at once.
-    """
-
-    async def start(self, n_nodes=12, tenants=TENANTS):
+class UrgentLoadCase(unittest.IsolatedAsyncioTestCase):
+    async def start(self, n_nodes=12, tenants=TENANTS, **options):
         # Debug mode, the default of this class, makes the event loop the bottleneck.
         asyncio.get_running_loop().set_debug(False)
-        world = await start_world(n_nodes, tenants)
+        world = await start_world(n_nodes, tenants, **options)
         self.addAsyncCleanup(world.close)
-        return _Load(world)
+        return Load(world)
 
     async def finish(self, load, *sends):
         await asyncio.gather(*sends)
@@ -162,6 +156,14 @@
         refused = [it for it in load.list_lost() if b"too_late" in it.body]
         self.assertEqual(len(refused), 0, load.describe())
 
+
+class UrgentRequestsRefusedTest(UrgentLoadCase):
+    """Load of 1.4 times what the engines bear, the urgent kind alone 0.4 of it.
+
+    Nodes of a large fleet have few slots each, so that a node may get none for seconds
+    while the others serve their urgent requests at once.
+    """
+
     async def test_urgent_requests_of_all_nodes_are_served(self):
         load = await self.start()
         await self.finish(load, load.send_urgent(0.4), load.send_long(1.0))
@@ -187,5 +189,35 @@
         )
 
 
+class UrgentRequestsMemoryTest(UrgentLoadCase):
+    """Engines whose memory holds fewer requests than their slots.
+
+    The urgent kind alone takes a third of the memory. Both kinds together exceed it.
+    """
+
+    MEMORY = 12_000  # tokens of an engine
+
+    def check_memory(self, load):
+        for server in load.world.backends.values():
+            if server.service == "work":
+                self.assertEqual(server.n_overfilled, 0, server.server_id)
+
+    async def test_urgent_requests_get_memory_before_less_urgent_ones(self):
+        load = await self.start(memory=self.MEMORY)
+        await self.finish(load, load.send_urgent(0.6), load.send_long(0.8))
+        self.check_memory(load)
+
+    async def test_urgent_requests_get_memory_where_half_of_the_nodes_are_new(self):
+        load = await self.start(n_nodes=6, memory=self.MEMORY)
+
+        async def add_nodes():
+            await asyncio.sleep(4.0)
+            for number in range(7, 13):
+                await load.world.add_node(f"n{number}")
+
+        await self.finish(load, load.send_urgent(0.6), load.send_long(0.8), add_nodes())
+        self.check_memory(load)
+
+
 if __name__ == "__main__":
     unittest.main()
