Failing test: requests to servers that were deleted beside failed store calls

Nine nodes, a fifth of whose calls to the store get 503 while the others are answered, and servers that are removed in turn and serve on.

--- /dev/null
+++ b/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
@@ -0,0 +1,85 @@
+"""Requests that reach servers after the store has deleted their registration."""
+
+import asyncio
+import itertools
+import random
+import time
+import unittest
+
+from medlargate_standins.backend import Backend
+from medlargate_standins.relay_testbed import RelayTestbed
+from returns.result import Failure
+
+from medlargate.platform import PlatformCallError
+from medlargate.policy import Verdict
+
+DRAIN_BOUND = 2.0  # seconds, the default of drain_bound_ms
+N_NODES, N_SERVERS = 9, 8
+DURATION = 12.0  # seconds
+REMOVAL_INTERVAL = 0.4  # seconds
+REQUEST_INTERVAL = 0.01  # seconds
+
+
+class FailedStoreCallsTest(unittest.IsolatedAsyncioTestCase):
+    """A fifth of the calls to the store get 503, and the others are answered."""
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        self.random_state = random.Random(1)
+        self.names = (f"r{number}" for number in itertools.count())
+        self.removed_at = {}
+        self.tasks = []
+        domains = ("fd-a", "fd-b", "fd-c")
+        self.world = RelayTestbed(n_nodes=N_NODES, domains=domains)
+        self.addAsyncCleanup(self.world.close)
+        await self.world.start()
+        for name in ("p1", "p2"):
+            await self.world.remove_backend(name)
+        self.servers = [await self.add_server() for _ in range(N_SERVERS)]
+        for node in self.world.nodes:
+            self.let_calls_fail(node)
+
+    async def add_server(self):
+        return await self.world.add_backend(Backend(next(self.names), "plain"))
+
+    def let_calls_fail(self, node):
+        call = node.watcher.store._call
+
+        async def call_or_fail(*args, **options):
+            if self.random_state.random() < 0.2:
+                return Failure(PlatformCallError(Verdict.NOT_RUN, "status 503"))
+            return await call(*args, **options)
+
+        node.watcher.store._call = call_or_fail
+
+    async def replace_servers(self, end):
+        """Delete registrations in turn; the servers serve on."""
+        while time.monotonic() < end:
+            self.servers.append(await self.add_server())
+            server = self.servers.pop(0)
+            self.world.unregister(server)
+            self.removed_at[server.server_id] = time.monotonic()
+            await asyncio.sleep(REMOVAL_INTERVAL)
+
+    async def send_requests(self, end):
+        for number in itertools.count():
+            if time.monotonic() >= end:
+                return
+            call = self.world.call("/read/x", node=number % N_NODES)
+            self.tasks.append(asyncio.create_task(call))
+            await asyncio.sleep(REQUEST_INTERVAL)
+
+    async def test_server_deleted_beside_failed_calls_gets_no_late_requests(self):
+        end = time.monotonic() + DURATION
+        await asyncio.gather(
+            self.replace_servers(end), self.send_requests(end + DRAIN_BOUND)
+        )
+        replies = await asyncio.gather(*self.tasks)
+        lags = [
+            run.began_at - removed_at
+            for name, removed_at in self.removed_at.items()
+            for run in self.world.backends[name].executions
+        ]
+        self.assertGreater(sum(it.status == 200 for it in replies), 0.9 * len(replies))
+        late = sorted(it for it in lags if it > DRAIN_BOUND)
+        self.assertEqual(late, [], f"latest {max(lags):.2f} s, {len(late)} late")
