The wait for memory is judged by what all nodes release, at its least

Callers saw: 503 "too_late", "12 to 26 s of waiting predicted", at nodes that got little memory, while requests were served elsewhere.

Cause: MemoryTracker.predict_wait divided the tokens ahead by those that this node has running, so a node that got little room predicted many seconds, refused, and kept little room.

Change: the rate is at least this node's part of what all nodes release, and a request is refused only if it is late at the 97.5 % bound of the number of requests that end, as for the rates of the queue.

Measured: test_memory_wait fails before (4.0 s predicted for a request with seven ahead of it where eight end within a second, 0.5 s for the first) and passes.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -92,7 +92,7 @@
     fits_class,
     has_turn,
     may_reserve,
-    predict_release,
+    predict_least_release,
     should_announce,
 )
 from ._server_speed import (
@@ -285,8 +285,8 @@
     "make_request_digest",
     "may_reserve",
     "predict_first_token",
+    "predict_least_release",
     "predict_pause",
-    "predict_release",
     "predict_token_wait",
     "rank_backends",
     "rank_by_hash",
--- a/packages/medlargate/medlargate/policy/_server_room.py
+++ b/packages/medlargate/medlargate/policy/_server_room.py
@@ -276,22 +276,32 @@
     return size > mean_size and waited >= limit
 
 
-def predict_release(n_tokens: float, release_rate: float) -> float:
-    """Return the time until a number of tokens is released.
+def predict_least_release(
+    n_tokens: float, *, size: float, release_rate: float
+) -> float:
+    """Return the least time until room for a number of tokens is released.
 
     Parameters
     ----------
     n_tokens : float
         Tokens that must be released.
+    size : float
+        Tokens that one request releases.
     release_rate : float
         Tokens released per second; 0 if none was released lately.
 
     Returns
     -------
     float
-        Seconds. 0 without a measured rate, as nothing is known then.
+        Time in seconds that is exceeded with a probability of about 0.975 if requests
+        end independently of each other. 0 without a measured rate, as nothing is known
+        then.
     """
-    return max(0.0, n_tokens) / release_rate if release_rate > 0 else 0.0
+    if release_rate <= 0 or n_tokens <= 0:
+        return 0.0
+    # Two standard deviations above the mean number of ends.
+    n_ends = (math.sqrt(1 + n_tokens / size) - 1) ** 2
+    return n_ends * size / release_rate
 
 
 def count_started(requests: Iterable[HeldRequest]) -> int:
--- a/packages/medlargate/medlargate/relay/_memory_tracker.py
+++ b/packages/medlargate/medlargate/relay/_memory_tracker.py
@@ -25,7 +25,7 @@
     fits_class,
     has_turn,
     may_reserve,
-    predict_release,
+    predict_least_release,
     rank_by_hash,
     should_announce,
 )
@@ -512,20 +512,23 @@
         size = max(1.0, exch.held.n_tokens)
         # Room that is too small for the request does not count, and peers use the rest.
         n_usable = sum(it // size for it in free) * size / (1 + self.count_others())
-        duration = self._mean_durations.get(exch.service.name)
+        service = exch.service.name
+        duration = self._mean_durations.get(service)
         if not duration:
             return 0.0
-        n_own = sum(
-            request.n_tokens
-            for memory in self._servers.values()
-            if memory.service == exch.service.name
-            for request, _ in memory.own.values()
-        )
-        # Requests that run now release their tokens within the mean duration. Without
-        # any, this node gets at least its share of one server.
-        n_least = self._mean_sizes.get(exch.service.name, size)
-        return predict_release(
-            n_tokens_ahead + size - n_usable, max(n_own, n_least) / duration
+        # Requests that run now release their tokens within the mean duration. A node
+        # that has got little room lately gets its part of what all nodes release.
+        now, n_own, n_all = self._clock(), 0.0, 0.0
+        for memory in self._servers.values():
+            if memory.service == service:
+                n_own += sum(request.n_tokens for request, _ in memory.own.values())
+                n_all += self._count_held(memory, now)
+        n_least = self._mean_sizes.get(service, size)
+        n_part = n_all / (1 + self.count_others())
+        return predict_least_release(
+            n_tokens_ahead + size - n_usable,
+            size=size,
+            release_rate=max(n_own, n_part, n_least) / duration,
         )
 
     def is_full(self, server_id: str) -> bool:
