The answers that a node holds at the same time have a common limit

From another operator: an engine sent bytes without end in a body; the node kept them all, ran out of memory, and the requests of other clients ended with it.

Change: the buffers of a node's answers, and of incomplete events of streams, share 16 MiB. An answer of more than 64 KiB fails while they take more; smaller ones, which nearly all are, never do.

--- a/packages/medlargate/medlargate/relay/_event_relay.py
+++ b/packages/medlargate/medlargate/relay/_event_relay.py
@@ -59,25 +59,27 @@
     # The first event comes after the prefill, which may take longer than any pause
     # between events.
     limit.stop_waiting()
-    async for data in open_answer.conn.read_body():
-        limit.stop_waiting()
-        try:
-            events = splitter.feed(data)
-        except EventOrderError as exc:
-            raise ExchangeFaultError("invalid", str(exc)) from exc
-        for event in events:
-            exch.attempt.n_events += 1
-            if not started:
-                started = True
-                on_first_event()
-            await start_response()
-            await exch.responder.write(event.data)
-            exch.observe_event(clock())
-            exch.last_event_id = event.event_id
-        if events:
-            limit.start_waiting()
-        elif started:
-            limit.resume_waiting()
+    with open_answer.buffers.open() as buffer:
+        async for data in open_answer.conn.read_body():
+            limit.stop_waiting()
+            try:
+                events = splitter.feed(data)
+            except EventOrderError as exc:
+                raise ExchangeFaultError("invalid", str(exc)) from exc
+            buffer.resize(splitter.n_buffered)
+            for event in events:
+                exch.attempt.n_events += 1
+                if not started:
+                    started = True
+                    on_first_event()
+                await start_response()
+                await exch.responder.write(event.data)
+                exch.observe_event(clock())
+                exch.last_event_id = event.event_id
+            if events:
+                limit.start_waiting()
+            elif started:
+                limit.resume_waiting()
     if splitter.has_partial_event:
         raise ExchangeFaultError("closed", "the stream ended inside an event")
     if not started:
--- a/packages/medlargate/medlargate/relay/_events.py
+++ b/packages/medlargate/medlargate/relay/_events.py
@@ -56,6 +56,11 @@
         """Whether the buffer contains an incomplete event."""
         return bool(self._buffer.strip())
 
+    @property
+    def n_buffered(self) -> int:
+        """Number of bytes of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events completed by them.
 
--- a/packages/medlargate/medlargate/relay/_forwarding.py
+++ b/packages/medlargate/medlargate/relay/_forwarding.py
@@ -34,6 +34,7 @@
     ExchangeFaultError,
     IncomingRequest,
 )
+from ._answer_buffers import AnswerBuffers
 from ._event_relay import relay_events
 from ._exchange import (
     NOT_RUN_STATUSES,
@@ -155,6 +156,8 @@
         Returns the live nodes, given the name of a service.
     clock : callable
         Returns the node's monotonic time in seconds.
+    buffers : AnswerBuffers
+        Buffers of all answers of the node.
     random_state : random.Random
         Source of the choice among equal nodes.
     """
@@ -166,9 +169,11 @@
         reach: ReachMonitor,
         list_peers: Callable[[str], Sequence[ForwardPeer]],
         clock: Callable[[], float],
+        buffers: AnswerBuffers,
         *,
         random_state: random.Random,
     ) -> None:
+        self._buffers = buffers
         self._name = name
         self._domain = domain
         self._reach = reach
@@ -356,7 +361,10 @@
             head = await conn.read_head()
         facts = decode_response(head.status, head.headers)
         answer = OpenAnswer(
-            conn, replace(head, headers=strip_node_headers(head.headers)), facts
+            conn,
+            replace(head, headers=strip_node_headers(head.headers)),
+            facts,
+            self._buffers,
         )
         if facts.request_id != exch.facts.request_id:
             raise ExchangeFaultError("invalid", "an answer to another request")
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -48,6 +48,7 @@
     open_connection,
 )
 from ._accept import Acceptor
+from ._answer_buffers import AnswerBuffers
 from ._block_store import BlockStore
 from ._cold_servers import ColdServers
 from ._crash_guard import CrashGuard
@@ -168,12 +169,14 @@
             self.clock,
             random_state=self.random_state,
         )
+        self.answer_buffers = AnswerBuffers()
         self.forwarder = Forwarder(
             settings.node.name,
             settings.node.failure_domain,
             self.reach,
             lambda service: self.fleet.list_forward_peers(service),
             self.clock,
+            self.answer_buffers,
             random_state=self.random_state,
         )
         self.origins = StreamOrigins(self.cluster_state, self.clock)
@@ -188,6 +191,7 @@
             self.cold,
             self.cluster_state.observe_leaving,
             lambda server_id, limit: self.fleet.observe_rejection(server_id, limit),
+            self.answer_buffers,
         )
         self.request_handler = RequestHandler(
             Acceptor(
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -18,6 +18,7 @@
     ExchangeFaultError,
     ResponseHead,
 )
+from ._answer_buffers import AnswerBuffers
 from ._cold_servers import ColdServers
 from ._exchange import Exchange, strip_node_headers
 from ._load_tracker import LoadTracker
@@ -41,8 +42,7 @@
 # An attempt with less time than this cannot return an answer before the deadline.
 MIN_TIME_LEFT = 0.01  # seconds
 MAX_MISMATCHED_ANSWERS = 3  # answers read per attempt, those to other requests included
-# A server in trouble can send bytes without end. The limit keeps the answers that a
-# small VM buffers at the same time within its memory.
+# A server in trouble can send bytes without end.
 MAX_PLAIN_BYTES = 4_194_304
 MAX_REFUSAL_BYTES = 65_536
 MAX_REFUSAL_TIME = 0.5  # seconds for the body of a refusal
@@ -112,14 +112,21 @@
         Status and headers as received.
     facts : ResponseInfo
         Decoded status and headers.
+    buffers : AnswerBuffers
+        Buffers of all answers of the node.
     """
 
     def __init__(
-        self, conn: BackendConnection, head: ResponseHead, facts: ResponseInfo
+        self,
+        conn: BackendConnection,
+        head: ResponseHead,
+        facts: ResponseInfo,
+        buffers: AnswerBuffers,
     ) -> None:
         self.conn = conn
         self.head = head
         self.facts = facts
+        self.buffers = buffers
 
     async def read_whole(self, *, max_bytes: int = MAX_PLAIN_BYTES) -> Answer:
         """Read the body of the answer.
@@ -137,14 +144,18 @@
         Raises
         ------
         ExchangeFaultError
-            If the answer ends early or is too large.
+            If the answer ends early, is too large, or does not fit into the memory
+            beside the other answers.
         """
         body = bytearray()
-        async for data in self.conn.read_body():
-            body += data
-            if len(body) > max_bytes:
-                raise ExchangeFaultError("invalid", "the body exceeds the size limit")
-        return Answer(self.head, self.facts, bytes(body))
+        with self.buffers.open() as buffer:
+            async for data in self.conn.read_body():
+                body += data
+                if len(body) > max_bytes:
+                    message = "the body exceeds the size limit"
+                    raise ExchangeFaultError("invalid", message)
+                buffer.resize(len(body))
+            return Answer(self.head, self.facts, bytes(body))
 
 
 class Sender:
@@ -165,6 +176,8 @@
     observe_rejection : callable
         Called with the id of a brittle server that has rejected a request, and the
         number of rejections a second that it bears.
+    buffers : AnswerBuffers
+        Buffers of all answers of the node.
     """
 
     def __init__(
@@ -175,7 +188,9 @@
         cold: ColdServers,
         observe_leaving: Callable[[str], None],
         observe_rejection: Callable[[str, float], None],
+        buffers: AnswerBuffers,
     ) -> None:
+        self._buffers = buffers
         self._pool = pool
         self._loads = loads
         self._limits = limits
@@ -372,13 +387,14 @@
                 if facts.request_id == exch.facts.request_id:
                     # A node that forwarded the request would take them for this node's.
                     headers = strip_node_headers(head.headers)
-                    return OpenAnswer(conn, replace(head, headers=headers), facts)
+                    head = replace(head, headers=headers)
+                    return OpenAnswer(conn, head, facts, self._buffers)
                 if not facts.request_id:
                     # It may be a copy of an earlier answer, also on a new connection.
                     message = "an answer that names no request, or several"
                     raise ExchangeFaultError("invalid", message)
                 exch.record("strange_answer", answers=facts.request_id)
-                await OpenAnswer(conn, head, facts).read_whole()
+                await OpenAnswer(conn, head, facts, self._buffers).read_whole()
                 conn.skip_stale_response()
         raise ExchangeFaultError("invalid", "received only answers to other requests")
 
--- a/packages/medlargate/medlargate/relay/tests/test_fuzz_events.py
+++ b/packages/medlargate/medlargate/relay/tests/test_fuzz_events.py
@@ -12,6 +12,7 @@
 from medlargate.policy import RequestStates
 from medlargate.transport import ExchangeFaultError, ResponseHead
 
+from .._answer_buffers import AnswerBuffers
 from .._event_relay import relay_events
 from .._exchange import Exchange
 from .._sender import OpenAnswer
@@ -103,6 +104,7 @@
         FakeConnection(pieces, end),
         ResponseHead(200, headers),
         SimpleNamespace(status=200),
+        AnswerBuffers(),
     )
     limit = SimpleNamespace(
         stop_waiting=lambda: None,
--- a/packages/medlargate/medlargate/relay/tests/test_silence.py
+++ b/packages/medlargate/medlargate/relay/tests/test_silence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import tracemalloc
 
 from medlargate_standins.backend import Backend
 
@@ -78,6 +79,8 @@
     """Bytes that are no answer end an attempt, and use little memory."""
 
     MAX_RECEIVED = 6_000_000  # bytes that a node may take from one connection
+    # Of the smallest VM of 150 MB, nodes use about 60 MB without load.
+    MAX_MEMORY = 80_000_000  # bytes, those of the simulated server included
 
     async def call_with(self, service, behaviour, path, **headers):
         self.set_behaviour(service, lambda _: behaviour)
@@ -112,6 +115,33 @@
         n_disconnects = sum(it.n_disconnects for it in self.world.backends.values())
         self.assertEqual(n_disconnects, 1)
 
+    async def measure_memory(self, service, path, n_calls=40):
+        """Return the memory that many answers at the same time take, in bytes."""
+        server = Backend("many", service, slots=n_calls)
+        server.behaviour = lambda _: "endless-body"
+        for name in [it.server_id for it in self.world.backends.values()]:
+            await self.world.remove_backend(name)
+        await self.world.add_backend(server)
+        await asyncio.sleep(0.3)
+        # Debug mode, the default of this class, keeps the origin of each coroutine.
+        asyncio.get_running_loop().set_debug(False)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        calls = [self.world.call(path) for _ in range(n_calls)]
+        replies = await asyncio.gather(*calls)
+        self.assertFalse(any(it.complete and it.status == 200 for it in replies))
+        self.assertGreater(server.n_connections, n_calls // 6)
+        self.assertGreater(server.n_endless_bytes, 0)
+        return tracemalloc.get_traced_memory()[1]
+
+    async def test_many_endless_bodies_use_little_memory(self):
+        peak = await self.measure_memory("plain", "/book/x")
+        self.assertLess(peak, self.MAX_MEMORY)
+
+    async def test_many_endless_events_use_little_memory(self):
+        peak = await self.measure_memory("engine", "/once-stream/x")
+        self.assertLess(peak, self.MAX_MEMORY)
+
     async def test_slow_endless_body_is_retried_on_another_server(self):
         self.world.backends["p1"].behaviour = lambda _: "trickle"
         self.world.backends["p2"].behaviour = lambda _: "ok"
