Each byte of an incomplete event is searched once

From the report of bytes without end: an engine that sends an event without end in small pieces also takes the processor.

--- a/packages/medlargate/medlargate/relay/_events.py
+++ b/packages/medlargate/medlargate/relay/_events.py
@@ -8,6 +8,7 @@
 MAX_EVENT_BYTES = 1_048_576
 MAX_ID_DIGITS = 18  # int() raises ValueError for some thousand digits
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+MAX_END_BYTES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,11 +81,14 @@
             If an event id is skipped, missing or too long, or an event exceeds
             ``MAX_EVENT_BYTES``.
         """
+        # The end of an event may have begun in the bytes before.
+        start = max(0, len(self._buffer) - MAX_END_BYTES + 1)
         self._buffer += data
         events = []
-        while match := _EVENT_END.search(self._buffer):
+        while match := _EVENT_END.search(self._buffer, start):
             raw = bytes(self._buffer[: match.end()])
             del self._buffer[: match.end()]
+            start = 0
             event_id = _read_id(raw)
             if event_id is None:
                 # Bytes that are no event of the server must not reach the caller.
--- a/packages/medlargate/medlargate/relay/tests/test_silence.py
+++ b/packages/medlargate/medlargate/relay/tests/test_silence.py
@@ -3,9 +3,11 @@
 import asyncio
 import time
 import tracemalloc
+import unittest
 
 from medlargate_standins.backend import Backend
 
+from .._events import MAX_EVENT_BYTES, EventOrderError, EventSplitter
 from .test_relay import RelayCase
 
 
@@ -75,6 +77,25 @@
         await stop
 
 
+class EndlessEventTest(unittest.TestCase):
+    """An event without end, which arrives in small pieces."""
+
+    def test_each_byte_is_searched_once(self):
+        splitter, started_at = EventSplitter(), time.process_time()
+        for _ in range(MAX_EVENT_BYTES // 256):
+            splitter.feed(b"endless " * 32)
+        self.assertLess(time.process_time() - started_at, 1.0)
+        with self.assertRaises(EventOrderError):
+            splitter.feed(b"endless ")
+
+    def test_end_of_an_event_is_found_in_pieces_of_one_byte(self):
+        splitter = EventSplitter()
+        stream = b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\n\r\n"
+        events = [it for byte in stream for it in splitter.feed(bytes([byte]))]
+        self.assertEqual([it.event_id for it in events], [1, 2, 3])
+        self.assertEqual(b"".join(it.data for it in events), stream)
+
+
 class EndlessBytesTest(RelayCase):
     """Bytes that are no answer end an attempt, and use little memory."""
 
