A request is not sent to a server that left while its connection opened

Callers saw: requests reached servers after DrainMs. Placement looks at the registrations, but nothing did between the placement and the send, which waits up to 0.25 s for a connection, and longer at a node that is short of processor time.

Change: once the connection is open, the server is looked up again. If it is removed, drains or has said that it leaves, the request goes back to the queue: not run, without an attempt, a retry of the budget or a fault of the server.

Measured: test_request_is_sent_to_another_server fails before for a call and a stream (the removed server got both) and passes.

--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -496,6 +496,19 @@
         log.info("backend server leaving", extra={"server": server_id})
         self._notify_server_listeners(server_id)
 
+    def has_left(self, server_id: str) -> bool:
+        """Return whether a server may get no more requests.
+
+        Parameters
+        ----------
+        server_id : str
+            Server that was registered.
+        """
+        registration = self.servers.get(server_id)
+        return (
+            registration is None or registration.draining or server_id in self.leaving
+        )
+
     def _record_change(self, change: Change) -> None:
         self.recent_changes.append(change)
         while len(self.recent_changes) > MAX_RECENT_CHANGES:
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -192,6 +192,7 @@
             self.cluster_state.observe_leaving,
             lambda server_id, limit: self.fleet.observe_rejection(server_id, limit),
             self.answer_buffers,
+            self.cluster_state.has_left,
         )
         self.request_handler = RequestHandler(
             Acceptor(
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -629,6 +629,8 @@
             if n_unreachable >= MAX_CONNECT_TRIES:
                 return f"{n_unreachable} servers could not be reached"
             return None
+        if fault.kind == "left":
+            return None
         if fault.kind == "misdirected":
             # The request has not run, so that routes of one attempt retry it too.
             if len(exch.misdirected_servers) > MAX_MISDIRECTED_RETRIES:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -54,8 +54,9 @@
     Parameters
     ----------
     kind : str
-        ``"connect"``, ``"refused"``, ``"misdirected"``, ``"failed"``, or the kind
-        of an ``ExchangeFaultError``.
+        ``"connect"``; ``"left"`` for a server that has left since the placement;
+        ``"refused"``, ``"misdirected"``, ``"failed"``, or the kind of an
+        ``ExchangeFaultError``.
     message : str
         Description of the failure.
     verdict : Verdict
@@ -178,6 +179,8 @@
         number of rejections a second that it bears.
     buffers : AnswerBuffers
         Buffers of all answers of the node.
+    has_left : callable
+        Returns whether a server, given by its id, may get no more requests.
     """
 
     def __init__(
@@ -189,8 +192,10 @@
         observe_leaving: Callable[[str], None],
         observe_rejection: Callable[[str, float], None],
         buffers: AnswerBuffers,
+        has_left: Callable[[str], bool],
     ) -> None:
         self._buffers = buffers
+        self._has_left = has_left
         self._pool = pool
         self._loads = loads
         self._limits = limits
@@ -284,6 +289,10 @@
             if time_left < MIN_TIME_LEFT:
                 exch.states.observe("connect_failure")
                 raise TimeoutError
+            if self._has_left(server.server_id):
+                exch.states.observe("connect_failure")
+                message = "the server left before the request was sent"
+                raise AttemptError("left", message, Verdict.NOT_RUN)
             self._write(exch, conn, assignment, time_left)
             answer = await self._read_head(exch, conn, may_abandon)
             # What the headers say beside the answer must not cost the answer.
--- a/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
@@ -13,6 +13,8 @@
 from medlargate.platform import PlatformCallError
 from medlargate.policy import Verdict
 
+from .test_relay import RelayCase
+
 DRAIN_BOUND = 2.0  # seconds, the default of drain_bound_ms
 N_NODES, N_SERVERS = 9, 8
 DURATION = 12.0  # seconds
@@ -109,3 +111,32 @@
         await sends
         replies = await asyncio.gather(*self.tasks)
         self.assertEqual({it.status for it in replies}, {200})
+
+
+class RemovalDuringConnectTest(RelayCase):
+    """A server is removed after the placement of a request and before its sending."""
+
+    async def test_request_is_sent_to_another_server(self):
+        for path in ("/book/x", "/once-stream/x"):
+            with self.subTest(path):
+                server = await self.remove_while_connecting(path)
+                self.assertEqual(server.received_requests, [])
+
+    async def remove_while_connecting(self, path):
+        removed, acquire = [], self.node.pool.acquire
+
+        async def acquire_late(server_id, *args, **options):
+            conn = await acquire(server_id, *args, **options)
+            if not removed:
+                removed.append(self.world.backends[server_id])
+                self.world.unregister(removed[0])
+                async with asyncio.timeout(2.0):
+                    while server_id in self.node.cluster_state.servers:
+                        await asyncio.sleep(0.01)
+            return conn
+
+        self.node.pool.acquire = acquire_late
+        reply = await self.world.call(path)
+        self.node.pool.acquire = acquire
+        self.assertEqual(reply.status, 200)
+        return removed[0]
