A large request without a queue may be alone on an engine in the node's turn

Services of one priority look at the turn first; now all do.

test_large_request_of_a_node_without_a_queue_is_sent_in_its_turn fails before and passes.

--- a/packages/medlargate/medlargate/policy/_server_room.py
+++ b/packages/medlargate/medlargate/policy/_server_room.py
@@ -221,16 +221,16 @@
         holds a request of each node whose turn comes first.
     """
     n_free = (1 - URGENT_RESERVE * (1 - urgency)) * bound - (n_held - n_recent)
-    if not n_others:
-        return n_recent + size <= n_free or (n_held == 0 and size <= capacity)
+    n_open, n_each = n_free / 2, max(typical_size, size)
+    if not n_turns_ahead:
+        # A half that is too small for the others is left to the node that has the turn.
+        is_open = n_others and contended and n_each <= n_open
+        n_left = n_open if is_open else 0.0
+        is_alone = n_held == 0 and size <= capacity
+        return n_recent + size + n_left <= n_free or is_alone
     if not contended:
         return n_recent + 2 * size <= n_free
-    n_open, n_each = n_free / 2, max(typical_size, size)
-    if n_turns_ahead:
-        return n_recent == 0 and n_each * n_turns_ahead <= n_open
-    # A half that is too small for the others is left to the node that has the turn.
-    n_left = n_open if n_each <= n_open else 0.0
-    return n_recent + size + n_left <= n_free or (n_held == 0 and size <= capacity)
+    return n_recent == 0 and n_each * n_turns_ahead <= n_open
 
 
 def should_announce(size: float, *, n_held: float, bound: float) -> bool:
--- a/packages/medlargate/medlargate/policy/tests/test_server_room.py
+++ b/packages/medlargate/medlargate/policy/tests/test_server_room.py
@@ -150,6 +150,25 @@
         ):
             found = fits(3900, n_held=n_held, turn=turn, contended=contended, **options)
             self.assertEqual(found, expected)
+            for urgency in (0.0, 1.0):
+                found = fits_class(
+                    3900,
+                    urgency=urgency,
+                    n_held=n_held,
+                    n_turns_ahead=int(not turn),
+                    contended=contended,
+                    **options,
+                )
+                self.assertEqual(found, expected)
+
+    def test_large_request_of_a_node_without_a_queue_is_sent_in_its_turn(self):
+        options = {"bound": 3800, "capacity": 4000, "n_others": 5, "n_held": 0}
+        options |= {"n_recent": 0, "typical_size": 1136, "contended": False}
+        for n_turns_ahead in (0, 1):
+            found = fits_class(
+                3900, urgency=1.0, n_turns_ahead=n_turns_ahead, **options
+            )
+            self.assertEqual(found, not n_turns_ahead)
 
     def test_shared_parts_count_once(self):
         requests = [HeldRequest(700, 80.0, parts=(("p", 200),)) for _ in range(3)]
