--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -587,13 +587,17 @@
             await writer.drain()
             if event == event_number and kind.endswith(("end", "-after")):
                 return await self._break_off(req, writer, kind)
-            if work.pause:
-                await asyncio.sleep(work.pause)
+            await self._pause_stream(req, event, work)
         if is_framed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
         return is_framed
 
+    async def _pause_stream(self, req: ReceivedRequest, event: int, work: Work) -> None:
+        """Wait between an event of a stream and the next one."""
+        if work.pause:
+            await asyncio.sleep(work.pause)
+
     async def _break_off(
         self, req: ReceivedRequest, writer: asyncio.StreamWriter, kind: str
     ) -> bool:
--- a/packages/medlargate-standins/medlargate_standins/priority_backend.py
+++ b/packages/medlargate-standins/medlargate_standins/priority_backend.py
@@ -52,7 +52,7 @@
             writer.write(encode_head(req, 503, 0, extra))
             await writer.drain()
             return True
-        n_tokens = _count_tokens(req)
+        n_tokens = sum(parse_token_usage(req))
         self._n_held_tokens += n_tokens
         self.n_overfilled += 0 < self.memory < self._n_held_tokens
         try:
@@ -104,7 +104,7 @@
         return super()._encode_extra_headers() + load
 
 
-def _count_tokens(req: ReceivedRequest) -> int:
-    """Return the tokens of a request's prompt and answer."""
-    usage = req.headers.get("token-usage", "")
-    return sum(int(it) for it in usage.split(",") if it)
+def parse_token_usage(req: ReceivedRequest) -> tuple[int, int]:
+    """Return the tokens of a request's prompt, and of its answer at most."""
+    n_prompt, _, n_output = req.headers.get("token-usage", "0,0").partition(",")
+    return int(n_prompt), int(n_output)
--- a/packages/medlargate/medlargate/relay/tests/test_urgent_refused.py
+++ b/packages/medlargate/medlargate/relay/tests/test_urgent_refused.py
@@ -98,12 +98,24 @@
         )
 
 
-async def start_world(n_nodes, tenants, *, memory=400_000):
+async def start_world(n_nodes, tenants=TENANTS, *, memory=400_000):
     options = {"Priority": 1, "TtftGoalMs": 500, "TimeoutMs": 4000, "Resumable": True}
     urgent = make_route("urgent", "streaming", "work", **options)
     options |= {"Priority": 2, "TtftGoalMs": 1500, "TimeoutMs": 8000}
     long = make_route("long", "streaming", "work", **options)
+
+    def make_server(server_id, domain):
+        server = PriorityBackend(server_id, "work", domain, N_SLOTS, memory=memory)
+        server.get_run_time = lambda req: (
+            LONG_TIME if req.target.startswith("/long") else URGENT_TIME
+        )
+        return server
+
     engine = {"Slots": N_SLOTS, "KvCapacity": memory, "Stride": 20}
+    return await start_fleet(n_nodes, [urgent, long], engine, make_server, tenants)
+
+
+async def start_fleet(n_nodes, routes, engine, make_server, tenants=TENANTS):
     service = {
         "Name": "work",
         "HealthPath": "/healthz",
@@ -111,14 +123,9 @@
         "Backend": engine,
     }
     world = RelayTestbed(n_nodes=n_nodes, domains=("fd-a", "fd-b", "fd-c"))
-    await world.start(Routes=[urgent, long], Services=[service], Tenants=tenants)
+    await world.start(Routes=routes, Services=[service], Tenants=tenants)
     for number in range(N_ENGINES):
-        domain = f"fd-{'abc'[number % 3]}"
-        server = PriorityBackend(f"w{number}", "work", domain, N_SLOTS, memory=memory)
-        server.get_run_time = lambda req: (
-            LONG_TIME if req.target.startswith("/long") else URGENT_TIME
-        )
-        await world.add_backend(server)
+        await world.add_backend(make_server(f"w{number}", f"fd-{'abc'[number % 3]}"))
     await wait_for_fleet(world, n_nodes)
     return world
 
@@ -134,10 +141,12 @@
 
 
 class UrgentLoadCase(unittest.IsolatedAsyncioTestCase):
-    async def start(self, n_nodes=12, tenants=TENANTS, **options):
+    start_world = staticmethod(start_world)
+
+    async def start(self, n_nodes=12, *args, **options):
         # Debug mode, the default of this class, makes the event loop the bottleneck.
         asyncio.get_running_loop().set_debug(False)
-        world = await start_world(n_nodes, tenants, **options)
+        world = await self.start_world(n_nodes, *args, **options)
         self.addAsyncCleanup(world.close)
         return Load(world)
 
