Test of urgent streams beside prefill: engines at the speed that nodes assume

Now twelve nodes (2 to 5 ms late in the median) and engines of 40,000 tokens a second, the initial estimate. Streams have the same relation of length to deadline as before: under prefill without a break they take 3.9 s of 4.5 s. The bound is the same.

--- a/packages/medlargate-standins/medlargate_standins/prefill_backend.py
+++ b/packages/medlargate-standins/medlargate_standins/prefill_backend.py
@@ -17,6 +17,7 @@
     reader: asyncio.StreamReader
     n_unread: int
     n_generated: int = 0
+    n_awaited: int = 1
     progress: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -39,10 +40,10 @@
         Tokens in one event of a stream.
     """
 
-    prefill_rate: float = 20_000.0
+    prefill_rate: float = 40_000.0
     chunk_size: int = 2_048
-    step_time: float = 0.02
-    n_tokens_per_event: int = 4
+    step_time: float = 0.01
+    n_tokens_per_event: int = 8
     _sequences: dict[str, _Sequence] = field(default_factory=dict)
     _steps: asyncio.Task[None] | None = None
 
@@ -69,6 +70,7 @@
         await self._wait_for_tokens(self._sequences[req.request_id], n_tokens)
 
     async def _wait_for_tokens(self, sequence: _Sequence, n_tokens: int) -> None:
+        sequence.n_awaited = n_tokens
         while sequence.n_generated < n_tokens:
             if sequence.reader.at_eof():
                 raise ConnectionResetError("the client closed the connection")
@@ -85,4 +87,6 @@
                 first.n_unread -= n_read
             for sequence in self._sequences.values():
                 sequence.n_generated += not sequence.n_unread
-                sequence.progress.set()
+                is_due = sequence.n_generated >= sequence.n_awaited
+                if is_due or sequence.reader.at_eof():
+                    sequence.progress.set()
--- a/packages/medlargate/medlargate/relay/tests/test_urgent_prefill.py
+++ b/packages/medlargate/medlargate/relay/tests/test_urgent_prefill.py
@@ -8,14 +8,14 @@
 from .test_urgent_refused import N_ENGINES, UrgentLoadCase, start_fleet
 
 N_SLOTS = 32
-LONG_PROMPT = 8_000  # tokens
+LONG_PROMPT = 16_000  # tokens
 # Prefill of this many long prompts a second takes all the time of all engines.
 MAX_LONG_RATE = N_ENGINES * PrefillBackend.prefill_rate / LONG_PROMPT
-URGENT_RATE = 30.0  # requests a second
+URGENT_RATE = 40.0  # requests a second
 
 
 async def start_world(n_nodes):
-    options = {"Priority": 0, "TtftGoalMs": 300, "TimeoutMs": 5000, "ItlGoalMs": 600}
+    options = {"Priority": 0, "TtftGoalMs": 300, "TimeoutMs": 4500, "ItlGoalMs": 600}
     urgent = make_route("urgent", "streaming", "work", **options)
     options = {"Priority": 2, "TtftGoalMs": 1500, "TimeoutMs": 8000, "ItlGoalMs": 2000}
     long = make_route("long", "streaming", "work", **options)
@@ -35,8 +35,8 @@
 
     async def run_load(self, n_nodes, long_load):
         load = await self.start(n_nodes)
-        urgent = {"Token_Usage": "400,40", "Deadline_Ms": "5000"}
-        long = {"Token_Usage": f"{LONG_PROMPT},40", "Deadline_Ms": "8000"}
+        urgent = {"Token_Usage": "400,64", "Deadline_Ms": "4500"}
+        long = {"Token_Usage": f"{LONG_PROMPT},64", "Deadline_Ms": "8000"}
         await self.finish(
             load,
             load.send("urgent", URGENT_RATE, **urgent),
@@ -44,7 +44,7 @@
         )
 
     async def test_urgent_streams_end_beside_long_prompts_of_many_nodes(self):
-        await self.run_load(24, long_load=1.3)
+        await self.run_load(12, long_load=1.3)
 
 
 if __name__ == "__main__":
