Take turns at sending long prompts to an engine whose prefill ends

Many nodes with waiting long prompts compute the same end of an engine's prefill and all sent one at that moment, before the first announcement arrived. With nodes' queues full, prefill of seconds lay at an engine, and since engines process prompts in order of arrival, urgent ones waited behind it. The more nodes, the more at once.

As for memory, the node that has the turn at an engine (policy has_turn) sends as before. Another one sends a long prompt once the engine has had no prefill for TRANSIT_TIME, when all have heard of what the node with the turn sent. The more urgent a request, the shorter that time; without the turn its class has no higher limit of the backlog.

--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -17,6 +17,7 @@
 from ._fill_limits import FillLimits
 from ._placement import ServerState
 from ._prefill_isolation import LONG_PREFILL_TIME
+from ._server_room import TRANSIT_TIME
 
 # Largest prefill backlog of an engine that is sent a long prompt: only prefill that is
 # almost complete.
@@ -49,6 +50,8 @@
     prefill_time: float = 0.0,
     accept_any: bool = False,
     limits: FillLimits | None = None,
+    has_turn: bool = True,
+    urgency: float | None = None,
 ) -> bool:
     """Return whether a server should be sent another request now.
 
@@ -65,6 +68,12 @@
         the accepted backlog.
     limits : FillLimits or None
         How far requests of this class may fill a server; None if there is one class.
+    has_turn : bool, default=True
+        Whether it is the node's turn to send a long prompt to the engine. Without
+        turns, all nodes with a waiting prompt would send it once the prefill ends.
+    urgency : float or None
+        Rank of the request's priority among those that arrive, from 0 for the least
+        urgent to 1; None if there is only one.
 
     Returns
     -------
@@ -82,17 +91,29 @@
         return True
     max_backlog = MAX_SHORT_PROMPT_BACKLOG
     if prefill_time > LONG_PREFILL_TIME:
+        if state.idle_time < _compute_pause(has_turn, urgency):
+            return False
         max_backlog = (
             MAX_LONG_PROMPT_BACKLOG_ANY_SERVER
             if accept_any
             else MAX_LONG_PROMPT_BACKLOG
         )
-        if limits is not None:
+        if limits is not None and has_turn:
             # Less urgent long prompts take any engine whose backlog is below theirs.
             max_backlog += limits.urgency * MAX_URGENT_BACKLOG_RESERVE
     return state.n_running < n_slots and state.backlog < max_backlog
 
 
+def _compute_pause(has_turn: bool, urgency: float | None) -> float:
+    """Return the time without prefill before an engine gets a long prompt, in seconds.
+
+    The other nodes have heard of the prompt of the node that has the turn by then. The
+    most urgent requests do not wait for it.
+    """
+    pause = 0.0 if has_turn else TRANSIT_TIME
+    return pause if urgency is None else (1 - urgency) * pause
+
+
 def make_queue_key(
     *,
     priority: int,
--- a/packages/medlargate/medlargate/policy/tests/test_placement.py
+++ b/packages/medlargate/medlargate/policy/tests/test_placement.py
@@ -6,6 +6,7 @@
 
 from medlargate.policy import (
     LONG_PREFILL_TIME,
+    TRANSIT_TIME,
     FleetRetryBudget,
     ServerState,
     ServiceTimes,
@@ -104,6 +105,17 @@
         state = engine("e1", backlog=0.05)
         self.assertTrue(has_capacity(state, is_engine=True, prefill_time=0.4))
 
+    def test_nodes_do_not_all_send_when_the_prefill_of_an_engine_ends(self):
+        def accepts(idle_time, has_turn):
+            state = engine("e1", n_running=1, idle_time=idle_time)
+            return has_capacity(
+                state, is_engine=True, prefill_time=0.4, has_turn=has_turn
+            )
+
+        self.assertTrue(accepts(0.0, True))
+        self.assertFalse(accepts(0.0, False))
+        self.assertTrue(accepts(TRANSIT_TIME, False))
+
     def test_reserved_engines_are_few_and_the_same_on_every_node(self):
         names = [f"e{n}" for n in range(12)]
         self.assertEqual(
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -650,6 +650,8 @@
             prefill_time=_predict_prefill_time(state, times),
             accept_any=accept_any,
             limits=limits,
+            has_turn=self._loads.memory.has_turn(state.name),
+            urgency=exch.held.urgency if exch.held is not None else None,
         )
 
     def _is_short_prompt(self, exch: Exchange, times: ServiceTimes) -> bool:
