Leave breaks in the prefill of engines to urgent streams

Callers of urgent streams left before the end while less urgent long prompts began.

A long prompt of a less urgent class is now sent once the engine has had no prefill for a third of the prompt's prefill time, less for the more urgent classes. Where only one priority arrives, nothing changes.

--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -37,6 +37,9 @@
 # Requests sent to a plain server beyond its slots, as a fraction of the slots. Further
 # requests are better queued at the node.
 PLAIN_QUEUE_FRACTION = 0.5
+# Time without prefill before the next long prompt of the least urgent class, as a share
+# of its prefill time. More urgent streams get most of their tokens in it.
+URGENT_PREFILL_PAUSE = 1 / 3
 MIN_RETRY_AFTER = 0.25  # seconds
 MAX_RETRY_AFTER = 3.0  # seconds
 # Callers follow Retry-After only up to this fraction of their remaining time.
@@ -91,7 +94,7 @@
         return True
     max_backlog = MAX_SHORT_PROMPT_BACKLOG
     if prefill_time > LONG_PREFILL_TIME:
-        if state.idle_time < _compute_pause(has_turn, urgency):
+        if state.idle_time < _compute_pause(prefill_time, has_turn, urgency):
             return False
         max_backlog = (
             MAX_LONG_PROMPT_BACKLOG_ANY_SERVER
@@ -104,14 +107,16 @@
     return state.n_running < n_slots and state.backlog < max_backlog
 
 
-def _compute_pause(has_turn: bool, urgency: float | None) -> float:
+def _compute_pause(prefill_time: float, has_turn: bool, urgency: float | None) -> float:
     """Return the time without prefill before an engine gets a long prompt, in seconds.
 
     The other nodes have heard of the prompt of the node that has the turn by then. The
-    most urgent requests do not wait for it.
+    most urgent requests wait for neither.
     """
     pause = 0.0 if has_turn else TRANSIT_TIME
-    return pause if urgency is None else (1 - urgency) * pause
+    if urgency is None:
+        return pause
+    return (1 - urgency) * (pause + URGENT_PREFILL_PAUSE * prefill_time)
 
 
 def make_queue_key(
--- a/packages/medlargate/medlargate/policy/tests/test_placement.py
+++ b/packages/medlargate/medlargate/policy/tests/test_placement.py
@@ -116,6 +116,20 @@
         self.assertFalse(accepts(0.0, False))
         self.assertTrue(accepts(TRANSIT_TIME, False))
 
+    def test_less_urgent_prompts_leave_breaks_to_urgent_streams(self):
+        def accepts(urgency, idle_time):
+            state = engine("e1", n_running=1, idle_time=idle_time)
+            return has_capacity(
+                state, is_engine=True, prefill_time=0.4, urgency=urgency
+            )
+
+        for urgency in (None, 1.0):
+            self.assertTrue(accepts(urgency, 0.0))
+        self.assertFalse(accepts(0.5, 0.05))
+        self.assertTrue(accepts(0.5, 0.1))
+        self.assertFalse(accepts(0.0, 0.1))
+        self.assertTrue(accepts(0.0, 0.2))
+
     def test_reserved_engines_are_few_and_the_same_on_every_node(self):
         names = [f"e{n}" for n in range(12)]
         self.assertEqual(
