--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -471,7 +471,7 @@
     def announce_long_prompt(
         self, server_id: str, parts: tuple[PromptPart, ...]
     ) -> None:
-        """Announce to all nodes that an engine got a long prompt.
+        """Announce to peers that an engine got a long prompt.
 
         Parameters
         ----------
@@ -489,10 +489,8 @@
             n_running=n_running,
             reading=prefill_time,
             parts=rows,
-            zone=self.table.zone,
         )
-        addresses = [peer.address for peer in self.table.list_alive()]
-        self.messenger.send(load_update, addresses)
+        self.messenger.broadcast_to_domain(load_update)
 
     def announce_load(self, server_id: str) -> None:
         """Tell all nodes at once what this node's requests hold at a server.
@@ -829,15 +827,18 @@
                 load_update.n_running,
                 load_update.held,
             )
-        if load_update.parts and not is_remote:
+        if is_remote:
+            # The status of its domain has the load, in a sum.
+            return
+        if load_update.parts:
             self.domains.observe_parts(load_update.server, load_update.parts)
+        parts = [PromptPart(*row) for row in load_update.parts]
         self._loads.observe_load_update(
             load_update.sender,
             load_update.server,
             load_update.n_running,
             load_update.reading,
-            [PromptPart(*row) for row in load_update.parts],
-            zone=zone if is_remote else None,
+            parts,
         )
 
     def _compare_state(self, status: StatusMessage) -> None:
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -858,8 +858,6 @@
         n_running: int,
         prefill_time: float,
         parts: Iterable[PromptPart],
-        *,
-        zone: str | None = None,
     ) -> None:
         """Store the load and prompt parts that a peer announced for one server.
 
@@ -875,18 +873,13 @@
             Outstanding prefill work of these requests, in seconds.
         parts : iterable of PromptPart
             Prompt parts that the server caches after this work.
-        zone : str or None
-            Failure domain of the peer if that is another one.
         """
         view = self.get_view(server_id)
         now = time.monotonic()
-        load = PeerLoad(n_running, prefill_time, now, now + PEER_LIFETIME)
-        if zone is not None:
-            # The next status of its domain has the load, in a sum.
-            view.observe_remote_prefill(zone, peer, load)
-        else:
-            view.peer_loads[peer] = load
-            self._loaded_by_peer.setdefault(peer, set()).add(server_id)
+        view.peer_loads[peer] = PeerLoad(
+            n_running, prefill_time, now, now + PEER_LIFETIME
+        )
+        self._loaded_by_peer.setdefault(peer, set()).add(server_id)
         view.observe_parts(parts, ready_at=now + prefill_time)
 
     def get_own_load(self, server_id: str) -> tuple[int, float]:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -132,9 +132,6 @@
         Running requests of this node by exchange id.
     peer_loads : dict of str to PeerLoad
         Loads reported by peers and other failure domains, by name.
-    remote_prefill : dict of str to dict of str to PeerLoad
-        Loads that single nodes of other failure domains announced, by domain and name.
-        The reports of their domains contain them later.
     prefill_until : float
         Monotonic time at which prefill of this node's requests ends, in seconds.
     busy_until : float
@@ -184,7 +181,6 @@
 
     running: dict[int, RunningRequest] = field(default_factory=dict)
     peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
-    remote_prefill: dict[str, dict[str, PeerLoad]] = field(default_factory=dict)
     prefill_until: float = float("-inf")
     busy_until: float = float("-inf")
     reported_load: ServerLoad | None = None
@@ -287,24 +283,11 @@
     def total_prefill_time(self, now: float) -> float:
         """Return the prefill work of all nodes ahead of a new request, in seconds."""
         total = self.own_prefill_time(now)
-        for name, load in self.peer_loads.items():
-            if load.prefill_time and name not in self.remote_prefill:
+        for load in self.peer_loads.values():
+            if load.prefill_time:
                 total += load.remaining_prefill_time(now)
-        for zone, rows in self.remote_prefill.items():
-            announced = sum(it.remaining_prefill_time(now) for it in rows.values())
-            whole = self.peer_loads.get(zone)
-            reported = whole.remaining_prefill_time(now) if whole is not None else 0.0
-            total += max(announced, reported)
         return total
 
-    def observe_remote_prefill(self, zone: str, node: str, load: PeerLoad) -> None:
-        """Store the load that a node of another failure domain announced."""
-        rows = self.remote_prefill.setdefault(zone, {})
-        now = load.received_at
-        for name in [it for it, row in rows.items() if now >= row.valid_until]:
-            del rows[name]
-        rows[node] = load
-
     def observe_backlog(self, backlog: float, now: float) -> float:
         """Return the time without prefill until now, in seconds.
 
