--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -101,7 +101,7 @@
             if accept_any
             else MAX_LONG_PROMPT_BACKLOG
         )
-        if limits is not None and has_turn:
+        if limits is not None:
             # Less urgent long prompts take any engine whose backlog is below theirs.
             max_backlog += limits.urgency * MAX_URGENT_BACKLOG_RESERVE
     return state.n_running < n_slots and state.backlog < max_backlog
