Let the nodes of an engine's failure domain send long prompts first

Until a long prompt has waited for its best engine (accept_any), it is sent to an engine of another domain only after 0.5 s without prefill there.

--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -40,6 +40,8 @@
 # Time without prefill before the next long prompt of the least urgent class, as a share
 # of its prefill time. More urgent streams get most of their tokens in it.
 URGENT_PREFILL_PAUSE = 1 / 3
+# Time after which the nodes of other failure domains have heard of a long prompt.
+DOMAIN_TRANSIT_TIME = 0.5  # seconds
 MIN_RETRY_AFTER = 0.25  # seconds
 MAX_RETRY_AFTER = 3.0  # seconds
 # Callers follow Retry-After only up to this fraction of their remaining time.
@@ -54,6 +56,7 @@
     accept_any: bool = False,
     limits: FillLimits | None = None,
     has_turn: bool = True,
+    is_remote: bool = False,
     urgency: float | None = None,
 ) -> bool:
     """Return whether a server should be sent another request now.
@@ -74,6 +77,9 @@
     has_turn : bool, default=True
         Whether it is the node's turn to send a long prompt to the engine. Without
         turns, all nodes with a waiting prompt would send it once the prefill ends.
+    is_remote : bool, default=False
+        Whether the engine is in another failure domain, whose nodes tell this one late
+        of the long prompts that they send.
     urgency : float or None
         Rank of the request's priority among those that arrive, from 0 for the least
         urgent to 1; None if there is only one.
@@ -94,7 +100,7 @@
         return True
     max_backlog = MAX_SHORT_PROMPT_BACKLOG
     if prefill_time > LONG_PREFILL_TIME:
-        if state.idle_time < _compute_pause(prefill_time, has_turn, urgency):
+        if state.idle_time < _compute_pause(prefill_time, has_turn, is_remote, urgency):
             return False
         max_backlog = (
             MAX_LONG_PROMPT_BACKLOG_ANY_SERVER
@@ -107,13 +113,18 @@
     return state.n_running < n_slots and state.backlog < max_backlog
 
 
-def _compute_pause(prefill_time: float, has_turn: bool, urgency: float | None) -> float:
+def _compute_pause(
+    prefill_time: float, has_turn: bool, is_remote: bool, urgency: float | None
+) -> float:
     """Return the time without prefill before an engine gets a long prompt, in seconds.
 
-    The other nodes have heard of the prompt of the node that has the turn by then. The
-    most urgent requests wait for neither.
+    The other nodes have heard of the prompt of the node that has the turn by then, and
+    those of other failure domains of the prompts sent in the engine's domain. The most
+    urgent requests wait for neither.
     """
     pause = 0.0 if has_turn else TRANSIT_TIME
+    if is_remote:
+        pause += DOMAIN_TRANSIT_TIME
     if urgency is None:
         return pause
     return (1 - urgency) * (pause + URGENT_PREFILL_PAUSE * prefill_time)
--- a/packages/medlargate/medlargate/policy/tests/test_placement.py
+++ b/packages/medlargate/medlargate/policy/tests/test_placement.py
@@ -116,6 +116,17 @@
         self.assertFalse(accepts(0.0, False))
         self.assertTrue(accepts(TRANSIT_TIME, False))
 
+    def test_nodes_of_other_domains_let_those_of_the_engine_go_first(self):
+        def accepts(idle_time, is_remote):
+            state = engine("e1", n_running=1, idle_time=idle_time)
+            return has_capacity(
+                state, is_engine=True, prefill_time=0.4, is_remote=is_remote
+            )
+
+        self.assertTrue(accepts(0.0, False))
+        self.assertFalse(accepts(0.4, True))
+        self.assertTrue(accepts(0.5, True))
+
     def test_less_urgent_prompts_leave_breaks_to_urgent_streams(self):
         def accepts(urgency, idle_time):
             state = engine("e1", n_running=1, idle_time=idle_time)
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -653,6 +653,7 @@
             accept_any=accept_any,
             limits=limits,
             has_turn=is_short or self._loads.memory.has_turn(state.name),
+            is_remote=state.domain != self._loads.domain and not accept_any,
             urgency=exch.held.urgency if exch.held is not None else None,
         )
 
