Revert turns and breaks in the prefill of engines

Cause: long prompts wait for a turn or a break in calm, too, and each pass through a queue computes the states of 140 engines anew, on nodes with 0.4 of a core.

--- a/packages/medlargate/medlargate/policy/_placement.py
+++ b/packages/medlargate/medlargate/policy/_placement.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from random import Random
@@ -68,8 +67,6 @@
         known, and number of its slots.
     backlog : float
         Prefill time ahead of a new request, in seconds.
-    idle_time : float
-        Time since the engine had prefill work that this node knew of, in seconds.
     n_uncached : int
         Number of the request's prompt tokens that the server does not have cached.
     n_fetchable : int
@@ -108,7 +105,6 @@
     n_running: int
     n_slots: int
     backlog: float = 0.0
-    idle_time: float = math.inf
     n_uncached: int = 0
     n_fetchable: int = 0
     source: str | None = None
--- a/packages/medlargate/medlargate/policy/_waiting.py
+++ b/packages/medlargate/medlargate/policy/_waiting.py
@@ -17,7 +17,6 @@
 from ._fill_limits import FillLimits
 from ._placement import ServerState
 from ._prefill_isolation import LONG_PREFILL_TIME
-from ._server_room import TRANSIT_TIME
 
 # Largest prefill backlog of an engine that is sent a long prompt: only prefill that is
 # almost complete.
@@ -37,11 +36,6 @@
 # Requests sent to a plain server beyond its slots, as a fraction of the slots. Further
 # requests are better queued at the node.
 PLAIN_QUEUE_FRACTION = 0.5
-# Time without prefill before the next long prompt of the least urgent class, as a share
-# of its prefill time. More urgent streams get most of their tokens in it.
-URGENT_PREFILL_PAUSE = 1 / 3
-# Time after which the nodes of other failure domains have heard of a long prompt.
-DOMAIN_TRANSIT_TIME = 0.5  # seconds
 MIN_RETRY_AFTER = 0.25  # seconds
 MAX_RETRY_AFTER = 3.0  # seconds
 # Callers follow Retry-After only up to this fraction of their remaining time.
@@ -55,9 +49,6 @@
     prefill_time: float = 0.0,
     accept_any: bool = False,
     limits: FillLimits | None = None,
-    has_turn: bool = True,
-    is_remote: bool = False,
-    urgency: float | None = None,
 ) -> bool:
     """Return whether a server should be sent another request now.
 
@@ -74,15 +65,6 @@
         the accepted backlog.
     limits : FillLimits or None
         How far requests of this class may fill a server; None if there is one class.
-    has_turn : bool, default=True
-        Whether it is the node's turn to send a long prompt to the engine. Without
-        turns, all nodes with a waiting prompt would send it once the prefill ends.
-    is_remote : bool, default=False
-        Whether the engine is in another failure domain, whose nodes tell this one late
-        of the long prompts that they send.
-    urgency : float or None
-        Rank of the request's priority among those that arrive, from 0 for the least
-        urgent to 1; None if there is only one.
 
     Returns
     -------
@@ -100,8 +82,6 @@
         return True
     max_backlog = MAX_SHORT_PROMPT_BACKLOG
     if prefill_time > LONG_PREFILL_TIME:
-        if state.idle_time < _compute_pause(prefill_time, has_turn, is_remote, urgency):
-            return False
         max_backlog = (
             MAX_LONG_PROMPT_BACKLOG_ANY_SERVER
             if accept_any
@@ -113,23 +93,6 @@
     return state.n_running < n_slots and state.backlog < max_backlog
 
 
-def _compute_pause(
-    prefill_time: float, has_turn: bool, is_remote: bool, urgency: float | None
-) -> float:
-    """Return the time without prefill before an engine gets a long prompt, in seconds.
-
-    The other nodes have heard of the prompt of the node that has the turn by then, and
-    those of other failure domains of the prompts sent in the engine's domain. The most
-    urgent requests wait for neither.
-    """
-    pause = 0.0 if has_turn else TRANSIT_TIME
-    if is_remote:
-        pause += DOMAIN_TRANSIT_TIME
-    if urgency is None:
-        return pause
-    return (1 - urgency) * (pause + URGENT_PREFILL_PAUSE * prefill_time)
-
-
 def make_queue_key(
     *,
     priority: int,
--- a/packages/medlargate/medlargate/relay/_load_tracker.py
+++ b/packages/medlargate/medlargate/relay/_load_tracker.py
@@ -203,7 +203,6 @@
             has_memory, n_free_tokens = True, None
             if compute_room is not None:
                 has_memory, n_free_tokens = compute_room(server.server_id)
-            backlog = view.total_prefill_time(now)
             cached = view.count_cached(parts) if view.cached_parts else 0
             # Fewer tokens than MIN_FETCH_TOKENS are not fetched (`source` is None), but
             # they still count as fetchable: the predictions include the time of a
@@ -215,8 +214,7 @@
                     domain=server.zone,
                     n_running=view.count_running(now),
                     n_slots=n_slots or server.n_slots,
-                    backlog=backlog,
-                    idle_time=view.observe_backlog(backlog, now),
+                    backlog=view.total_prefill_time(now),
                     n_uncached=max(0, n_tokens - cached),
                     n_fetchable=n_fetchable,
                     source=source[0]
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -644,17 +644,12 @@
             n_occupied = view.count_occupied(time.monotonic())
             if n_occupied >= limits.compute_slot_limit(state.n_slots):
                 return False
-        prefill_time = _predict_prefill_time(state, times)
-        is_short = prefill_time <= LONG_PREFILL_TIME
         return has_capacity(
             state,
             is_engine=exch.service.engine is not None,
-            prefill_time=prefill_time,
+            prefill_time=_predict_prefill_time(state, times),
             accept_any=accept_any,
             limits=limits,
-            has_turn=is_short or self._loads.memory.has_turn(state.name),
-            is_remote=state.domain != self._loads.domain and not accept_any,
-            urgency=exch.held.urgency if exch.held is not None else None,
         )
 
     def _is_short_prompt(self, exch: Exchange, times: ServiceTimes) -> bool:
--- a/packages/medlargate/medlargate/relay/_server_view.py
+++ b/packages/medlargate/medlargate/relay/_server_view.py
@@ -134,9 +134,6 @@
         Loads reported by peers and other failure domains, by name.
     prefill_until : float
         Monotonic time at which prefill of this node's requests ends, in seconds.
-    busy_until : float
-        Monotonic time at which the prefill of all nodes ends or ended, as of the last
-        request that was to be placed, in seconds.
     reported_load : ServerLoad or None
         Last load that the server reported.
     reported_at : float
@@ -182,7 +179,6 @@
     running: dict[int, RunningRequest] = field(default_factory=dict)
     peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
     prefill_until: float = float("-inf")
-    busy_until: float = float("-inf")
     reported_load: ServerLoad | None = None
     reported_at: float = float("-inf")
     cached_parts: OrderedDict[str, CachedPart] = field(default_factory=OrderedDict)
@@ -288,20 +284,6 @@
                 total += load.remaining_prefill_time(now)
         return total
 
-    def observe_backlog(self, backlog: float, now: float) -> float:
-        """Return the time without prefill until now, in seconds.
-
-        Parameters
-        ----------
-        backlog : float
-            Prefill work of all nodes, in seconds.
-        now : float
-            Monotonic time in seconds.
-        """
-        if backlog > 0:
-            self.busy_until = max(self.busy_until, now + backlog)
-        return max(0.0, now - self.busy_until)
-
     def failure_share(self, now: float) -> float:
         """Return the moving average of failures, decayed to the given time."""
         if not self.failure_average:
