Failing test: short prompts that wait behind long ones

A pass through a queue gives up after four requests that find no server. Four long prompts that wait for the prefill of engines thus keep short ones, which need none of it, from being tried; a new request is not tried either while any precedes it.

--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -173,6 +173,22 @@
         self.assertEqual(self.loads.sent[-1][1], "e0")
 
 
+    async def test_short_prompts_do_not_wait_behind_long_ones(self):
+        self.make_queue()
+        self.loads.backlogs.update(e0=0.5, e1=0.6, e2=0.6)
+        for _ in range(6):
+            await self.send(n_tokens=20_000)
+        self.assertEqual(self.loads.sent, [])
+        short = await self.send(n_tokens=500)
+        self.assertEqual([it[0] for it in self.loads.sent], [short])
+        # One that waits as well is tried when the engines change.
+        self.loads.n_running = dict.fromkeys(self.loads.n_running, 40)
+        waiting = await self.send(n_tokens=500)
+        self.loads.n_running["e1"] = 1
+        await self.settle()
+        self.assertEqual([it[0] for it in self.loads.sent], [short, waiting])
+
+
 class OvertakingTest(QueueCase):
     """Load: all slots are taken, and requests wait at the node."""
 
