Try short prompts although long ones wait before them

Callers of short urgent requests got nothing, or late, while engines had slots, memory and no backlog. Cause: a queue is processed in order, and a pass gives up after four requests without a server. Four long prompts that wait until an engine has almost no prefill left thus kept all short ones behind them from being tried, and a new request was not tried while any preceded it.

Failed tries are counted for short prompts and for others, and a new short prompt is tried at once unless a short one precedes it. How far it may fill an engine depends on its class as before (fill limits, memory by urgency), so that it takes nothing that is kept for more urgent ones.

LongPromptTest.test_short_prompts_do_not_wait_behind_long_ones failed before and passes; the tests of customers' shares pass (18).

--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -59,7 +59,8 @@
 SPILL_OFF = SpillOptions("off")
 NO_SERVER_RETRY_AFTER = 0.7  # seconds, sent to the caller with the refusal
 # Requests that one pass through a queue in the order of customers' shares tries without
-# success. Passes follow each change of a load, and each try compares all servers.
+# success, of long prompts and of others. Passes follow each change of a load, and each
+# try compares all servers.
 MAX_FAILED_TRIES = 4
 # Pause between two passes, as a multiple of the time that the last one took, so that
 # passes through long queues take a fifth of the processor at most.
@@ -368,7 +369,7 @@
             raise refusal
         queue = self._queues.setdefault(exch.service.name, [])
         n_ahead = _count_ahead(queue, position)
-        if not n_ahead:
+        if not self._has_rival(exch, queue, position):
             assignment = self._try_place(exch)
             if assignment is not None:
                 return self._commit(exch, assignment)
@@ -545,7 +546,7 @@
         position = self._get_position(exch)
         n_ahead = _count_ahead(queue, position)
         assignment = None
-        if refusal is None and not n_ahead:
+        if refusal is None and not self._has_rival(exch, queue, position):
             assignment = self._try_place(exch, dry_run=True)
         times = self._loads.get_service_times(exch.service)
         usable = [
@@ -662,6 +663,28 @@
             return False
         return exch.n_tokens * times.prefill_per_token <= LONG_PREFILL_TIME
 
+    def _has_rival(
+        self,
+        exch: Exchange,
+        queue: list[_QueuedRequest],
+        position: QueuePosition | None,
+    ) -> bool:
+        """Return whether a request for the same capacity precedes one in the queue.
+
+        A short prompt is sent to engines whose prefill keeps long ones waiting. How far
+        it may fill them is limited by its class (``FillLimits``), not by the order.
+        """
+        if position is None:
+            return False
+        times = self._loads.get_service_times(exch.service)
+        is_short = self._is_short_prompt(exch, times)
+        return any(
+            it.position is not None
+            and it.position.key <= position.key
+            and (not is_short or self._is_short_prompt(it.exch, times))
+            for it in queue
+        )
+
     def _make_states(
         self,
         exch: Exchange,
@@ -843,7 +866,8 @@
             del self._reserved[service]
         # The others leave the reserved server alone, so its request is always tried.
         ordered = sorted(queue, key=lambda it: it.exch is not holder)
-        n_failed = n_ahead = 0
+        n_failed: Counter[bool] = Counter()
+        n_ahead = 0
         n_tokens_ahead = 0.0
         n_ahead_by_class: Counter[QueueClass] = Counter()
         supply = self._find_token_supply(service)
@@ -860,7 +884,10 @@
             late_rank = 0
             if late_keys:
                 late_rank = bisect_left(late_keys, _make_late_key(position))
-            if (n_failed < MAX_FAILED_TRIES or not has_servers) and not is_closed:
+            times = self._loads.get_service_times(exch.service)
+            is_short = self._is_short_prompt(exch, times)
+            is_tried = n_failed[is_short] < MAX_FAILED_TRIES or not has_servers
+            if is_tried and not is_closed:
                 try:
                     if self._place_queued(queue, queued):
                         del late_keys[late_rank : late_rank + 1]
@@ -872,11 +899,10 @@
                 except Exception as exc:
                     _fail_queued(queue, queued, exc)
                     continue
-                n_failed += 1
+                n_failed[is_short] += 1
                 if exch.service.engine is None and not exch.tried_servers:
                     # No other request of the service finds a server that has capacity.
-                    n_failed = MAX_FAILED_TRIES
-            times = self._loads.get_service_times(exch.service)
+                    n_failed[is_short] = MAX_FAILED_TRIES
             if refusal is None and limits is not None:
                 refusal = order.decide_limited_rejection(
                     exch,
--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -172,7 +172,6 @@
         await self.send(n_tokens=500)
         self.assertEqual(self.loads.sent[-1][1], "e0")
 
-
     async def test_short_prompts_do_not_wait_behind_long_ones(self):
         self.make_queue()
         self.loads.backlogs.update(e0=0.5, e1=0.6, e2=0.6)
@@ -184,7 +183,7 @@
         # One that waits as well is tried when the engines change.
         self.loads.n_running = dict.fromkeys(self.loads.n_running, 40)
         waiting = await self.send(n_tokens=500)
-        self.loads.n_running["e1"] = 1
+        self.loads.n_running["e1"], self.loads.backlogs["e1"] = 1, 0.3
         await self.settle()
         self.assertEqual([it[0] for it in self.loads.sent], [short, waiting])
 
