Scan the queue once for what precedes a new request

The number of requests ahead and whether one of them is a rival were two scans with the same condition, on each arrival. One list now serves both. The docstring of acquire names the exception for short prompts. No change of behaviour: the tests of the queue, of customers' shares (18) and of urgent requests pass.

--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -340,7 +340,8 @@
         A new request is tried at once, even if others wait, because those were already
         tried without success. Queued requests are tried again in order of urgency after
         a change of a load or of the servers, and periodically. With customers' shares,
-        a new request that others precede is queued and tried in its turn.
+        a new request that others precede is queued and tried in its turn, except a
+        short prompt that only long ones precede.
 
         Parameters
         ----------
@@ -368,12 +369,12 @@
         if refusal is not None:
             raise refusal
         queue = self._queues.setdefault(exch.service.name, [])
-        n_ahead = _count_ahead(queue, position)
-        if not self._has_rival(exch, queue, position):
+        ahead = _list_ahead(queue, position)
+        if not self._has_rival(exch, ahead):
             assignment = self._try_place(exch)
             if assignment is not None:
                 return self._commit(exch, assignment)
-        refusal = self._find_certain_lateness(exch, queue, position, n_ahead)
+        refusal = self._find_certain_lateness(exch, queue, position, len(ahead))
         if refusal is not None:
             raise refusal
         future = asyncio.get_running_loop().create_future()
@@ -544,9 +545,9 @@
         refusal = self._find_oversize(exch)
         queue = self._queues.get(exch.service.name, [])
         position = self._get_position(exch)
-        n_ahead = _count_ahead(queue, position)
+        preceding = _list_ahead(queue, position)
         assignment = None
-        if refusal is None and not self._has_rival(exch, queue, position):
+        if refusal is None and not self._has_rival(exch, preceding):
             assignment = self._try_place(exch, dry_run=True)
         times = self._loads.get_service_times(exch.service)
         usable = [
@@ -581,7 +582,7 @@
             ahead = [it.exch for it in queue if self._precedes(it, queued)]
             n_tokens_ahead = sum(it.held.n_tokens for it in ahead if it.held)
             refusal = self._find_certain_lateness(
-                exch, queue, position, n_ahead, dry_run=True
+                exch, queue, position, len(preceding), dry_run=True
             ) or self._decide_refusal(queued, len(ahead), n_tokens_ahead, dry_run=True)
         wait = 0.0
         if assignment is None and usable:
@@ -663,27 +664,16 @@
             return False
         return exch.n_tokens * times.prefill_per_token <= LONG_PREFILL_TIME
 
-    def _has_rival(
-        self,
-        exch: Exchange,
-        queue: list[_QueuedRequest],
-        position: QueuePosition | None,
-    ) -> bool:
-        """Return whether a request for the same capacity precedes one in the queue.
+    def _has_rival(self, exch: Exchange, ahead: list[Exchange]) -> bool:
+        """Return whether one of the requests ahead waits for the same capacity.
 
         A short prompt is sent to engines whose prefill keeps long ones waiting. How far
         it may fill them is limited by its class (``FillLimits``), not by the order.
         """
-        if position is None:
-            return False
         times = self._loads.get_service_times(exch.service)
-        is_short = self._is_short_prompt(exch, times)
-        return any(
-            it.position is not None
-            and it.position.key <= position.key
-            and (not is_short or self._is_short_prompt(it.exch, times))
-            for it in queue
-        )
+        if not self._is_short_prompt(exch, times):
+            return bool(ahead)
+        return any(self._is_short_prompt(it, times) for it in ahead)
 
     def _make_states(
         self,
@@ -1181,13 +1171,17 @@
     return exch.origin is None and not exch.misdirected_servers
 
 
-def _count_ahead(queue: list[_QueuedRequest], position: QueuePosition | None) -> int:
-    """Return the number of waiting requests that precede one; 0 without shares."""
+def _list_ahead(
+    queue: list[_QueuedRequest], position: QueuePosition | None
+) -> list[Exchange]:
+    """Return the waiting requests that precede one; none without shares."""
     if position is None:
-        return 0
-    return sum(
-        it.position is not None and it.position.key <= position.key for it in queue
-    )
+        return []
+    return [
+        it.exch
+        for it in queue
+        if it.position is not None and it.position.key <= position.key
+    ]
 
 
 def _describe_missing_server(exch: Exchange) -> str:
