One parser of the Token-Usage header in the stand-ins

PrefillBackend, PriorityBackend and LimitedBackend now share it. The tests of urgent requests lose parameters that no caller passes.

--- a/packages/medlargate-standins/medlargate_standins/_backend_messages.py
+++ b/packages/medlargate-standins/medlargate_standins/_backend_messages.py
@@ -53,6 +53,12 @@
 )
 
 
+def parse_token_usage(req: ReceivedRequest) -> tuple[int, int]:
+    """Return the tokens of a request's prompt, and of its answer at most."""
+    n_prompt, _, n_output = req.headers.get("token-usage", "").partition(",")
+    return int(n_prompt or 0), int(n_output or 0)
+
+
 def make_wrong_response(
     req: ReceivedRequest, kind: str, status: int, first_event: int, n_events: int
 ) -> bytes:
--- a/packages/medlargate-standins/medlargate_standins/limited_backend.py
+++ b/packages/medlargate-standins/medlargate_standins/limited_backend.py
@@ -12,6 +12,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
+from ._backend_messages import parse_token_usage
 from .backend import Backend, ReceivedRequest
 from .relay_testbed import RelayTestbed, make_config, make_route
 
@@ -60,9 +61,9 @@
             return await self._reject(req, reader, writer)
         if self.has_failed:
             return False
-        n_prompt, _, n_output = req.headers.get("token-usage", "0,0").partition(",")
+        n_prompt, n_output = parse_token_usage(req)
         tokens = int(req.headers.get("x-output") or n_output)
-        self._held[id(req)] = req, int(n_prompt) + tokens
+        self._held[id(req)] = req, n_prompt + tokens
         if self.memory and self.count_tokens() > self.memory:
             self.fail()
             return False
--- a/packages/medlargate-standins/medlargate_standins/prefill_backend.py
+++ b/packages/medlargate-standins/medlargate_standins/prefill_backend.py
@@ -5,9 +5,9 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from ._backend_messages import ReceivedRequest
+from ._backend_messages import ReceivedRequest, parse_token_usage
 from .backend import Work
-from .priority_backend import PriorityBackend, parse_token_usage
+from .priority_backend import PriorityBackend
 
 
 @dataclass(eq=False)
--- a/packages/medlargate-standins/medlargate_standins/priority_backend.py
+++ b/packages/medlargate-standins/medlargate_standins/priority_backend.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ._backend_messages import ReceivedRequest, encode_head
+from ._backend_messages import ReceivedRequest, encode_head, parse_token_usage
 from .backend import Backend
 
 DEFAULT_PRIORITY = 5  # of a request without the header
@@ -102,9 +102,3 @@
     def _encode_extra_headers(self) -> str:
         load = f"Server-Load: {self._n_taken},{self._count_queued()},{self.slots}\r\n"
         return super()._encode_extra_headers() + load
-
-
-def parse_token_usage(req: ReceivedRequest) -> tuple[int, int]:
-    """Return the tokens of a request's prompt, and of its answer at most."""
-    n_prompt, _, n_output = req.headers.get("token-usage", "0,0").partition(",")
-    return int(n_prompt), int(n_output)
--- a/packages/medlargate/medlargate/relay/tests/test_urgent_prefill.py
+++ b/packages/medlargate/medlargate/relay/tests/test_urgent_prefill.py
@@ -33,19 +33,16 @@
 
     start_world = staticmethod(start_world)
 
-    async def run_load(self, n_nodes, long_load):
-        load = await self.start(n_nodes)
+    async def test_urgent_streams_end_beside_long_prompts_of_many_nodes(self):
+        load = await self.start()
         urgent = {"Token_Usage": "400,64", "Deadline_Ms": "4500"}
         long = {"Token_Usage": f"{LONG_PROMPT},64", "Deadline_Ms": "8000"}
         await self.finish(
             load,
             load.send("urgent", URGENT_RATE, **urgent),
-            load.send("long", long_load * MAX_LONG_RATE, **long),
+            load.send("long", 1.3 * MAX_LONG_RATE, **long),
         )
 
-    async def test_urgent_streams_end_beside_long_prompts_of_many_nodes(self):
-        await self.run_load(12, long_load=1.3)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/medlargate/medlargate/relay/tests/test_urgent_refused.py
+++ b/packages/medlargate/medlargate/relay/tests/test_urgent_refused.py
@@ -98,7 +98,7 @@
         )
 
 
-async def start_world(n_nodes, tenants=TENANTS, *, memory=400_000):
+async def start_world(n_nodes, *, memory=400_000):
     options = {"Priority": 1, "TtftGoalMs": 500, "TimeoutMs": 4000, "Resumable": True}
     urgent = make_route("urgent", "streaming", "work", **options)
     options |= {"Priority": 2, "TtftGoalMs": 1500, "TimeoutMs": 8000}
@@ -112,10 +112,10 @@
         return server
 
     engine = {"Slots": N_SLOTS, "KvCapacity": memory, "Stride": 20}
-    return await start_fleet(n_nodes, [urgent, long], engine, make_server, tenants)
+    return await start_fleet(n_nodes, [urgent, long], engine, make_server)
 
 
-async def start_fleet(n_nodes, routes, engine, make_server, tenants=TENANTS):
+async def start_fleet(n_nodes, routes, engine, make_server):
     service = {
         "Name": "work",
         "HealthPath": "/healthz",
@@ -123,7 +123,7 @@
         "Backend": engine,
     }
     world = RelayTestbed(n_nodes=n_nodes, domains=("fd-a", "fd-b", "fd-c"))
-    await world.start(Routes=routes, Services=[service], Tenants=tenants)
+    await world.start(Routes=routes, Services=[service], Tenants=TENANTS)
     for number in range(N_ENGINES):
         await world.add_backend(make_server(f"w{number}", f"fd-{'abc'[number % 3]}"))
     await wait_for_fleet(world, n_nodes)
@@ -143,10 +143,10 @@
 class UrgentLoadCase(unittest.IsolatedAsyncioTestCase):
     start_world = staticmethod(start_world)
 
-    async def start(self, n_nodes=12, *args, **options):
+    async def start(self, n_nodes=12, **options):
         # Debug mode, the default of this class, makes the event loop the bottleneck.
         asyncio.get_running_loop().set_debug(False)
-        world = await self.start_world(n_nodes, *args, **options)
+        world = await self.start_world(n_nodes, **options)
         self.addAsyncCleanup(world.close)
         return Load(world)
 
