Let any node of a large fleet use room outside of its turn

Callers of urgent requests waited or got nothing while engines had room. Cause: outside of its turn, a node with a queue of a service with several priorities had to leave room for a request of every node whose turn comes first, up to 61 in the largest fleet. Without several priorities the rule counts at most MAX_SIMULTANEOUS_NODES, as no more send within the time that messages take. fits_class now counts no more either.

The new test failed before (a request of 1,136 tokens, an empty engine of 40,000, 40 turns ahead).

--- a/packages/medlargate/medlargate/policy/_server_room.py
+++ b/packages/medlargate/medlargate/policy/_server_room.py
@@ -218,7 +218,8 @@
         In the node's turn, whether the request fits into the room of its class, beside
         the half that the other nodes use, or is alone on the server. Otherwise, whether
         it fits beside one of another node or, while requests wait, whether that half
-        holds a request of each node whose turn comes first.
+        holds a request of each node whose turn comes first, up to
+        ``MAX_SIMULTANEOUS_NODES`` of them.
     """
     n_free = (1 - URGENT_RESERVE * (1 - urgency)) * bound - (n_held - n_recent)
     n_open, n_each = n_free / 2, max(typical_size, size)
@@ -230,7 +231,8 @@
         return n_recent + size + n_left <= n_free or is_alone
     if not contended:
         return n_recent + 2 * size <= n_free
-    return n_recent == 0 and n_each * n_turns_ahead <= n_open
+    n_ahead = min(n_turns_ahead, MAX_SIMULTANEOUS_NODES)
+    return n_recent == 0 and n_each * n_ahead <= n_open
 
 
 def should_announce(size: float, *, n_held: float, bound: float) -> bool:
--- a/packages/medlargate/medlargate/policy/tests/test_server_room.py
+++ b/packages/medlargate/medlargate/policy/tests/test_server_room.py
@@ -170,6 +170,18 @@
             )
             self.assertEqual(found, not n_turns_ahead)
 
+    def test_requests_of_a_large_fleet_use_room_before_their_turn(self):
+        # Guards against empty engines that most nodes of a large fleet do not use.
+        options = {"bound": 38_000, "capacity": 40_000, "n_others": 61}
+        options |= {"n_held": 0, "n_recent": 0, "typical_size": 1136, "contended": True}
+        self.assertTrue(fits(1136, turn=False, **options))
+        for n_turns_ahead in (8, 40, 61):
+            for urgency in (0.0, 1.0):
+                found = fits_class(
+                    1136, urgency=urgency, n_turns_ahead=n_turns_ahead, **options
+                )
+                self.assertTrue(found)
+
     def test_shared_parts_count_once(self):
         requests = [HeldRequest(700, 80.0, parts=(("p", 200),)) for _ in range(3)]
         self.assertEqual(count_held(requests), (2340, 1940))
