Run requests with the same crashes on different engines

Callers of a sound request got 503 crashes_servers for ten minutes after it had run beside a crashing one three times. Cause: a crash is recorded for every request on the engine, and nothing kept two requests with the same two crashes from sharing a third engine.

A request that one more crash would block now avoids the engines on which this node runs another such request, if there are others. What ends an attempt at a server is in one function.

The new test failed before. Not covered: two such requests sent to one engine by different nodes.

--- a/packages/medlargate/medlargate/policy/_crash_history.py
+++ b/packages/medlargate/medlargate/policy/_crash_history.py
@@ -195,6 +195,20 @@
         record = self._records.get(digest)
         return record is not None and record.is_blocked
 
+    def needs_isolation(self, digest: str) -> bool:
+        """Return whether one more crash blocks a request.
+
+        Another request that ran on the same crashed servers has the same evidence
+        against it. Which of them crashes servers shows only if they run apart.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        """
+        record = self._records.get(digest)
+        return record is not None and len(record.servers) == MAX_CRASHES - 1
+
     def list_blocked(self) -> dict[str, list[str]]:
         """Return the crashed servers of the blocked requests by digest."""
         return {
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from .._tasks import call_logged
@@ -59,6 +59,34 @@
         self.block_listeners: list[Callable[[], None]] = []
         self._blocked_requests: frozenset[str] = frozenset()
         self._blocked_parts: frozenset[str] = frozenset()
+        self._isolated: dict[int, str] = {}  # server by exchange id
+
+    def list_avoided_servers(self, exch: Exchange) -> Collection[str]:
+        """Return the servers that a request must not share, if there are others.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request that is to be placed.
+
+        Returns
+        -------
+        collection of str
+            Servers of this node's other requests that are isolated; empty for a
+            request that need not be.
+        """
+        if self._isolated and self.requests.needs_isolation(exch.request_digest):
+            return frozenset(self._isolated.values())
+        return ()
+
+    def observe_send(self, exch: Exchange, server_id: str) -> None:
+        """Record that a request was placed on a server."""
+        if self.requests.needs_isolation(exch.request_digest):
+            self._isolated[exch.exchange_id] = server_id
+
+    def observe_end(self, exch: Exchange) -> None:
+        """Record that an attempt at a request has ended."""
+        self._isolated.pop(exch.exchange_id, None)
 
     def find_blocked(self, exch: Exchange) -> str | None:
         """Return what a request is blocked for; None if it may be run.
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -146,11 +146,13 @@
             random_state=self.random_state,
             observe_decision=self.metrics.observe_queue_decision,
         )
+        self.crash_guard = CrashGuard(self.clock)
         self.request_queue = RequestQueue(
             self.cluster_state,
             self.loads,
             self.limits,
             self.cold,
+            self.crash_guard,
             self.clock,
             self._observe_dispatch,
             lambda service: self.fleet.sum_sensitive_demand(service),
@@ -161,7 +163,6 @@
             order=self.queue_order,
         )
         self.incarnation = f"{settings.node.name}-{secrets.token_hex(4)}"
-        self.crash_guard = CrashGuard(self.clock)
         self.reach = ReachMonitor(
             self.request_queue.list_usable_servers,
             self._list_services,
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -359,8 +359,7 @@
                 await self._reach.check(service, since=exch.placed_at or 0.0)
             raise
         finally:
-            self._loads.observe_end(exch.exchange_id, assignment.server.server_id)
-            self._queue.spillover.observe_end(exch.exchange_id)
+            self._queue.observe_end(exch, assignment.server.server_id)
             self._queue.observe_change()
 
     async def _forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -38,6 +38,7 @@
 )
 from ..routing import Registration
 from ._cold_servers import ColdServers
+from ._crash_guard import CrashGuard
 from ._exchange import Exchange
 from ._load_tracker import LoadTracker
 from ._queue_order import QueueKey, QueueOrder, QueuePosition
@@ -189,6 +190,8 @@
         Request rates that servers limit.
     cold : ColdServers
         Request rates of cold servers.
+    crash_guard : CrashGuard
+        Names the servers that requests suspected of crashes should not share.
     clock : callable
         Returns the node's monotonic time in seconds.
     observe_dispatch : callable
@@ -223,6 +226,7 @@
         loads: LoadTracker,
         limits: ServerLimits,
         cold: ColdServers,
+        crash_guard: CrashGuard,
         clock: Callable[[], float],
         observe_dispatch: Callable[[Exchange, str, float, bool], None],
         sum_sensitive_demand: Callable[[str], float],
@@ -254,6 +258,7 @@
         self._loads = loads
         self._limits = limits
         self._cold = cold
+        self._crash_guard = crash_guard
         self._clock = clock
         self._queues: dict[str, list[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
@@ -389,10 +394,7 @@
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.exception() is None:
                 # A server was assigned just before the cancellation: release it.
-                self._loads.observe_end(
-                    exch.exchange_id, future.result().server.server_id
-                )
-                self.spillover.observe_end(exch.exchange_id)
+                self.observe_end(exch, future.result().server.server_id)
             raise
         finally:
             if queued in queue:
@@ -686,17 +688,20 @@
         """Return the states of the candidate servers of a request.
 
         A stream goes on only at servers of the version that began it. Servers that the
-        request has already been sent to are candidates only if no
-        other server is left. Engines reserved for short prompts are excluded for long
+        request has already been sent to, or that it must not share with a request
+        suspected of crashes, are candidates only if no other server is left. Engines
+        reserved for short prompts are excluded for long
         prompts unless no other engine remains.
         """
         allowed_servers = [it for it in servers.values() if exch.can_run_at(it)]
         untried = [
             it for it in allowed_servers if it.server_id not in exch.tried_servers
         ]
+        avoided = self._crash_guard.list_avoided_servers(exch)
+        apart = [it for it in untried if it.server_id not in avoided]
         states = self._loads.make_states(
             exch.service,
-            untried or allowed_servers,
+            apart or untried or allowed_servers,
             exch.facts.parts,
             exch.n_tokens,
             exch.held,
@@ -781,11 +786,16 @@
         try:
             self._observe_send(exch, assignment)
         except Exception:
-            self._loads.observe_end(exch.exchange_id, placement.name)
-            self.spillover.observe_end(exch.exchange_id)
+            self.observe_end(exch, placement.name)
             raise
         return assignment
 
+    def observe_end(self, exch: Exchange, server_id: str) -> None:
+        """Record that a request no longer occupies the server it was placed on."""
+        self._loads.observe_end(exch.exchange_id, server_id)
+        self._crash_guard.observe_end(exch)
+        self.spillover.observe_end(exch.exchange_id)
+
     def _observe_send(self, exch: Exchange, assignment: ServerAssignment) -> None:
         placement = assignment.placement
         times = self._loads.get_service_times(exch.service)
@@ -801,6 +811,7 @@
         self._loads.memory.observe_send(exch, placement.name)
         self._limits.observe_send(placement.name)
         self._cold.observe_send(placement.name)
+        self._crash_guard.observe_send(exch, placement.name)
         self.spillover.observe_send(exch, assignment.state)
         if exch.service.engine is not None:
             prefill_sensitive = _is_prefill_sensitive(exch, times)
--- a/packages/medlargate/medlargate/relay/tests/test_queue_order.py
+++ b/packages/medlargate/medlargate/relay/tests/test_queue_order.py
@@ -7,7 +7,13 @@
 from types import SimpleNamespace
 
 from medlargate.platform import PromptPart, RequestInfo
-from medlargate.policy import ServerState, ServiceTimes, choose_fill_limits
+from medlargate.policy import (
+    ServerState,
+    ServiceTimes,
+    choose_fill_limits,
+    make_request_digest,
+)
+from medlargate.relay._crash_guard import CrashGuard
 from medlargate.relay._exchange import Exchange
 from medlargate.relay._queue_order import QueueOrder
 from medlargate.relay._request_queue import RequestQueue
@@ -108,11 +114,13 @@
             lambda promised, actual: None,
             random_state=random.Random(1),
         )
+        self.crash_guard = CrashGuard(lambda: self.now)
         self.queue = RequestQueue(
             state,
             self.loads,
             limits,
             cold,
+            self.crash_guard,
             lambda: self.now,
             lambda *args: None,
             lambda service: 0.0,
@@ -121,10 +129,10 @@
         self.tasks = []
         self.addCleanup(lambda: [it.cancel() for it in self.tasks])
 
-    async def send(self, customer="a", n_tokens=100, priority=None):
+    async def send(self, customer="a", n_tokens=100, priority=None, target="/r/x"):
         """Send a request; return its id."""
         exch = Exchange(
-            req=SimpleNamespace(body=b"", target="/r/x"),
+            req=SimpleNamespace(body=b"", target=target),
             responder=None,
             facts=RequestInfo("id", "k", 9.0, n_tokens, parts=(PromptPart("p", 1),)),
             rule=RULE,
@@ -188,6 +196,23 @@
         self.assertEqual([it[0] for it in self.loads.sent], [short, waiting])
 
 
+class SuspectedCrashTest(QueueCase):
+    """Load: two requests that ran side by side on two engines that crashed."""
+
+    async def test_requests_with_the_same_crashes_run_on_different_engines(self):
+        # Guards against a sound request that is blocked with the one beside it.
+        self.make_queue()
+        self.loads.backlogs.update(e1=0.2, e2=0.2)
+        for target in ("/r/bad", "/r/good"):
+            digest = make_request_digest(RULE.name, "a", target, b"")
+            self.crash_guard.requests.merge({digest: ["x/1", "y/1"]}, now=self.now)
+        for target in ("/r/bad", "/r/good", "/r/new"):
+            await self.send(target=target)
+        bad, good, new = (server for _, server in self.loads.sent)
+        self.assertEqual((bad, new), ("e0", "e0"))
+        self.assertNotEqual(good, "e0")
+
+
 class OvertakingTest(QueueCase):
     """Load: all slots are taken, and requests wait at the node."""
 
