Nodes tell each other when the store last answered

Callers' requests reached servers up to 3.2 s after the store had deleted them, through nodes whose own calls to the store failed. Cause: such a node took its failed calls for an outage and kept the servers for 1.7 s. Answers to peers counted only while their registrations were equal to its own, which they are not while servers come and go.

Statuses now say how long ago the store answered any node. An answer within a supposed outage shortens it, and servers that were kept for an outage that was none are removed at once. After a restore of the store, registrations keep their grace period.

Servers whose entries expire in an outage of 2.5 s are used on as before.

--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -55,6 +55,23 @@
     servers_confirmed_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LapsedServer:
+    """Server kept in use although its registration disappeared.
+
+    Attributes
+    ----------
+    until : float
+        End of the grace period, in seconds on the node's clock.
+    by_outage : bool
+        Whether the registration may have expired in an outage of the store; False
+        after a restore of the store.
+    """
+
+    until: float
+    by_outage: bool
+
+
 @dataclass
 class ClusterState:
     """The configuration and the server registrations known to this node.
@@ -72,9 +89,8 @@
         Routes of the configuration in force; None until a configuration is known.
     servers : dict of str to Registration
         All registered servers by id, including draining ones.
-    lapsed : dict of str to float
-        Servers kept in use although their registration disappeared, with the end of
-        their grace period in seconds on the node's clock.
+    lapsed : dict of str to LapsedServer
+        Servers kept in use although their registration disappeared.
     leaving : dict of str to int
         Servers that have announced in an answer that they leave, with the start times
         (``Registration.born``) of these processes.
@@ -93,7 +109,7 @@
     servers: dict[str, Registration] = field(default_factory=dict)
     servers_revision: int = 0
     servers_confirmed_at: float = float("-inf")
-    lapsed: dict[str, float] = field(default_factory=dict)
+    lapsed: dict[str, LapsedServer] = field(default_factory=dict)
     leaving: dict[str, int] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
     store_outage: StoreOutage = field(default_factory=StoreOutage)
@@ -261,6 +277,17 @@
         self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
         self.drop_lapsed()
 
+    def observe_store_answer(self, answered_at: float) -> None:
+        """Record that the store answered this node or another one.
+
+        Parameters
+        ----------
+        answered_at : float
+            Time of the answer, in seconds on the node's clock.
+        """
+        self.store_outage.observe_answer(answered_at)
+        self.drop_lapsed()
+
     def observe_store_failure(self, sent_at: float | None = None) -> None:
         """Record that a call of the store failed.
 
@@ -447,9 +474,9 @@
         if server_id is None or registration is None:
             return
         now = self.clock()
-        may_return |= self.store_outage.may_have_expired(now)
-        if may_return and not registration.draining:
-            self.lapsed[server_id] = now + LAPSE_GRACE_PERIOD
+        has_expired = not may_return and self.store_outage.may_have_expired(now)
+        if (may_return or has_expired) and not registration.draining:
+            self.lapsed[server_id] = LapsedServer(now + LAPSE_GRACE_PERIOD, has_expired)
             log.warning(
                 "registration lapsed around a store outage; server kept",
                 extra={"server": server_id, "seconds": LAPSE_GRACE_PERIOD},
@@ -467,7 +494,8 @@
     def drop_lapsed(self) -> None:
         """End the grace periods that are over.
 
-        Servers whose registrations were not renewed are removed, and registrations that
+        Servers whose registrations were not renewed, or were deleted while the store
+        answered other nodes, are removed, and registrations that
         were withheld after a restore of the store are accepted.
         """
         now = self.clock()
@@ -475,8 +503,9 @@
             if now >= until:
                 del self._withheld[key]
                 self._register(entry)
-        for server_id, until in list(self.lapsed.items()):
-            if now >= until:
+        may_have_expired = self.store_outage.may_have_expired(now)
+        for server_id, lapse in list(self.lapsed.items()):
+            if now >= lapse.until or (lapse.by_outage and not may_have_expired):
                 del self.lapsed[server_id]
                 if server_id in self.servers:
                     self._drop(server_id, self.servers_revision)
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -26,6 +26,8 @@
         Digest that is equal on nodes with the same registrations.
     config_age, servers_age : float
         Seconds since the store confirmed the configuration and the registrations.
+    store_age : float
+        Seconds since the store answered a call of any node, as far as the sender knows.
     demand : dict of str to float
         Arriving work by service, engine-seconds per second.
     tight_demand : dict of str to float
@@ -83,6 +85,7 @@
     servers_digest: str = ""
     config_age: float = 1e9
     servers_age: float = 1e9
+    store_age: float = 1e9
     demand: dict[str, float] = Field(default_factory=dict)
     tight_demand: dict[str, float] = Field(default_factory=dict)
     loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
--- a/packages/medlargate/medlargate/fleet/_store_outage.py
+++ b/packages/medlargate/medlargate/fleet/_store_outage.py
@@ -32,8 +32,8 @@
         seconds; None while the last call was answered.
     answered_at : float
         Time of the last answer, in seconds.
-    ended_at : float
-        End of the last outage, in seconds.
+    last : tuple of (float, float) or None
+        Begin and end of the last outage, in seconds; None before the first.
     n_failures : int
         Calls that failed since the last answer.
 
@@ -49,12 +49,15 @@
     >>> outage.observe_answer(13.0)
     >>> outage.may_have_expired(13.5), outage.may_have_expired(16.0)
     (True, False)
+    >>> outage.observe_answer(12.6)  # to a peer, which says so later
+    >>> outage.may_have_expired(13.5)
+    False
     """
 
     began_at: float | None = None
     n_failures: int = 0
     answered_at: float = float("-inf")
-    ended_at: float = float("-inf")
+    last: tuple[float, float] | None = None
 
     def observe_failure(self, *, sent_at: float) -> None:
         """Record a call that failed.
@@ -76,15 +79,24 @@
         Parameters
         ----------
         now : float
-            Time of the answer, in seconds.
+            Time of the answer, in seconds. A peer reports it some time later.
         """
         self.answered_at = max(self.answered_at, now)
+        if self.last is not None and self.last[0] < now < self.last[1]:
+            self._shorten_last(now)
         if self.began_at is None or now < self.began_at:
             return
         if self._is_outage(now):
-            self.ended_at = now
+            self.last = (self.began_at, now)
         self.began_at, self.n_failures = None, 0
 
+    def _shorten_last(self, answered_at: float) -> None:
+        """Keep the longer part of the last outage if it is one by itself."""
+        assert self.last is not None
+        parts = ((self.last[0], answered_at), (answered_at, self.last[1]))
+        longest = max(parts, key=lambda part: part[1] - part[0])
+        self.last = longest if longest[1] - longest[0] >= MIN_OUTAGE else None
+
     def may_have_expired(self, now: float) -> bool:
         """Return whether an outage may have let registrations of live servers expire.
 
@@ -93,7 +105,9 @@
         now : float
             Current time, in seconds.
         """
-        return self._is_outage(now) or now - self.ended_at < LAPSE_DETECTION_WINDOW
+        if self._is_outage(now):
+            return True
+        return self.last is not None and now - self.last[1] < LAPSE_DETECTION_WINDOW
 
     def _is_outage(self, now: float) -> bool:
         if self.began_at is None:
--- a/packages/medlargate/medlargate/fleet/tests/test_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_cluster_state.py
@@ -70,6 +70,20 @@
         self.read_store(11, make_registration("y", 6))
         self.assertEqual(set(self.state.servers), {"y"})
 
+    def test_server_kept_for_an_outage_that_was_none_is_removed(self):
+        # Guards against one node that takes its failed calls for an outage.
+        self.lose_store(1.0)
+        self.read_store(11, make_registration("y", 6))
+        self.state.observe_store_answer(self.now - 0.5)
+        self.assertEqual(set(self.state.servers), {"y"})
+
+    def test_answer_before_an_outage_does_not_remove_a_lapsed_server(self):
+        self.lose_store(1.0)
+        self.read_store(11, make_registration("y", 6))
+        for age in (1.1, 0.9):
+            self.state.observe_store_answer(self.now - age)
+        self.assertEqual(set(self.state.servers), {"x", "y"})
+
     def test_server_deleted_while_peers_are_answered_is_removed_at_once(self):
         self.state.observe_store_failure()
         for revision in (10, 10, 10):
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -357,7 +357,8 @@
 
     def _make_common_fields(self) -> dict[str, Any]:
         """Return the fields of a ``StatusMessage`` except loads and demand."""
-        freshness = self._cluster_state.freshness()
+        state = self._cluster_state
+        freshness = state.freshness()
         now = self._clock()
         if self.is_holder():
             self._loads.decide_slow_engines(self._wall_clock.now())
@@ -369,9 +370,10 @@
             "time": round(self._wall_clock.now(), 3),
             "config_revision": freshness.config_revision,
             "servers_revision": freshness.servers_revision,
-            "servers_digest": self._cluster_state.digest(),
+            "servers_digest": state.digest(),
             "config_age": round(min(1e6, now - freshness.config_confirmed_at), 3),
             "servers_age": round(min(1e6, now - freshness.servers_confirmed_at), 3),
+            "store_age": round(min(1e6, now - state.store_outage.answered_at), 3),
             **self._crash_guard.make_status_fields(),
             "versions": self._origins.snapshot_versions(),
             "limits": self._limits.snapshot(),
@@ -733,6 +735,8 @@
     def _merge_common(self, status: StatusMessage) -> None:
         """Merge what all statuses report; a part that fails leaves the others."""
         now = self._wall_clock.now()
+        answered_at = self._clock() - status.store_age - MAX_TRANSIT_TIME
+        call_logged(self._cluster_state.observe_store_answer, answered_at)
         call_logged(self._crash_guard.merge_status, status)
         call_logged(self._limits.merge, status.limits)
         call_logged(self._cold.merge, status.cold, status.traffic_age)
--- a/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
@@ -26,6 +26,7 @@
     """A fifth of the calls to the store get 503, and the others are answered."""
 
     failed_share = 0.2
+    n_failing = N_NODES
 
     async def asyncSetUp(self):
         asyncio.get_running_loop().set_debug(False)
@@ -40,7 +41,7 @@
         for name in ("p1", "p2"):
             await self.world.remove_backend(name)
         self.servers = [await self.add_server() for _ in range(N_SERVERS)]
-        for node in self.world.nodes:
+        for node in self.world.nodes[: self.n_failing]:
             self.let_calls_fail(node)
 
     async def add_server(self):
@@ -75,7 +76,7 @@
 
 
 class FailedStoreCallsTest(FailedCallsCase):
-    async def test_server_deleted_beside_failed_calls_gets_no_late_requests(self):
+    async def check_removals(self):
         end = time.monotonic() + DURATION
         await asyncio.gather(
             self.replace_servers(end), self.send_requests(end + DRAIN_BOUND)
@@ -90,6 +91,16 @@
         late = sorted(it for it in lags if it > DRAIN_BOUND)
         self.assertEqual(late, [], f"latest {max(lags):.2f} s, {len(late)} late")
 
+    async def test_server_deleted_beside_failed_calls_gets_no_late_requests(self):
+        await self.check_removals()
+
+
+class CutOffNodesTest(FailedStoreCallsTest):
+    """All calls of four nodes fail, and the others are answered."""
+
+    failed_share = 1.0
+    n_failing = 4
+
 
 class StoreOutageTest(FailedCallsCase):
     """All registrations expire in an outage, and are renewed after its end."""
