The soak judges late requests to leaving servers and starved urgent ones

Both rules broke at the users' before this project's soak could see them: no server left in its scenarios, and its judge had neither rule.

Servers leave, by a report or by removal, serve on for 3 to 8 s and come back; single calls of the store fail beside others that are answered. Two modules judge the records: requests that reach a server later than the bound after the store's acknowledgement, and windows of five seconds in which a kind of request gets nothing while larger, less urgent ones begin. The scenario "urgent" has more load than its engines' slots can take.

Measured: each rule's tests have a record that breaks it and ones that just keep it. The scenario's servers have no limit of memory, so the fault of priority that depends on it is not covered.

--- a/packages/medlargate-standins/medlargate_standins/platform.py
+++ b/packages/medlargate-standins/medlargate_standins/platform.py
@@ -83,6 +83,8 @@
         Number of calls of each key-value store operation, failed calls included.
     down_until : float
         End of the key-value store's outage, in seconds on the monotonic clock.
+    failed_share : float
+        Share of the calls of the key-value store that fail, in turn, beside the others.
     watches_are_quiet : bool
         Whether watches answer without the changes that happened.
     lose_answers_until : float
@@ -103,6 +105,8 @@
         self.duty_calls: list[tuple[str, int]] = []
         self.n_calls: dict[str, int] = {}
         self.down_until = 0.0
+        self.failed_share = 0.0
+        self._owed_failures = 0.0
         self.watches_are_quiet = False
         self.lose_answers_until = 0.0
 
@@ -110,6 +114,14 @@
         """Return whether the key-value store is in an outage."""
         return time.monotonic() < self.down_until
 
+    def should_fail_call(self) -> bool:
+        """Return whether the next call of the key-value store fails."""
+        self._owed_failures += self.failed_share
+        if self._owed_failures >= 1:
+            self._owed_failures -= 1
+            return True
+        return self.is_down()
+
     def execute_order(self, order: dict[str, Any]) -> int:
         """Execute an order of ``/v1/orders`` once and return the HTTP status.
 
@@ -155,9 +167,9 @@
     """
 
     def check_outage(name: str) -> Response | None:
-        """Count a store call; return an error response during an outage."""
+        """Count a store call; return an error response if it is to fail."""
         platform.n_calls[name] = platform.n_calls.get(name, 0) + 1
-        if platform.is_down():
+        if platform.should_fail_call():
             return JSONResponse({"error": "outage"}, 503)
         return None
 
--- a/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_fleet.py
@@ -228,6 +228,24 @@
     goes_on: bool = False
 
 
+@dataclass(slots=True)
+class Departure:
+    """Time in which a server has left and serves on.
+
+    Attributes
+    ----------
+    server : str
+        Name of the server.
+    acked_at, ended_at : float
+        When the store acknowledged that it leaves, and when it registered again, on
+        the monotonic clock in seconds.
+    """
+
+    server: str
+    acked_at: float
+    ended_at: float = float("inf")
+
+
 @dataclass
 class Fleet:
     """Nodes, platform and backend servers of a soak.
@@ -267,6 +285,8 @@
         Fraction of the streams that callers request with ``CRASHING_PART``.
     arrivals : list of Arrival
         Requests that reached the servers.
+    departures : list of Departure
+        Servers that left.
     """
 
     n_nodes: int
@@ -284,6 +304,7 @@
     keys: tuple[str, ...] = (KEY, SECOND_KEY)
     crash_rate: float = 0.0
     arrivals: list[Arrival] = field(default_factory=list)
+    departures: list[Departure] = field(default_factory=list)
     _crashes: set[asyncio.Task[None]] = field(default_factory=set)
     _servers: Servers = field(default_factory=Servers)
     _folder: Any = None
@@ -379,6 +400,29 @@
         """Remove the registration of a server, which keeps running."""
         self.platform.store.write([], [Delete(f"servers/{name}")], [])
 
+    async def let_leave(self, name: str, seconds: float, *, drains: bool) -> None:
+        """Let a server leave, serve on for some time and start anew.
+
+        Parameters
+        ----------
+        name : str
+            Name of the server.
+        seconds : float
+            Time until it registers again.
+        drains : bool
+            Whether it reports that it drains; otherwise its registration is removed.
+        """
+        if drains:
+            self.register(name, state="draining")
+        else:
+            self.unregister(name)
+        departure = Departure(name, time.monotonic())
+        self.departures.append(departure)
+        await asyncio.sleep(seconds)
+        departure.ended_at = time.monotonic()
+        self.backends[name].born += 1
+        self.register(name)
+
     def put_config(self, **overrides: Any) -> None:
         """Write the next version of the configuration.
 
--- a/packages/medlargate-standins/medlargate_standins/soak/_lost_requests.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_lost_requests.py
@@ -16,6 +16,8 @@
 # period.
 EARLY_TIME = 3.0  # seconds
 LAST_FRACTION = 1 / 6  # of the grace period, in which running work may be cut
+# Planned work, and faults of the store; they excuse no lost request.
+PLANNED_KINDS = ("stop", "reload", "config", "leave", "store", "store-errors")
 MAX_KEPT_CLOSES = 3  # requests on kept connections that a calm node may close on
 
 
@@ -26,8 +28,9 @@
     Attributes
     ----------
     kind : str
-        ``"stop"`` and ``"reload"`` of a node and ``"config"`` are planned work;
-        ``"store"`` disturbs only the store and excuses nothing; others are unplanned.
+        ``"stop"`` and ``"reload"`` of a node, ``"config"`` and ``"leave"`` of a server
+        are planned work. ``"store"`` is an outage for some nodes and
+        ``"store-errors"`` a time in which single calls fail. Others are unplanned.
     target : str
         Name of the node or the server; empty for all.
     started_at, ended_at : float
@@ -156,7 +159,7 @@
 ) -> bool:
     targets = {"", call.node, *(it.server_id for it in runs)}
     return any(
-        it.kind not in ("stop", "reload", "config", "store")
+        it.kind not in PLANNED_KINDS
         and it.target in targets
         and it.overlaps(call.sent_at - CONTACT_TIME, call.ended_at)
         for it in faults
--- a/packages/medlargate-standins/medlargate_standins/soak/_scenario_run.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_scenario_run.py
@@ -11,10 +11,12 @@
 
 from ..backend import Backend, ReceivedRequest, Run
 from ._attempt_counts import MAX_EXCEEDED, find_exceeded_attempts, find_worst_window
+from ._departures import list_arrivals_after_departures
 from ._fleet import Fleet, FleetPlan
 from ._lost_requests import find_lost_requests
 from ._scenario import Scenario
 from ._series import SeriesInjector
+from ._starved_kinds import find_starved_kinds
 from ._traffic import Balancer, CallRecord, KeepingCaller
 
 WARM_UP_TIME = 2.0  # seconds of load before the first fault
@@ -179,7 +181,13 @@
     exceeded = find_exceeded_attempts(calls, runs, injector.faults, scenario)
     violations = [str(it) for it in lost] + injector.own_ends
     violations += _find_repeated_runs(scenario, calls, runs)
-    findings: list[str] = []
+    drain_bound = scenario.ingress["drain_bound_ms"] / 1000
+    lags = list_arrivals_after_departures(
+        fleet.arrivals, fleet.departures, calls, injector.faults
+    )
+    violations += [text for lag, text in lags if lag > drain_bound]
+    violations += find_starved_kinds(calls, runs, injector.faults, scenario)
+    findings = [text for _, text in lags[:1]]
     (violations if len(exceeded) > MAX_EXCEEDED else findings).extend(exceeded)
     for service in scenario.services:
         n_repeats, n_allowed = _find_worst_repeats(scenario, service, fleet, calls)
--- a/packages/medlargate-standins/medlargate_standins/soak/_series.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_series.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Any
@@ -26,6 +27,14 @@
     ),
     "cuts": ("cut_node", "cut_node", "hang_servers", "hang_servers", "kill", "pause"),
     "partition": ("cut_node", "cut_node", "hang_servers", "hang_servers", "pause"),
+    "departures": (
+        "leave",
+        "leave",
+        "leave",
+        "fail_store_calls",
+        "fail_store_calls",
+        "stop_in_turn",
+    ),
     "mixed": (
         "stop_in_turn",
         "stop_in_turn",
@@ -41,6 +50,9 @@
 MIN_GAP, MAX_GAP = 1.0, 3.0  # seconds between the stops of two nodes
 MAX_DOWN_TIME = 1.0  # seconds between the end and the next start of a node
 MIN_DURATION, MAX_DURATION = 2.0, 7.0  # seconds that other faults last
+MIN_LEAVE_TIME, MAX_LEAVE_TIME = 3.0, 8.0  # seconds that a leaving server serves on
+MIN_STAYING = 3  # servers of a service that do not leave at the same time
+MIN_FAILED_SHARE, MAX_FAILED_SHARE = 0.1, 0.25  # of the calls to the store
 SECOND_SIGNAL_RATE = 0.2  # fraction of stops in which SIGTERM comes twice
 WATCH_INTERVAL = 0.1  # seconds
 
@@ -90,6 +102,8 @@
             "hang_servers": self._hang_servers,
             "kill": self._kill,
             "pause": self._pause,
+            "leave": self._leave,
+            "fail_store_calls": self._fail_store_calls,
         }
         watcher = asyncio.create_task(self._watch_processes())
         end = time.monotonic() + seconds
@@ -189,6 +203,34 @@
             for node in nodes:
                 node.store_link.set_mode("ok")
 
+    async def _fail_store_calls(self) -> None:
+        """Let a part of the store's calls fail, and answer the others."""
+        with self._record("store-errors", ""):
+            self._fleet.platform.failed_share = self._random_state.uniform(
+                MIN_FAILED_SHARE, MAX_FAILED_SHARE
+            )
+            await asyncio.sleep(self._draw_duration())
+            self._fleet.platform.failed_share = 0.0
+
+    async def _leave(self) -> None:
+        """Let a server leave while it serves on, and come back as a new one."""
+        staying = [
+            it
+            for name, it in self._fleet.backends.items()
+            if name not in self._reserved
+        ]
+        n_staying = Counter(it.service for it in staying)
+        names = [it.server_id for it in staying if n_staying[it.service] > MIN_STAYING]
+        if not names:
+            return
+        name = self._random_state.choice(names)
+        self._reserved.add(name)
+        seconds = self._random_state.uniform(MIN_LEAVE_TIME, MAX_LEAVE_TIME)
+        drains = self._random_state.random() < 0.5
+        with self._record("leave", name):
+            await self._fleet.let_leave(name, seconds, drains=drains)
+        self._reserved.discard(name)
+
     async def _cut_node(self) -> None:
         """Cut one node off from all servers of one or all services."""
         node = self._random_state.choice(self._fleet.nodes)
--- a/packages/medlargate-standins/medlargate_standins/tests/test_soak_scenarios.py
+++ b/packages/medlargate-standins/medlargate_standins/tests/test_soak_scenarios.py
@@ -5,9 +5,12 @@
 
 from ..backend import Run
 from ..soak._attempt_counts import find_exceeded_attempts, find_worst_window
+from ..soak._departures import list_arrivals_after_departures
+from ..soak._fleet import Arrival, Departure
 from ..soak._lost_requests import Fault, find_lost_requests
 from ..soak._scenario import load_scenario
 from ..soak._scenario_run import run_scenario
+from ..soak._starved_kinds import find_starved_kinds
 from ..soak._traffic import CallRecord
 
 GRACE = 8.0  # seconds
@@ -27,10 +30,13 @@
     async def test_requests_reach_no_more_servers_than_allowed_in_partitions(self):
         await self.run_short("repeatable", "partition", 3)
 
+    async def test_no_late_requests_and_no_starved_kinds_beside_departures(self):
+        await self.run_short("urgent", "departures", 1)
+
 
 class ScenarioTest(unittest.TestCase):
     def test_packaged_scenarios_are_valid(self):
-        for name in ("tutor", "booking", "repeatable"):
+        for name in ("tutor", "booking", "repeatable", "urgent"):
             scenario = load_scenario(name)
             config = scenario.make_config(3)
             self.assertEqual(len(config["Routes"]), len(scenario.kinds))
@@ -119,6 +125,64 @@
         self.assertEqual(self.find(calls[:3], runs, []), [])
 
 
+class DepartureTest(unittest.TestCase):
+    """A request that reaches a server too late, and those that just keep the rule."""
+
+    def find(self, at, *, faults=(), ended_at=108.0):
+        call = CallRecord("r1", "lookup", "n1", at, at + 0.1, "answered", 200)
+        departure = Departure("s1", 100.0, ended_at)
+        arrival = Arrival(at, "s1", "", request_id="r1")
+        return list_arrivals_after_departures([arrival], [departure], [call], faults)
+
+    def test_late_arrival(self):
+        ((lag, text),) = self.find(102.1)
+        self.assertAlmostEqual(lag, 2.1)
+        self.assertIn("r1 at n1 reached s1 2.10 s after it left", text)
+
+    def test_arrival_at_the_next_start_of_the_server(self):
+        self.assertEqual(self.find(109.0), [])
+
+    def test_only_an_outage_or_a_disturbance_of_the_node_excuses(self):
+        for kind, target, n_found in (
+            ("store", "n3,n1", 0),
+            ("pause", "n1", 0),
+            ("cut", "n2", 1),
+            ("store-errors", "", 1),
+            ("reload", "n1", 1),
+        ):
+            faults = [Fault(kind, target, 99.0, 101.0)]
+            self.assertEqual(len(self.find(103.0, faults=faults)), n_found, kind)
+
+
+class StarvedKindTest(unittest.TestCase):
+    """Urgent requests that get nothing while less urgent ones begin."""
+
+    def find(self, n_starved=10, *, n_calls=100, rival="review", faults=()):
+        calls, runs = [], []
+        for number in range(n_calls):
+            sent_at = 100.0 + 4.9 * number / n_calls
+            status = 503 if number < n_starved else 200
+            calls.append(
+                CallRecord(
+                    f"a{number}", "ask", "n1", sent_at, 105.0, "answered", status
+                )
+            )
+        calls.append(CallRecord("b", rival, "n1", 100.0, 108.0, "answered", 200))
+        runs.append(Run("s1", "b", 101.0))
+        return find_starved_kinds(calls, runs, faults, load_scenario("urgent"))
+
+    def test_starved_requests(self):
+        self.assertIn("ask: 10 of 100 got nothing while 1", self.find()[0])
+
+    def test_few_starved_requests(self):
+        self.assertEqual(self.find(9), [])
+        self.assertEqual(self.find(10, n_calls=120), [])
+
+    def test_other_services_and_disturbances(self):
+        self.assertEqual(self.find(rival="lookup"), [])
+        self.assertEqual(self.find(faults=[Fault("cut", "n1", 90.0, 120.0)]), [])
+
+
 class AttemptCountTest(unittest.TestCase):
     def find(self, servers, faults=()):
         call = CallRecord("r1", "lookup", "n1", 10.0, 13.0, "answered", 200)
