--- a/packages/medlargate/medlargate/fleet/_store_outage.py
+++ b/packages/medlargate/medlargate/fleet/_store_outage.py
@@ -32,7 +32,7 @@
         seconds; None while the last call was answered.
     answered_at : float
         Time of the last answer, in seconds.
-    last : tuple of (float, float) or None
+    last_outage : tuple of (float, float) or None
         Begin and end of the last outage, in seconds; None before the first.
     n_failures : int
         Calls that failed since the last answer.
@@ -57,7 +57,7 @@
     began_at: float | None = None
     n_failures: int = 0
     answered_at: float = float("-inf")
-    last: tuple[float, float] | None = None
+    last_outage: tuple[float, float] | None = None
 
     def observe_failure(self, *, sent_at: float) -> None:
         """Record a call that failed.
@@ -73,29 +73,32 @@
             self.began_at = sent_at
         self.n_failures += 1
 
-    def observe_answer(self, now: float) -> None:
+    def observe_answer(self, answered_at: float) -> None:
         """Record an answer of the store to this node or to a peer.
 
         Parameters
         ----------
-        now : float
+        answered_at : float
             Time of the answer, in seconds. A peer reports it some time later.
         """
-        self.answered_at = max(self.answered_at, now)
-        if self.last is not None and self.last[0] < now < self.last[1]:
-            self._shorten_last(now)
-        if self.began_at is None or now < self.began_at:
+        self.answered_at = max(self.answered_at, answered_at)
+        if (
+            self.last_outage is not None
+            and self.last_outage[0] < answered_at < self.last_outage[1]
+        ):
+            self._shorten_last_outage(answered_at)
+        if self.began_at is None or answered_at < self.began_at:
             return
-        if self._is_outage(now):
-            self.last = (self.began_at, now)
+        if self._is_outage(answered_at):
+            self.last_outage = (self.began_at, answered_at)
         self.began_at, self.n_failures = None, 0
 
-    def _shorten_last(self, answered_at: float) -> None:
+    def _shorten_last_outage(self, answered_at: float) -> None:
         """Keep the longer part of the last outage if it is one by itself."""
-        assert self.last is not None
-        parts = ((self.last[0], answered_at), (answered_at, self.last[1]))
+        assert self.last_outage is not None
+        parts = ((self.last_outage[0], answered_at), (answered_at, self.last_outage[1]))
         longest = max(parts, key=lambda part: part[1] - part[0])
-        self.last = longest if longest[1] - longest[0] >= MIN_OUTAGE else None
+        self.last_outage = longest if longest[1] - longest[0] >= MIN_OUTAGE else None
 
     def may_have_expired(self, now: float) -> bool:
         """Return whether an outage may have let registrations of live servers expire.
@@ -107,7 +110,10 @@
         """
         if self._is_outage(now):
             return True
-        return self.last is not None and now - self.last[1] < LAPSE_DETECTION_WINDOW
+        return (
+            self.last_outage is not None
+            and now - self.last_outage[1] < LAPSE_DETECTION_WINDOW
+        )
 
     def _is_outage(self, now: float) -> bool:
         if self.began_at is None:
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -688,10 +688,10 @@
         """Return the states of the candidate servers of a request.
 
         A stream goes on only at servers of the version that began it. Servers that the
-        request has already been sent to, or that it must not share with a request
+        request has already been sent to, or that it must not share with another one
         suspected of crashes, are candidates only if no other server is left. Engines
-        reserved for short prompts are excluded for long
-        prompts unless no other engine remains.
+        reserved for short prompts are excluded for long prompts unless no other engine
+        remains.
         """
         allowed_servers = [it for it in servers.values() if exch.can_run_at(it)]
         untried = [
--- a/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
+++ b/packages/medlargate/medlargate/relay/tests/test_removed_servers.py
@@ -76,7 +76,7 @@
 
 
 class FailedStoreCallsTest(FailedCallsCase):
-    async def check_removals(self):
+    async def test_server_deleted_beside_failed_calls_gets_no_late_requests(self):
         end = time.monotonic() + DURATION
         await asyncio.gather(
             self.replace_servers(end), self.send_requests(end + DRAIN_BOUND)
@@ -91,9 +91,6 @@
         late = sorted(it for it in lags if it > DRAIN_BOUND)
         self.assertEqual(late, [], f"latest {max(lags):.2f} s, {len(late)} late")
 
-    async def test_server_deleted_beside_failed_calls_gets_no_late_requests(self):
-        await self.check_removals()
-
 
 class CutOffNodesTest(FailedStoreCallsTest):
     """All calls of four nodes fail, and the others are answered."""
