Apply a renewed registration before the grace period ends

Callers could lose the connections of a server that had come back: a read of the registrations ended the grace period of a server just before it applied the server's renewal. Cause: since an answer to this node dropped lapsed servers when it was recorded, and its contents were applied afterwards. Only answers to other nodes need that; those to this node are recorded without it, as before.

The new test failed before (server gone, then registered, in one read) and passes; the other tests of the cluster state pass as before.

--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -278,7 +278,7 @@
         self.drop_lapsed()
 
     def observe_store_answer(self, answered_at: float) -> None:
-        """Record that the store answered this node or another one.
+        """Record that the store answered another node.
 
         Parameters
         ----------
--- a/packages/medlargate/medlargate/fleet/_watching.py
+++ b/packages/medlargate/medlargate/fleet/_watching.py
@@ -311,7 +311,8 @@
         self, answered: bool, message: str = "", *, sent_at: float | None = None
     ) -> None:
         if answered:
-            self.cluster_state.observe_store_answer(self.clock())
+            # The answer may renew servers whose grace period is over.
+            self.cluster_state.store_outage.observe_answer(self.clock())
         else:
             # A watch may have waited for long while the store was there.
             self.cluster_state.observe_store_failure(sent_at)
--- a/packages/medlargate/medlargate/fleet/tests/test_watching.py
+++ b/packages/medlargate/medlargate/fleet/tests/test_watching.py
@@ -6,7 +6,7 @@
 
 from medlargate_standins._memory_store import MemoryStore, MemoryStoreClient
 
-from medlargate.platform import Put, decode_registration, decode_routing_config
+from medlargate.platform import Delete, Put, decode_registration, decode_routing_config
 
 from .. import ClusterState, PeerStatus, PeerTable, StoreWatcher, UsageCounts
 from .._usage_reporter import UsagePartWriter
@@ -60,6 +60,39 @@
         self.assertLess(age, 4.0)
 
 
+class RenewalTest(unittest.IsolatedAsyncioTestCase):
+    """A registration that expired in an outage is written again."""
+
+    ENTRY = Put(
+        "servers/x",
+        b'{"Service":"s","Address":"10.0.0.1:80","Zone":"a","State":"ready"}',
+    )
+
+    async def test_read_after_the_grace_period_finds_the_renewed_server(self):
+        # Guards against a server that is dropped just before its renewal is applied.
+        now = 100.0
+        store = MemoryStore(lambda: now)
+        store.write([], [self.ENTRY], [])
+        state = ClusterState(decode_routing_config, decode_registration, lambda: now)
+        watcher = StoreWatcher(
+            MemoryStoreClient(store), state, "op/config", "servers/", lambda: now
+        )
+        await watcher.refresh_servers()
+        for _ in range(4):
+            state.observe_store_failure()
+            now += 0.3
+        store.write([], [Delete("servers/x")], [])
+        await watcher.refresh_servers()
+        self.assertIn("x", state.lapsed)
+        now += 2.0
+        store.write([], [self.ENTRY], [])
+        # It logs no server that is gone or registered.
+        with self.assertNoLogs("medlargate.fleet", "INFO"):
+            await watcher.refresh_servers()
+        self.assertIn("x", state.servers)
+        self.assertEqual(state.lapsed, {})
+
+
 class LargeDomainTest(unittest.TestCase):
     """Thirty-three nodes in a domain hear each other every two and a half seconds."""
 
