Simplify what tells an outage and what the soak excuses

No change of behaviour towards callers or servers. Found by reading the whole change once more:

- The last outage has a begin and an end from the start, so that no check for None is needed; a confirmation records its answer by the function that peers' answers use.
- Candidates are filtered for suspected requests only if there are servers to avoid, in place of copying the list in each attempt at a placement.
- Statuses no longer carry store_up, which no receiver reads; an older node takes its default.
- The soak's faults say themselves whether they excuse requests, in place of three tests of one constant; the platform stand-in counts a call and decides whether it fails in one step.

--- a/packages/medlargate-standins/medlargate_standins/platform.py
+++ b/packages/medlargate-standins/medlargate_standins/platform.py
@@ -114,8 +114,9 @@
         """Return whether the key-value store is in an outage."""
         return time.monotonic() < self.down_until
 
-    def should_fail_call(self) -> bool:
-        """Return whether the next call of the key-value store fails."""
+    def observe_call(self, name: str) -> bool:
+        """Count a call of the key-value store; return whether it is to fail."""
+        self.n_calls[name] = self.n_calls.get(name, 0) + 1
         self._owed_failures += self.failed_share
         if self._owed_failures >= 1:
             self._owed_failures -= 1
@@ -168,8 +169,7 @@
 
     def check_outage(name: str) -> Response | None:
         """Count a store call; return an error response if it is to fail."""
-        platform.n_calls[name] = platform.n_calls.get(name, 0) + 1
-        if platform.should_fail_call():
+        if platform.observe_call(name):
             return JSONResponse({"error": "outage"}, 503)
         return None
 
--- a/packages/medlargate-standins/medlargate_standins/soak/_departures.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_departures.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from ._fleet import Arrival, Departure
-from ._lost_requests import CONTACT_TIME, PLANNED_KINDS, Fault
+from ._lost_requests import CONTACT_TIME, Fault
 from ._traffic import CallRecord
 
 
@@ -67,6 +67,6 @@
     return node is None or any(
         node in fault.target.split(",") or not fault.target
         for fault in faults
-        if (fault.kind == "store" or fault.kind not in PLANNED_KINDS)
+        if (fault.kind == "store" or fault.excuses_requests)
         and fault.overlaps(since, arrival.at)
     )
--- a/packages/medlargate-standins/medlargate_standins/soak/_lost_requests.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_lost_requests.py
@@ -16,8 +16,8 @@
 # period.
 EARLY_TIME = 3.0  # seconds
 LAST_FRACTION = 1 / 6  # of the grace period, in which running work may be cut
-# Planned work, and faults of the store; they excuse no lost request.
-PLANNED_KINDS = ("stop", "reload", "config", "leave", "store", "store-errors")
+# Planned work, and faults of the store alone.
+_HARMLESS_KINDS = ("stop", "reload", "config", "leave", "store", "store-errors")
 MAX_KEPT_CLOSES = 3  # requests on kept connections that a calm node may close on
 
 
@@ -42,6 +42,11 @@
     started_at: float
     ended_at: float
 
+    @property
+    def excuses_requests(self) -> bool:
+        """Whether requests that it touches may be lost."""
+        return self.kind not in _HARMLESS_KINDS
+
     def overlaps(self, since: float, until: float) -> bool:
         """Return whether a part of it lies within a period."""
         return self.started_at <= until and self.ended_at >= since
@@ -159,7 +164,7 @@
 ) -> bool:
     targets = {"", call.node, *(it.server_id for it in runs)}
     return any(
-        it.kind not in PLANNED_KINDS
+        it.excuses_requests
         and it.target in targets
         and it.overlaps(call.sent_at - CONTACT_TIME, call.ended_at)
         for it in faults
--- a/packages/medlargate-standins/medlargate_standins/soak/_starved_kinds.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_starved_kinds.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from ..backend import Run
-from ._lost_requests import PLANNED_KINDS, Fault
+from ._lost_requests import Fault
 from ._scenario import RequestKind, Scenario
 from ._traffic import CallRecord
 
@@ -61,8 +61,7 @@
 
 def _is_disturbed(start: float, faults: Sequence[Fault]) -> bool:
     return any(
-        it.kind not in PLANNED_KINDS and it.overlaps(start, start + WINDOW)
-        for it in faults
+        it.excuses_requests and it.overlaps(start, start + WINDOW) for it in faults
     )
 
 
--- a/packages/medlargate/medlargate/fleet/_cluster_state.py
+++ b/packages/medlargate/medlargate/fleet/_cluster_state.py
@@ -342,8 +342,7 @@
         """
         self.servers_revision = max(self.servers_revision, revision)
         self.servers_confirmed_at = max(self.servers_confirmed_at, confirmed_at)
-        self.store_outage.observe_answer(confirmed_at)
-        self.drop_lapsed()
+        self.observe_store_answer(confirmed_at)
 
     def entries(self) -> tuple[Entry, ...]:
         """Return the store entries of all registrations.
@@ -495,8 +494,8 @@
         """End the grace periods that are over.
 
         Servers whose registrations were not renewed, or were deleted while the store
-        answered other nodes, are removed, and registrations that
-        were withheld after a restore of the store are accepted.
+        answered other nodes, are removed, and registrations that were withheld after a
+        restore of the store are accepted.
         """
         now = self.clock()
         for key, (entry, until) in list(self._withheld.items()):
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -115,8 +115,6 @@
     ----------
     incarnation : str
         Identifier of this start of the process.
-    store_up : bool
-        Whether the store answers the sender.
     unreachable : list of str
         Services of which the sender reaches no server.
     stopping : bool
@@ -136,7 +134,6 @@
     """
 
     incarnation: str
-    store_up: bool = True
     unreachable: list[str] = Field(default_factory=list)
     stopping: bool = False
     active: int = 0
--- a/packages/medlargate/medlargate/fleet/_store_outage.py
+++ b/packages/medlargate/medlargate/fleet/_store_outage.py
@@ -15,6 +15,7 @@
 # instead of being deleted. The window is shorter than the time after which the store
 # counts as stable again.
 LAPSE_DETECTION_WINDOW = 2.5  # seconds
+NO_OUTAGE = (float("-inf"), float("-inf"))
 
 
 @dataclass(slots=True)
@@ -32,8 +33,8 @@
         seconds; None while the last call was answered.
     answered_at : float
         Time of the last answer, in seconds.
-    last_outage : tuple of (float, float) or None
-        Begin and end of the last outage, in seconds; None before the first.
+    last_outage : tuple of (float, float)
+        Begin and end of the last outage, in seconds; minus infinity before the first.
     n_failures : int
         Calls that failed since the last answer.
 
@@ -57,7 +58,7 @@
     began_at: float | None = None
     n_failures: int = 0
     answered_at: float = float("-inf")
-    last_outage: tuple[float, float] | None = None
+    last_outage: tuple[float, float] = NO_OUTAGE
 
     def observe_failure(self, *, sent_at: float) -> None:
         """Record a call that failed.
@@ -82,24 +83,18 @@
             Time of the answer, in seconds. A peer reports it some time later.
         """
         self.answered_at = max(self.answered_at, answered_at)
-        if (
-            self.last_outage is not None
-            and self.last_outage[0] < answered_at < self.last_outage[1]
-        ):
-            self._shorten_last_outage(answered_at)
+        start, end = self.last_outage
+        if start < answered_at < end:
+            # The longer part is left if it is an outage by itself.
+            parts = ((start, answered_at), (answered_at, end))
+            start, end = max(parts, key=lambda part: part[1] - part[0])
+            self.last_outage = (start, end) if end - start >= MIN_OUTAGE else NO_OUTAGE
         if self.began_at is None or answered_at < self.began_at:
             return
         if self._is_outage(answered_at):
             self.last_outage = (self.began_at, answered_at)
         self.began_at, self.n_failures = None, 0
 
-    def _shorten_last_outage(self, answered_at: float) -> None:
-        """Keep the longer part of the last outage if it is one by itself."""
-        assert self.last_outage is not None
-        parts = ((self.last_outage[0], answered_at), (answered_at, self.last_outage[1]))
-        longest = max(parts, key=lambda part: part[1] - part[0])
-        self.last_outage = longest if longest[1] - longest[0] >= MIN_OUTAGE else None
-
     def may_have_expired(self, now: float) -> bool:
         """Return whether an outage may have let registrations of live servers expire.
 
@@ -108,12 +103,8 @@
         now : float
             Current time, in seconds.
         """
-        if self._is_outage(now):
-            return True
-        return (
-            self.last_outage is not None
-            and now - self.last_outage[1] < LAPSE_DETECTION_WINDOW
-        )
+        ended_at = self.last_outage[1]
+        return self._is_outage(now) or now - ended_at < LAPSE_DETECTION_WINDOW
 
     def _is_outage(self, now: float) -> bool:
         if self.began_at is None:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -407,7 +407,6 @@
         return PeerStatus(
             **self._make_common_fields(),
             incarnation=self.incarnation,
-            store_up=self.store_up(),
             unreachable=self.list_unreachable(),
             stopping=self.is_stopping(),
             active=self.count_active(),
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -698,10 +698,11 @@
             it for it in allowed_servers if it.server_id not in exch.tried_servers
         ]
         avoided = self._crash_guard.list_avoided_servers(exch)
-        apart = [it for it in untried if it.server_id not in avoided]
+        if avoided:
+            untried = [it for it in untried if it.server_id not in avoided] or untried
         states = self._loads.make_states(
             exch.service,
-            apart or untried or allowed_servers,
+            untried or allowed_servers,
             exch.facts.parts,
             exch.n_tokens,
             exch.held,
