Show the forms in which requests crash servers without end

A broken connection that was not taken for a crash is now recorded with the reason, and a crash with whether prompt parts were blamed. No decision is changed.

--- a/packages/medlargate-standins/medlargate_standins/backend.py
+++ b/packages/medlargate-standins/medlargate_standins/backend.py
@@ -244,9 +244,9 @@
     # arrives.
     _due_copies: dict[asyncio.StreamWriter | None, bytes] = field(default_factory=dict)
 
-    async def start(self, host: str) -> None:
-        """Listen on a free TCP port of a host."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen on a TCP port of a host, by default on a free one."""
+        self._server = await asyncio.start_server(self._serve, host, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
--- a/packages/medlargate-standins/medlargate_standins/soak/__main__.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/__main__.py
@@ -14,6 +14,7 @@
 from ._run import run_soak
 from ._scenario import load_scenario
 from ._scenario_run import run_scenario
+from ._seeds import read_seeds
 from ._series import PROFILES
 
 N_FRESH_BITS = 31  # size of a random seed
@@ -49,7 +50,7 @@
     With a scenario, series of faults from a profile replace the random faults.
     """
     logging.disable(logging.CRITICAL)
-    selected = _read_seeds(seeds) or [
+    selected = read_seeds(seeds) or [
         secrets.randbits(N_FRESH_BITS) for _ in range(count)
     ]
     n_failed = 0
@@ -116,13 +117,5 @@
     return report.passed
 
 
-def _read_seeds(text: str) -> list[int]:
-    seeds: list[int] = []
-    for part in filter(None, text.split(",")):
-        first, _, last = part.partition("-")
-        seeds.extend(range(int(first), int(last or first) + 1))
-    return seeds
-
-
 if __name__ == "__main__":
     main()
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -152,6 +152,7 @@
             mark=exch.request_digest,
             is_sound=is_sound,
             parts=exch.shared_parts[:MAX_LOGGED_PARTS],
+            blames_parts=had_begun,
             has_head=attempt.has_head,
             n_events=attempt.n_events,
         )
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -606,13 +606,23 @@
         """
         await asyncio.sleep(CRASH_CHECK_DELAY)
         if await self._accepts_connections(server):
-            return
-        if await self._reach.reaches_any_server(exch.service.name):
+            reason = "the server accepts connections"
+        elif not await self._reach.reaches_any_server(exch.service.name):
+            reason = "this node reaches no server"
+        else:
             if attempt.n_events <= MAX_BLAMED_EVENTS:
                 self._loads.memory.observe_crash(server.server_id, server.run_id)
             self._crash_guard.observe_crash(
                 exch, server, attempt, broken_at, memory_full=memory_full
             )
+            return
+        exch.record(
+            "no_crash",
+            server=server.server_id,
+            reason=reason,
+            has_head=attempt.has_head,
+            n_events=attempt.n_events,
+        )
 
     async def _accepts_connections(self, server: Registration) -> bool:
         """Return whether a server can be reached; checks at one time share a probe."""
