--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -39,8 +39,17 @@
     part_crashes : dict of str to dict
         Seconds since the crashes of servers on a prompt part, by part and by run of the
         server.
+    part_answers : dict of str to dict
+        Seconds since the latest completed answers on the parts in ``part_crashes``, by
+        part and by id of the answer.
+    part_sound : dict of str to float
+        Seconds since the last completed answer on the parts in ``part_crashes``, by
+        part; missing without one.
     sound_parts : dict of str to float
-        Seconds since a completed answer cleared a suspected prompt part, by part.
+        Seconds since completed answers cleared a suspected prompt part, by part.
+    memory_crashes : dict of str to float
+        Seconds since the crashes of servers whose memory was full, by run of the
+        server.
     versions : dict of str to dict of str to float
         Seconds since servers of a software version served, by service and version, for
         services with several versions.
@@ -91,7 +100,10 @@
     loads: dict[str, tuple[int, float]] = Field(default_factory=dict)
     crashes: dict[str, list[str]] = Field(default_factory=dict)
     part_crashes: dict[str, dict[str, float]] = Field(default_factory=dict)
+    part_answers: dict[str, dict[str, float]] = Field(default_factory=dict)
+    part_sound: dict[str, float] = Field(default_factory=dict)
     sound_parts: dict[str, float] = Field(default_factory=dict)
+    memory_crashes: dict[str, float] = Field(default_factory=dict)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
     evacuations_revision: int | None = None
--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -51,7 +51,7 @@
 from ._fill_limits import FillLimits, choose_fill_limits
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
-from ._part_crashes import BLOCK_TIME, PartCrashes
+from ._part_crashes import BLOCK_TIME, PartCrashes, PartRecord
 from ._placement import (
     CROSS_DOMAIN_COST_PER_BYTE,
     SHORT_PROMPT_JITTER,
@@ -82,6 +82,7 @@
     choose_probed_services,
     compute_recheck_pause,
     is_abandoned,
+    list_silent_servers,
 )
 from ._return_times import QueueClass, ReturnTimes, ServedRates
 from ._server_room import (
@@ -211,6 +212,7 @@
     "OutputEstimator",
     "OutputLengths",
     "PartCrashes",
+    "PartRecord",
     "Placement",
     "PoolLoad",
     "PoolOptions",
@@ -295,6 +297,7 @@
     "is_mostly_framing",
     "is_over_share",
     "is_prefill_sensitive",
+    "list_silent_servers",
     "make_fingerprint",
     "make_queue_key",
     "make_request_digest",
--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -1,10 +1,10 @@
-"""Detection of prompt parts that crash every engine that begins an answer on them.
+"""Detection of prompt parts that crash the engines which run them.
 
 Requests that share such a part differ in everything else, so that digests of whole
-requests do not identify them. A crash is recorded for all parts of the requests that
-the engine had just begun to answer. A completed answer clears the parts of its request.
-Crashes that another suspected part explains do not count against a request without that
-part.
+requests do not identify them. A crash breaks off all answers of its engine, and is
+recorded for all their parts, however far each answer was. What distinguishes a part
+that crashes engines is that answers on it are not completed, and that it was present at
+crashes which no other suspected part explains.
 
 Load pattern: a small share of the requests of one caller, no two of them equal, at all
 nodes, each of which costs an engine and all other requests on it.
@@ -16,38 +16,87 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-MAX_PART_CRASHES = 3  # crashed servers after which requests with a part are blocked
+from cachetools import LRUCache
+
+# Crashed servers after the last completed answer from which a part is blocked.
+MAX_PART_CRASHES = 3
 # A part on which answers were completed before is more likely to be present by chance
 # when servers crash, for example when a failure domain loses power.
 MAX_SOUND_PART_CRASHES = 6
+# Requests with a part may crash servers often and still be answered at times. Such a
+# part is blocked if so many servers crashed, for each completed answer and at least.
+MIN_CRASHES_PER_ANSWER = 2
+MIN_FREQUENT_CRASHES = 6
+# Crashes are forgotten once so many answers were completed after the last one.
+N_CLEARING_ANSWERS = 3
 # Servers that crash together have a common cause, for example a loss of power, and the
-# parts that they were about to answer do not crash them.
+# parts that they were answering do not crash them.
 MIN_CRASH_SPACING = 0.1  # seconds; crashes closer to the last counted one count once
-MIN_EXPLAINING_CRASHES = 2  # crashed servers of a part that explains crashes of others
+# A full memory may have crashed a server as well as a part, so that such crashes count
+# less.
+MEMORY_CRASHES_PER_CRASH = 2
 # Requests with a blocked part are not run, so that only time can show whether it still
 # crashes servers. After one further crash the part is blocked again.
 BLOCK_TIME = 600.0  # seconds after the last crash
-SOUND_PART_BLOCK_TIME = 60.0  # seconds; for a part that was sound before
-MAX_PARTS = 200  # suspected parts that are kept
-MAX_SOUND_PARTS = 2_000  # parts with completed answers that are kept
-MAX_RECORDED_CRASHES = 12  # latest crashes that are kept for a part
-MAX_SHARED_PARTS = 20  # most recently changed ones that a node reports to its peers
+# The evidence against a part with few crashes is weaker, and its block is shorter.
+SHORT_BLOCK_TIME = 60.0  # seconds
+MIN_LONG_BLOCK_CRASHES = 5
+MAX_PARTS = 500  # suspected parts that are kept
+MAX_SOUND_PARTS = 5_000  # parts with completed answers that are kept
+MAX_RECORDED = 12  # latest crashes and latest answers that are kept for a part
+MAX_SHARED_PARTS = 32  # suspected parts that a node reports to its peers
+MAX_SHARED_ANSWERS = 6  # latest answers on such a part that a node reports
 MAX_BLAMED_PARTS = 16  # parts of one request for which a crash is recorded
+MAX_MEMORY_CRASHES = 100  # crashed servers with a full memory that are kept
+MAX_LIVE_RUNS = 500  # runs of servers whose reported crash was wrong that are kept
 # Peers get a crash or a completed answer in many status messages in this time.
 SHARE_TIME = 30.0  # seconds
 
+# A time that comes from a peer is later by the time that its message took. Smaller
+# steps are ignored, since times that nodes exchange again and again would advance
+# without end.
+MIN_MERGED_STEP = 0.3  # seconds
+
+NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class PartRecord:
+    """Evidence on a suspected part.
+
+    Attributes
+    ----------
+    crashes : dict of str to float
+        Times of the latest crashes, in seconds, by run of the server.
+    answers : dict of str to float
+        Times of the latest completed answers since the first crash, in seconds, by
+        their ids.
+    sound_at : float
+        Time of the last completed answer, also before the crashes, in seconds.
+    """
+
+    crashes: dict[str, float] = field(default_factory=dict)
+    answers: dict[str, float] = field(default_factory=dict)
+    sound_at: float = NEVER
+
+    @property
+    def crashed_at(self) -> float:
+        """Time of the last crash, in seconds."""
+        return max(self.crashes.values(), default=NEVER)
+
 
 @dataclass
 class PartCrashes:
-    """Crashed servers by suspected prompt part.
+    """Crashed servers and completed answers by suspected prompt part.
 
     Attributes
     ----------
-    records : OrderedDict of str to dict
-        Crashes by part, the most recently changed parts last: times in seconds by run
-        of the server.
+    records : OrderedDict of str to PartRecord
+        Evidence by part, the most recently changed parts last.
     sound_at : OrderedDict of str to float
         Times, in seconds, of the last completed answer by part.
+    memory_crashes : OrderedDict of str to float
+        Times, in seconds, of the crashes of servers whose memory was full, by run.
 
     Examples
     --------
@@ -57,88 +106,186 @@
     >>> crashes.find_blocked(["common", "good"], now=3)
     >>> crashes.find_blocked(["common", "bad"], now=3)
     'common'
-    >>> crashes.observe_sound(["common", "good"], now=4)
+    >>> crashes.observe_sound(["common", "good", "own"], "answer", now=4)
     >>> crashes.find_blocked(["other", "bad"], now=5)
     'bad'
     """
 
-    records: OrderedDict[str, dict[str, float]] = field(default_factory=OrderedDict)
+    records: OrderedDict[str, PartRecord] = field(default_factory=OrderedDict)
     sound_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    memory_crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _cleared: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _alive: LRUCache[str, float] = field(
+        default_factory=lambda: LRUCache(MAX_LIVE_RUNS)
+    )
+    _version: int = 0  # changes with the evidence
+    _suspects: dict[str, tuple[bool, int, float]] = field(default_factory=dict)
+    _suspects_key: tuple[int, int] = (-1, 0)
+
+    @property
+    def version(self) -> int:
+        """Number that changes with the evidence on suspected parts."""
+        return self._version
+
+    # Evidence
 
     def observe_crash(
-        self, parts: Collection[str], server_run: str, *, now: float
+        self,
+        parts: Collection[str],
+        server_run: str,
+        *,
+        now: float,
+        memory_full: bool = False,
     ) -> None:
-        """Record a crash for the parts of a request that the server began to answer.
+        """Record a crash for the parts of a request that the server had.
 
         Parameters
         ----------
         parts : collection of str
-            Ids of the request's parts, without the last one, which no other request
-            has.
+            Ids of the request's parts.
         server_run : str
             Identifier of the server and of its start.
         now : float
             Time of the crash, in seconds.
+        memory_full : bool, default=False
+            Whether the server's memory was full.
         """
+        if memory_full:
+            self._add_memory_crashes({server_run: now})
         for part in list(parts)[:MAX_BLAMED_PARTS]:
-            self._add(part, {server_run: now})
+            self._add_crashes(part, {server_run: now})
 
-    def _add(self, part: str, crashed_at: Mapping[str, float]) -> None:
-        sound_at = self.sound_at.get(part, float("-inf"))
-        record = self.records.get(part, {})
+    def _add_memory_crashes(self, crashes: Mapping[str, float]) -> None:
+        for run, at in crashes.items():
+            if run not in self.memory_crashes:
+                self.memory_crashes[run] = at
+                self._version += 1
+        while len(self.memory_crashes) > MAX_MEMORY_CRASHES:
+            self.memory_crashes.popitem(last=False)
+
+    def _add_crashes(self, part: str, crashes: Mapping[str, float]) -> None:
+        record = self.records.get(part)
+        known = record.crashes if record else {}
+        cleared_at = self._cleared.get(part, NEVER)
         added = {
             run: at
-            for run, at in crashed_at.items()
-            if at > sound_at and run not in record
+            for run, at in crashes.items()
+            if at > cleared_at and run not in known and at > self._alive.get(run, NEVER)
         }
         if not added:
             return
-        latest = sorted((record | added).items(), key=lambda it: it[1])
-        self.records[part] = dict(latest[-MAX_RECORDED_CRASHES:])
+        if record is None:
+            record = self.records[part] = PartRecord()
+        record.crashes = _keep_latest(known | added, MAX_RECORDED)
         self.records.move_to_end(part)
-        while len(self.records) > MAX_PARTS:
-            self.records.popitem(last=False)
+        self._version += 1
+        if len(self.records) > MAX_PARTS:
+            del self.records[min(self.records, key=self._compute_retention)]
 
-    def observe_sound(self, parts: Collection[str], *, now: float) -> None:
+    def _compute_retention(self, part: str) -> tuple[int, float]:
+        record = self.records[part]
+        return len(record.crashes), record.crashed_at
+
+    def observe_sound(
+        self, parts: Collection[str], answer_id: str, *, now: float
+    ) -> None:
         """Record that an answer to a request with these parts was completed.
 
         Parameters
         ----------
         parts : collection of str
-            Ids of the request's parts.
+            Ids of the request's parts. The last one is mostly the request's own, and
+            is not remembered unless it is suspected.
+        answer_id : str
+            Identifier of the answer, unique among all nodes.
         now : float
             Time of the end of the answer, in seconds.
         """
-        for part in parts:
-            if now <= self.sound_at.get(part, float("-inf")):
-                continue
-            self.sound_at[part] = now
-            self.sound_at.move_to_end(part)
-            if part in self.records:
-                self._clear(part, now)
+        for number, part in enumerate(parts, start=1):
+            if number < len(parts) or part in self.records:
+                self._add_answers(part, {answer_id: now})
+
+    def _add_answers(self, part: str, answers: Mapping[str, float]) -> None:
+        record = self.records.get(part)
+        known = record.answers if record is not None else {}
+        last = max((at for it, at in answers.items() if it not in known), default=NEVER)
+        self._observe_sound_at(part, last)
+        if record is None or answers.keys() <= known.keys():
+            return
+        record.answers = _keep_latest(answers | known, MAX_RECORDED)
+        self._version += 1
+        crashed_at = record.crashed_at
+        n_after = sum(at > crashed_at for at in record.answers.values())
+        if n_after >= N_CLEARING_ANSWERS:
+            self._clear(part, max(record.answers.values()))
+
+    def _observe_sound_at(self, part: str, at: float) -> None:
+        if at <= self.sound_at.get(part, NEVER):
+            return
+        if part in self.records:
+            self._version += 1
+        self.sound_at[part] = at
+        self.sound_at.move_to_end(part)
         while len(self.sound_at) > MAX_SOUND_PARTS:
             self.sound_at.popitem(last=False)
 
+    def _merge_sound_at(self, part: str, at: float) -> None:
+        if at > self.sound_at.get(part, NEVER) + MIN_MERGED_STEP:
+            self._observe_sound_at(part, at)
+
     def _clear(self, part: str, until: float) -> None:
         """Forget the crashes of a part up to a time."""
-        later = {run: at for run, at in self.records[part].items() if at > until}
-        if later:
-            self.records[part] = later
-        else:
-            del self.records[part]
-        self._cleared[part] = until
+        record = self.records.get(part)
+        if record is not None:
+            record.crashes = {
+                run: at for run, at in record.crashes.items() if at > until
+            }
+            if not record.crashes:
+                del self.records[part]
+        self._version += 1
+        self._cleared[part] = max(until, self._cleared.get(part, NEVER))
         self._cleared.move_to_end(part)
         while len(self._cleared) > MAX_PARTS:
             self._cleared.popitem(last=False)
 
+    def observe_alive(self, server_run: str, *, now: float) -> bool:
+        """Forget the crash of a run that has shown signs of life since.
+
+        Parameters
+        ----------
+        server_run : str
+            Identifier of the server and of its start.
+        now : float
+            Time of the sign of life, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a crash of the run had been recorded.
+        """
+        suspected = [it for it in self.records.items() if server_run in it[1].crashes]
+        for part, record in suspected:
+            del record.crashes[server_run]
+            if not record.crashes:
+                del self.records[part]
+        if suspected:
+            self._alive[server_run] = now
+            self._version += 1
+        return bool(suspected)
+
+    def has_crashed(self, server_run: str) -> bool:
+        """Return whether a crash of a run of a server is recorded for any part."""
+        return any(server_run in it.crashes for it in self.records.values())
+
+    # Decisions
+
     def find_blocked(self, parts: Collection[str], *, now: float) -> str | None:
         """Return the part because of which a request must not be run.
 
         Parameters
         ----------
         parts : collection of str
-            Ids of the request's parts, without the last one.
+            Ids of the request's parts.
         now : float
             Current time, in seconds.
 
@@ -146,30 +293,143 @@
         -------
         str or None
             Id of a blocked part; None if the request may be run.
+
+        Notes
+        -----
+        A part is present by chance at crashes that another part causes. Crashes at
+        which a part was present that the request does not have, and that has no weaker
+        evidence against it, do not count against the request.
         """
+        if self.records.keys().isdisjoint(parts):
+            return None
+        suspects = self._list_suspects(now)
         for part in parts:
-            if not self._has_crashed_often(part, now):
+            if part not in suspects:
                 continue
-            unexplained = set(self.records[part])
-            for other, record in self.records.items():
-                if other not in parts and len(record) >= MIN_EXPLAINING_CRASHES:
-                    unexplained -= record.keys()
-            if unexplained:
+            unexplained = dict(self.records[part].crashes)
+            for other, strength in suspects.items():
+                if other not in parts and strength >= suspects[part]:
+                    for run in self.records[other].crashes:
+                        unexplained.pop(run, None)
+            if self._is_enough(part, unexplained):
                 return part
         return None
 
-    def _has_crashed_often(self, part: str, now: float) -> bool:
-        record = self.records.get(part)
-        if record is None:
-            return False
-        was_sound = part in self.sound_at
-        max_crashes = MAX_SOUND_PART_CRASHES if was_sound else MAX_PART_CRASHES
-        block_time = SOUND_PART_BLOCK_TIME if was_sound else BLOCK_TIME
+    def compute_suspicion(self, parts: Collection[str]) -> float:
+        """Return the share of the evidence that would block a request.
+
+        Parameters
+        ----------
+        parts : collection of str
+            Ids of the request's parts.
+
+        Returns
+        -------
+        float
+            0 if no server has crashed under one of the parts since an answer on it was
+            completed, at which no other part was present more often.
+        """
+        suspicion = 0.0
+        for part in self.records.keys() & parts:
+            unexplained = dict(self.records[part].crashes)
+            n_crashes = self._count_since_answer(part, unexplained)
+            if not n_crashes:
+                continue
+            for other, record in self.records.items():
+                if (
+                    other not in parts
+                    and self._count_since_answer(other, record.crashes) > n_crashes
+                ):
+                    for run in record.crashes:
+                        unexplained.pop(run, None)
+            n_crashes = self._count_since_answer(part, unexplained)
+            suspicion = max(suspicion, n_crashes / self._get_max_crashes(part))
+        return suspicion
+
+    def _list_suspects(self, now: float) -> dict[str, tuple[bool, int, float]]:
+        """Return the strength of the evidence against the suspected parts, by part."""
+        key = self._version, int(now)
+        if key != self._suspects_key:
+            self._suspects_key = key
+            self._suspects = {
+                part: self._compute_strength(part)
+                for part in self.records
+                if self._is_suspect(part, now)
+            }
+        return self._suspects
+
+    def _is_suspect(self, part: str, now: float) -> bool:
+        """Return whether the crashes of a part suffice to block it."""
+        record = self.records[part]
+        block_time = (
+            BLOCK_TIME
+            if self._count(record.crashes) >= MIN_LONG_BLOCK_CRASHES
+            else SHORT_BLOCK_TIME
+        )
+        return now - record.crashed_at < block_time and self._is_enough(
+            part, record.crashes
+        )
+
+    def _is_enough(self, part: str, crashes: Mapping[str, float]) -> bool:
+        if self._count_since_answer(part, crashes) >= self._get_max_crashes(part):
+            return True
+        n_answers = len(self.records[part].answers)
+        return self._count_frequent(part, crashes) >= max(
+            MIN_FREQUENT_CRASHES, MIN_CRASHES_PER_ANSWER * n_answers
+        )
+
+    def _get_max_crashes(self, part: str) -> int:
+        return MAX_SOUND_PART_CRASHES if part in self.sound_at else MAX_PART_CRASHES
+
+    def _compute_strength(self, part: str) -> tuple[bool, int, float]:
+        """Return how strong the evidence against a part is, for comparisons.
+
+        Parts without an answer since their first crash come before others, whatever
+        their number of crashes. Of parts that were present at the same number of
+        crashes, one whose last answer was completed earlier is more likely to have
+        caused them.
+        """
+        crashes = self.records[part].crashes
+        n_crashes = max(
+            self._count_since_answer(part, crashes), self._count_frequent(part, crashes)
+        )
+        is_unanswered = not self.records[part].answers
+        return is_unanswered, n_crashes, -self.sound_at.get(part, NEVER)
+
+    def _count_since_answer(self, part: str, crashes: Mapping[str, float]) -> int:
+        """Return the number of crashes after the last completed answer on a part."""
+        sound_at = self.sound_at.get(part, NEVER)
+        return self._count({run: at for run, at in crashes.items() if at > sound_at})
+
+    def _count_frequent(self, part: str, crashes: Mapping[str, float]) -> int:
+        """Return the number of crashes in the time of the recorded answers."""
+        answers = self.records[part].answers
+        since = min(answers.values()) if len(answers) >= MAX_RECORDED else NEVER
+        return self._count({run: at for run, at in crashes.items() if at > since})
+
+    def _count(self, crashes: Mapping[str, float]) -> int:
+        """Return the number of separate crashes; those by a full memory count less."""
+        by_memory = crashes.keys() & self.memory_crashes.keys()
+        n_by_memory = _count_separate(crashes[run] for run in by_memory)
+        others = crashes.keys() - by_memory
         return (
-            now - max(record.values()) < block_time
-            and _count_separate(record.values()) >= max_crashes
+            _count_separate(crashes[run] for run in others)
+            + n_by_memory // MEMORY_CRASHES_PER_CRASH
         )
 
+    def describe(self, part: str) -> dict[str, int | bool]:
+        """Return the evidence on a part, for log lines."""
+        record = self.records.get(part, PartRecord())
+        return {
+            "n_crashes": len(record.crashes),
+            "n_separate": self._count(record.crashes),
+            "n_since_answer": self._count_since_answer(part, record.crashes),
+            "n_answers": len(record.answers),
+            "was_sound": part in self.sound_at,
+        }
+
+    # Exchange
+
     def list_blocked(self, *, now: float) -> dict[str, dict[str, float]]:
         """Return the crashes of the parts that have crashed enough servers, by part.
 
@@ -177,30 +437,36 @@
         request does not have, explains the crashes.
         """
         return {
-            part: record
-            for part, record in self.records.items()
-            if self._has_crashed_often(part, now)
+            part: dict(self.records[part].crashes) for part in self._list_suspects(now)
         }
 
-    def list_recent(self, *, now: float) -> dict[str, dict[str, float]]:
-        """Return the crashes that peers should know, by part.
+    def list_recent(self, *, now: float) -> dict[str, PartRecord]:
+        """Return the evidence that peers should know, by part.
 
         Returns
         -------
-        dict of str to dict
-            Crashes of blocked parts, and of those that had one in the last
-            ``SHARE_TIME``: times in seconds by run of the server.
+        dict of str to PartRecord
+            Evidence on blocked parts, and on those with a crash in the last
+            ``SHARE_TIME``; those with the most crashes first, then the latest.
         """
-        rows = {
-            part: record
+        suspects = self._list_suspects(now)
+        rows = [
+            (part in suspects, self._compute_retention(part), part)
             for part, record in self.records.items()
-            if now - max(record.values()) < SHARE_TIME
-            or self._has_crashed_often(part, now)
+            if now - record.crashed_at < SHARE_TIME or part in suspects
+        ]
+        rows.sort(reverse=True)
+        return {
+            part: PartRecord(
+                self.records[part].crashes,
+                _keep_latest(self.records[part].answers, MAX_SHARED_ANSWERS),
+                self.sound_at.get(part, NEVER),
+            )
+            for _, _, part in rows[:MAX_SHARED_PARTS]
         }
-        return dict(list(rows.items())[-MAX_SHARED_PARTS:])
 
     def list_recently_sound(self, *, now: float) -> dict[str, float]:
-        """Return when a completed answer last cleared a part, by part.
+        """Return when completed answers last cleared a part, by part.
 
         Returns
         -------
@@ -210,24 +476,50 @@
         rows = [(it, at) for it, at in self._cleared.items() if now - at < SHARE_TIME]
         return dict(rows[-MAX_SHARED_PARTS:])
 
+    def list_memory_crashes(self, *, now: float) -> dict[str, float]:
+        """Return the crashes of servers with a full memory of the last ``SHARE_TIME``.
+
+        Returns
+        -------
+        dict of str to float
+            Times in seconds by run of the server.
+        """
+        rows = self.memory_crashes.items()
+        return {run: at for run, at in rows if now - at < SHARE_TIME}
+
     def merge(
         self,
-        records: Mapping[str, Mapping[str, float]],
+        records: Mapping[str, PartRecord],
         sound_at: Mapping[str, float],
+        memory_crashes: Mapping[str, float] | None = None,
     ) -> None:
         """Merge what a peer or the store knows.
 
         Parameters
         ----------
-        records : mapping of str to mapping
-            Crashes by part, with times on this node's clock.
+        records : mapping of str to PartRecord
+            Evidence by part, with times on this node's clock.
         sound_at : mapping of str to float
-            Times of completed answers by part, in seconds on this node's clock.
+            Times at which completed answers cleared a part, in seconds on this node's
+            clock.
+        memory_crashes : mapping of str to float, or None
+            Times of the crashes of servers with a full memory, by run.
         """
+        self._add_memory_crashes(memory_crashes or {})
         for part, at in sound_at.items():
-            self.observe_sound([part], now=at)
-        for part, crashed_at in records.items():
-            self._add(part, crashed_at)
+            self._merge_sound_at(part, at)
+            if at > self._cleared.get(part, NEVER) + MIN_MERGED_STEP:
+                self._clear(part, at)
+        for part, record in records.items():
+            self._add_crashes(part, record.crashes)
+            if part in self.records:
+                self._merge_sound_at(part, record.sound_at)
+            if record.answers:
+                self._add_answers(part, record.answers)
+
+
+def _keep_latest(times: Mapping[str, float], n_kept: int) -> dict[str, float]:
+    return dict(sorted(times.items(), key=lambda it: it[1])[-n_kept:])
 
 
 def _count_separate(times: Iterable[float]) -> int:
@@ -238,7 +530,7 @@
     >>> _count_separate([1.0, 1.05, 1.3, 2.0])
     3
     """
-    n_separate, last = 0, float("-inf")
+    n_separate, last = 0, NEVER
     for at in sorted(times):
         if at - last >= MIN_CRASH_SPACING:
             n_separate, last = n_separate + 1, at
--- a/packages/medlargate/medlargate/policy/_reachability.py
+++ b/packages/medlargate/medlargate/policy/_reachability.py
@@ -128,6 +128,36 @@
     }
 
 
+def list_silent_servers(
+    attempts: Iterable[OpenAttempt], *, now: float
+) -> set[tuple[str, str]]:
+    """Return the servers that may have crashed without closing a connection.
+
+    Parameters
+    ----------
+    attempts : iterable of OpenAttempt
+        Attempts of this node.
+    now : float
+        Current time, in seconds.
+
+    Returns
+    -------
+    set of (str, str)
+        Names of the services and ids of the servers with an overdue attempt that have
+        sent nothing on any other one for as long.
+    """
+    overdue: set[tuple[str, str]] = set()
+    active: set[tuple[str, str]] = set()
+    for attempt in attempts:
+        server = attempt.service, attempt.server_id
+        silence = now - attempt.active_at
+        if silence > max(MIN_SILENCE, _compute_usual_silence(attempt)):
+            overdue.add(server)
+        elif silence < MIN_SILENCE and attempt.has_events:
+            active.add(server)
+    return overdue - active
+
+
 def is_abandoned(attempt: OpenAttempt, evidence: ReachEvidence, *, now: float) -> bool:
     """Return whether an attempt at an unreachable service is abandoned.
 
--- a/packages/medlargate/medlargate/policy/tests/test_reachability.py
+++ b/packages/medlargate/medlargate/policy/tests/test_reachability.py
@@ -12,6 +12,7 @@
     choose_probed_services,
     compute_recheck_pause,
     is_abandoned,
+    list_silent_servers,
 )
 
 CONTACT_TIME = 3.0  # seconds
@@ -31,6 +32,19 @@
     return OpenAttempt(**{**values, **changes})
 
 
+class SilentServersTest(unittest.TestCase):
+    def test_servers_that_are_silent_for_longer_than_predicted(self):
+        attempts = [
+            make_attempt("s1"),
+            make_attempt("s2", 0.5),
+            make_attempt("s3", predicted=1.0),
+            make_attempt("s4"),
+            make_attempt("s4", 0.9, has_events=True),
+        ]
+        found = list_silent_servers(attempts, now=1.0)
+        self.assertEqual(found, {("engine", "s1")})
+
+
 class ProbedServicesTest(unittest.TestCase):
     def is_probed(self, now, *attempts, **heard):
         evidence = {"engine": ReachEvidence(**heard)}
--- a/packages/medlargate/medlargate/relay/_block_store.py
+++ b/packages/medlargate/medlargate/relay/_block_store.py
@@ -17,7 +17,7 @@
 from returns.result import Failure
 
 from ..platform import Delete, Entry, Put, Store
-from ..policy import BLOCK_TIME
+from ..policy import BLOCK_TIME, PartRecord
 from ._crash_guard import CrashGuard
 from ._stored_models import iter_stored_models
 
@@ -133,7 +133,7 @@
     async def _observe_entries(self, entries: Iterable[Entry]) -> None:
         wall_now, now = self.wall_clock(), self.clock()
         requests: dict[str, list[str]] = {}
-        parts: dict[str, dict[str, float]] = {}
+        parts: dict[str, PartRecord] = {}
         expired = []
         for key, block in iter_stored_models(
             entries, StoredBlock, log, "stored block not decodable"
@@ -145,10 +145,11 @@
             if block.request:
                 requests[block.request] = list(block.crashed_at)
             else:
-                parts[block.part] = {
+                crashes = {
                     run: now - max(0.0, wall_now - at)
                     for run, at in block.crashed_at.items()
                 }
+                parts[block.part] = PartRecord(crashes)
         self.guard.merge_crashes(requests=requests, parts=parts, sound_at={})
         if expired and isinstance(await self.store.write([], expired[:32]), Failure):
             log.info("expired blocks not deleted", extra={"n_blocks": len(expired)})
@@ -191,10 +192,11 @@
         Only nodes that have observed a crash on a part delete its entry.
         """
         parts, observed = self.guard.parts, self.guard.observed
+        blocked = parts.list_blocked(now=self.clock())
         return [
             key
             for key, part in self._saved.items()
-            if part in parts.sound_at and part not in parts.records and part in observed
+            if part in parts.sound_at and part not in blocked and part in observed
         ]
 
     def _was_observed(self, block: StoredBlock) -> bool:
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
+import math
+import secrets
 from collections import deque
 from collections.abc import Callable, Collection
 from typing import Any
 
 from .._tasks import call_logged
 from ..fleet import StatusMessage
-from ..policy import CrashHistory, PartCrashes, SoundRequests
+from ..policy import CrashHistory, PartCrashes, PartRecord, SoundRequests
 from ..routing import Registration
 from ._exchange import AttemptProgress, Exchange
 
 log = logging.getLogger(__name__)
 
-# A server that crashes on a prompt part does so as it begins to answer. Streams that
-# were further on were broken off by the crash.
-MAX_BLAMED_EVENTS = 1
 MAX_OBSERVED = 500  # digests and parts
 MAX_LOGGED_PARTS = MAX_LOGGED_SERVERS = 8  # named in a log line
 
@@ -42,8 +42,9 @@
         Digests and parts of the crashes that this node has itself observed, up to
         ``MAX_OBSERVED``.
     crash_listeners : list of callable
-        Called without arguments after this node has observed a crash of a server that
-        had begun to answer.
+        Called without arguments after this node has observed a crash.
+    merge_listeners : list of callable
+        Called without arguments after another node has reported new evidence.
     block_listeners : list of callable
         Called without arguments when a request or a part becomes blocked, or a part
         is no longer blocked.
@@ -56,10 +57,13 @@
         self.parts = PartCrashes()
         self.observed: deque[str] = deque(maxlen=MAX_OBSERVED)
         self.crash_listeners: list[Callable[[], None]] = []
+        self.merge_listeners: list[Callable[[], None]] = []
         self.block_listeners: list[Callable[[], None]] = []
         self._blocked_requests: frozenset[str] = frozenset()
         self._blocked_parts: frozenset[str] = frozenset()
         self._isolated: dict[int, str] = {}  # server by exchange id
+        self._token = secrets.token_hex(3)  # prefix of the ids of answers
+        self._answer_numbers = itertools.count()
 
     def list_avoided_servers(self, exch: Exchange) -> Collection[str]:
         """Return the servers that a request must not share, if there are others.
@@ -103,7 +107,21 @@
         """
         if self.requests.is_blocked(exch.request_digest):
             return exch.request_digest
-        return self.parts.find_blocked(exch.shared_parts, now=self._clock())
+        return self.parts.find_blocked(exch.part_ids, now=self._clock())
+
+    def is_blocked(self, exch: Exchange) -> bool:
+        """Return whether a request must not be run."""
+        return self.find_blocked(exch) is not None
+
+    def compute_suspicion(self, exch: Exchange) -> float:
+        """Return the share of the evidence that would block a request, 0 for none.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request of which an attempt was broken off.
+        """
+        return self.parts.compute_suspicion(exch.part_ids)
 
     def observe_crash(
         self,
@@ -114,7 +132,7 @@
         *,
         memory_full: bool = False,
     ) -> None:
-        """Blame a request, and its parts if its answer had just begun, for a crash.
+        """Record that a server crashed while it had a request.
 
         Parameters
         ----------
@@ -125,16 +143,13 @@
         attempt : AttemptProgress
             What had arrived of the answer.
         crashed_at : float
-            Time on the node's clock at which the answer broke off, in seconds.
+            Time of the crash on the node's clock, in seconds.
         memory_full : bool, default=False
-            Whether the server's memory was full, which explains the crash: no request
-            or part is blamed.
+            Whether the server's memory was full, which may explain the crash: the
+            request is not blamed, and its parts are blamed less.
         """
-        if memory_full:
-            exch.record("crash_by_memory", server=server.server_id)
-            return
         is_sound = self.sound_requests.is_sound(exch.request_digest, now=self._clock())
-        if not is_sound:
+        if not is_sound and not memory_full:
             self.requests.observe_crash(
                 exch.request_digest,
                 server.run_id,
@@ -142,39 +157,55 @@
                 now=crashed_at,
             )
             self.observed.append(exch.request_digest)
-        had_begun = attempt.has_head and attempt.n_events <= MAX_BLAMED_EVENTS
-        if had_begun:
-            self.parts.observe_crash(exch.shared_parts, server.run_id, now=crashed_at)
-            self.observed.extend(exch.shared_parts)
+        self.parts.observe_crash(
+            exch.part_ids, server.run_id, now=crashed_at, memory_full=memory_full
+        )
+        self.observed.extend(exch.part_ids)
         exch.record(
             "crash",
             server=server.server_id,
             mark=exch.request_digest,
             is_sound=is_sound,
-            parts=exch.shared_parts[:MAX_LOGGED_PARTS],
-            blames_parts=had_begun,
+            memory_full=memory_full,
+            parts=exch.part_ids[:MAX_LOGGED_PARTS],
             has_head=attempt.has_head,
             n_events=attempt.n_events,
         )
+
+    def observe_crash_end(self) -> None:
+        """Update the blocks after a crash was recorded for all requests of a server."""
         self._update_blocks()
-        if had_begun:
-            for listener in self.crash_listeners:
-                call_logged(listener)
+        for listener in self.crash_listeners:
+            call_logged(listener)
 
     def observe_completed(self, exch: Exchange) -> None:
         """Record that the answer to a request was completed by its server."""
         now = self._clock()
         self.sound_requests.observe_completed(exch.request_digest, now=now)
-        self.parts.observe_sound(exch.shared_parts, now=now)
+        answer_id = f"{self._token}{next(self._answer_numbers):x}"
+        self.parts.observe_sound(exch.part_ids, answer_id, now=now)
         if self._blocked_parts:
             self._update_blocks()
 
+    def observe_alive(self, server: Registration) -> None:
+        """Withdraw the crash of a run of a server that has shown signs of life.
+
+        Parameters
+        ----------
+        server : Registration
+            Run of the server.
+        """
+        if self.parts.observe_alive(server.run_id, now=self._clock()):
+            log.info("crash withdrawn", extra={"server": server.server_id})
+            self._update_blocks()
+
     def merge_crashes(
         self,
         *,
         requests: dict[str, list[str]],
-        parts: dict[str, dict[str, float]],
+        parts: dict[str, PartRecord],
         sound_at: dict[str, float],
+        memory_crashes: dict[str, float] | None = None,
     ) -> None:
         """Merge crashes and completed answers that other nodes observed.
 
@@ -182,16 +213,25 @@
         ----------
         requests : dict of str to list of str
             Crashed servers by request digest.
-        parts : dict of str to dict
-            Crashes by prompt part: times on this node's clock by run of the server.
+        parts : dict of str to PartRecord
+            Evidence by prompt part, with times on this node's clock.
         sound_at : dict of str to float
-            Times of completed answers by prompt part, on this node's clock.
+            Times at which completed answers cleared a prompt part, on this node's
+            clock.
+        memory_crashes : dict of str to float, or None
+            Times of the crashes of servers with a full memory, by run of the server.
         """
         if not requests and not parts and not sound_at:
             return
+        before = self.parts.version
         self.requests.merge(requests, now=self._clock())
-        self.parts.merge(parts, sound_at)
-        self._update_blocks()
+        self.parts.merge(parts, sound_at, memory_crashes)
+        has_changed = self.parts.version != before
+        if has_changed or requests:
+            self._update_blocks()
+        if has_changed:
+            for listener in self.merge_listeners:
+                call_logged(listener)
 
     def merge_status(self, status: StatusMessage) -> None:
         """Merge the crashes that a status message reports."""
@@ -199,23 +239,35 @@
         self.merge_crashes(
             requests=status.crashes,
             parts={
-                part: {run: now - age for run, age in ages.items()}
+                part: PartRecord(
+                    _subtract(now, ages),
+                    _subtract(now, status.part_answers.get(part, {})),
+                    now - status.part_sound.get(part, math.inf),
+                )
                 for part, ages in status.part_crashes.items()
             },
-            sound_at={part: now - age for part, age in status.sound_parts.items()},
+            sound_at=_subtract(now, status.sound_parts),
+            memory_crashes=_subtract(now, status.memory_crashes),
         )
 
     def make_status_fields(self) -> dict[str, Any]:
         """Return the fields of a status message that report crashes."""
         now = self._clock()
-        sound_at = self.parts.list_recently_sound(now=now)
+        records = self.parts.list_recent(now=now)
+        answers = {part: it.answers for part, it in records.items() if it.answers}
         return {
             "crashes": self.requests.list_recent(now=now),
             "part_crashes": {
-                part: {run: round(now - at, 2) for run, at in record.items()}
-                for part, record in self.parts.list_recent(now=now).items()
+                part: _subtract(now, it.crashes) for part, it in records.items()
+            },
+            "part_answers": {part: _subtract(now, it) for part, it in answers.items()},
+            "part_sound": {
+                part: round(now - it.sound_at, 2)
+                for part, it in records.items()
+                if it.sound_at > -math.inf
             },
-            "sound_parts": {part: round(now - at, 2) for part, at in sound_at.items()},
+            "sound_parts": _subtract(now, self.parts.list_recently_sound(now=now)),
+            "memory_crashes": _subtract(now, self.parts.list_memory_crashes(now=now)),
         }
 
     def _update_blocks(self) -> None:
@@ -226,12 +278,29 @@
         for digest in requests - self._blocked_requests:
             log.warning("request blocked", extra={"mark": digest})
         for part in parts - self._blocked_parts:
-            servers = sorted(blocked[part])[:MAX_LOGGED_SERVERS]
-            log.warning("prompt part blocked", extra={"part": part, "servers": servers})
+            log.warning(
+                "prompt part blocked",
+                extra={"part": part, **self._describe_evidence(part)},
+            )
         for part in self._blocked_parts - parts:
-            log.warning("prompt part no longer blocked", extra={"part": part})
+            log.warning(
+                "prompt part no longer blocked",
+                extra={"part": part, **self._describe_evidence(part)},
+            )
         before = (self._blocked_requests, self._blocked_parts)
         self._blocked_requests, self._blocked_parts = requests, parts
         if before != (requests, parts):
             for listener in self.block_listeners:
                 call_logged(listener)
+
+    def _describe_evidence(self, part: str) -> dict[str, Any]:
+        crashes = self.parts.records.get(part, PartRecord()).crashes
+        return {
+            **self.parts.describe(part),
+            "servers": sorted(crashes)[:MAX_LOGGED_SERVERS],
+        }
+
+
+def _subtract(now: float, times: dict[str, float]) -> dict[str, float]:
+    """Turn times into ages, or ages into times."""
+    return {key: round(now - it, 2) for key, it in times.items()}
--- a/packages/medlargate/medlargate/relay/_event_relay.py
+++ b/packages/medlargate/medlargate/relay/_event_relay.py
@@ -69,6 +69,7 @@
             buffer.resize(splitter.n_buffered)
             for event in events:
                 exch.attempt.n_events += 1
+                exch.attempt.heard_at = clock()
                 if not started:
                     started = True
                     on_first_event()
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -78,11 +78,15 @@
         Whether the head of an answer arrived that says that the request is run.
     n_events : int
         Number of complete stream events that arrived.
+    heard_at : float
+        Time on the node's clock at which the head or the last event arrived, in
+        seconds; the begin of the attempt before.
     """
 
     began_at: float = 0.0
     has_head: bool = False
     n_events: int = 0
+    heard_at: float = 0.0
 
 
 @dataclass
@@ -201,10 +205,15 @@
             self.rule.name, customer, self.req.target, self.req.body
         )
 
+    @cached_property
+    def part_ids(self) -> tuple[str, ...]:
+        """Ids of all prompt parts; the last is that of the request or its session."""
+        return tuple(part.part_id for part in self.facts.parts)
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Ids of the prompt parts that other requests may have too."""
-        return tuple(part.part_id for part in self.facts.parts[:-1])
+        return self.part_ids[:-1]
 
     @property
     def is_resumed(self) -> bool:
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -82,6 +82,7 @@
 MAX_TRANSIT_TIME = 0.1  # seconds; subtracted from the times in received messages
 # Combines the changes of one response of the store into one broadcast.
 CHANGE_BATCH_DELAY = 0.02  # seconds
+RELAY_BATCH_DELAY = 0.05  # seconds between statuses to other domains at least
 # Announcements of changed speeds at most double the statuses that are sent anyway.
 MIN_ANNOUNCE_INTERVAL = 0.2  # seconds
 REGISTRATION_RETRY_DELAY = 1.0  # seconds between attempts to write this node's entry
@@ -218,6 +219,7 @@
         self._has_read_nodes = False
         self._pull_server = make_server(self._answer_peer, self._get_peer_limits)
         self._broadcast_pending = False
+        self._relay_pending = False
         self._speeds_announced_at = float("-inf")
         self._pull_task: asyncio.Task[None] | None = None
         self._restored = asyncio.Event()
@@ -549,6 +551,20 @@
         self._broadcast_pending = False
         self.messenger.send_status(same_domain=True, all_peers=True)
 
+    def relay_soon(self) -> None:
+        """Send one status to the other failure domains for a burst of changes.
+
+        Only the representative of the failure domain sends it.
+        """
+        if self._relay_pending or not self.domains.is_domain_representative():
+            return
+        self._relay_pending = True
+        asyncio.get_running_loop().call_later(RELAY_BATCH_DELAY, self._relay_changes)
+
+    def _relay_changes(self) -> None:
+        self._relay_pending = False
+        self._send_domain_status()
+
     def list_forward_peers(self, service: str) -> list[ForwardPeer]:
         """Return the live nodes to which requests for a service may be forwarded.
 
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -66,6 +66,7 @@
 from ._block_store import BlockStore
 from ._cold_servers import ColdServers
 from ._crash_guard import CrashGuard
+from ._crash_watch import CrashWatch
 from ._duties import (
     ORDER_TIMEOUT,
     DemandTracker,
@@ -191,6 +192,15 @@
             self.clock,
             random_state=self.random_state,
         )
+        self.crash_watch = CrashWatch(
+            self.crash_guard,
+            self.loads,
+            self.reach,
+            can_reach=_can_reach,
+            has_left=self.cluster_state.has_left,
+            clock=self.clock,
+        )
+        self.reach.silent_listeners.append(self.crash_watch.observe_silent)
         self.answer_buffers = AnswerBuffers()
         self.forwarder = Forwarder(
             settings.node.name,
@@ -231,10 +241,10 @@
             self.loads,
             self.recorder,
             crash_guard=self.crash_guard,
+            crash_watch=self.crash_watch,
             origins=self.origins,
             reach=self.reach,
             forwarder=self.forwarder,
-            can_reach=_can_reach,
             get_budget=self._get_retry_budget,
             count_nodes=self._count_nodes,
             clock=self.clock,
@@ -357,6 +367,8 @@
         return budget
 
     def _observe_server_change(self, server_id: str) -> None:
+        server = self.cluster_state.servers.get(server_id)
+        self.crash_watch.observe_registration(server, server_id)
         if server_id not in self.cluster_state.servers:
             self.pool.close_server_connections(server_id)
             self.loads.forget(server_id)
@@ -585,8 +597,15 @@
             self.fleet.domains.is_domain_representative,
         )
         store.restore_listeners.append(block_store.observe_restore)
-        self.crash_guard.crash_listeners.append(self.fleet.broadcast_soon)
-        self.crash_guard.block_listeners.append(block_store.observe_change)
+        self.crash_guard.crash_listeners += [
+            self.fleet.broadcast_soon,
+            self.fleet.relay_soon,
+        ]
+        self.crash_guard.merge_listeners.append(self.fleet.relay_soon)
+        self.crash_guard.block_listeners += [
+            block_store.observe_change,
+            lambda: self.sender.abandon_blocked(self.crash_guard.is_blocked),
+        ]
         return block_store
 
     def _make_duties(self, store: HttpStore) -> Duties:
--- a/packages/medlargate/medlargate/relay/_reach.py
+++ b/packages/medlargate/medlargate/relay/_reach.py
@@ -13,6 +13,7 @@
     ReachEvidence,
     choose_probed_services,
     compute_recheck_pause,
+    list_silent_servers,
 )
 from ..routing import Registration
 from ..transport import (
@@ -94,6 +95,8 @@
     ----------
     listeners : list of callable
         Called with the name of a service that became unreachable or reachable.
+    silent_listeners : list of callable
+        Called again and again with the id of a server that is silent for long.
     """
 
     def __init__(
@@ -117,6 +120,7 @@
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._has_unreachable = asyncio.Event()
         self.listeners: list[Callable[[str], None]] = []
+        self.silent_listeners: list[Callable[[str], None]] = []
 
     def is_unreachable(self, service: str) -> bool:
         """Return whether no server of a service could be reached."""
@@ -277,9 +281,12 @@
             now = self._clock()
             for service in self.list_unreachable():
                 abandon_silent(service, self._get_evidence(service), now)
-            services = choose_probed_services(
-                list_attempts(now), self._evidence, now=now
-            )
+            attempts = list(list_attempts(now))
+            services = choose_probed_services(attempts, self._evidence, now=now)
+            for service, server_id in list_silent_servers(attempts, now=now):
+                if service not in self._unreachable:
+                    for listener in self.silent_listeners:
+                        call_logged(listener, server_id)
             for service in services - self._unreachable.keys():
                 # A single server may just be silent for a while.
                 if len(self._list_servers(service)) > 1:
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
 
 import orjson
 
-from .._tasks import call_logged, log_task_failure, share_task
+from .._tasks import call_logged
 from ..platform import decode_request, make_refusal_headers, make_response_headers
 from ..policy import (
     FleetRetryBudget,
@@ -23,7 +22,8 @@
 from ..routing import Registration
 from ..transport import IncomingRequest, Responder
 from ._accept import Acceptor
-from ._crash_guard import MAX_BLAMED_EVENTS, CrashGuard
+from ._crash_guard import CrashGuard
+from ._crash_watch import CrashWatch
 from ._event_relay import relay_events
 from ._exchange import (
     NOT_RUN_STATUSES,
@@ -66,10 +66,11 @@
 # The connection is closed, and the load balancer chooses another node.
 STOPPING_RETRY_AFTER = 0.05  # seconds
 CRASHING_RETRY_AFTER = 30.0  # seconds; the request is not run before that
-# After a broken connection, a new connection is tried after this delay: it fails if the
-# server has crashed, and succeeds if only the answer was lost.
-CRASH_CHECK_DELAY = 0.1  # seconds
 CONNECTION_LOSSES = ("reset", "closed")
+# Requests are not repeated from this share of the evidence that would block them.
+MAX_REPEATED_SUSPICION = 0.5
+SUSPECT_RETRY_DELAY = 0.25  # seconds
+CRASH_SIGNS = (*CONNECTION_LOSSES, "silent")
 INTERNAL_ERROR = "internal_error"
 
 
@@ -90,14 +91,14 @@
         Records usage, outcomes and metrics.
     crash_guard : CrashGuard
         Requests and prompt parts that crash servers.
+    crash_watch : CrashWatch
+        Gets the begin and the end of each attempt.
     origins : StreamOrigins
         Software versions at which streams began.
     reach : ReachMonitor
         Services of which this node reaches no server.
     forwarder : Forwarder
         Forwards requests to other nodes while this node reaches no server.
-    can_reach : callable
-        Returns whether a server still accepts connections.
     get_budget : callable
         Returns the retry budget of a service.
     count_nodes : callable
@@ -115,10 +116,10 @@
         recorder: RequestRecorder,
         *,
         crash_guard: CrashGuard,
+        crash_watch: CrashWatch,
         origins: StreamOrigins,
         reach: ReachMonitor,
         forwarder: Forwarder,
-        can_reach: Callable[[Registration], Coroutine[Any, Any, bool]],
         get_budget: Callable[[str], FleetRetryBudget],
         count_nodes: Callable[[], int],
         clock: Callable[[], float],
@@ -129,12 +130,10 @@
         self._loads = loads
         self._recorder = recorder
         self._crash_guard = crash_guard
+        self._crash_watch = crash_watch
         self._origins = origins
         self._reach = reach
         self._forwarder = forwarder
-        self._can_reach = can_reach
-        self._crash_checks: set[asyncio.Task[None]] = set()
-        self._probes: dict[str, asyncio.Task[bool]] = {}
         self._get_budget = get_budget
         self._count_nodes = count_nodes
         self._clock = clock
@@ -337,12 +336,23 @@
                 return await self._serve_here(exch)
             except AttemptError as fault:
                 n_unreachable += fault.kind == "connect"
+                if fault.kind in CRASH_SIGNS:
+                    await self._wait_for_evidence(exch)
                 reason = self._find_stop_reason(exch, fault, n_unreachable)
                 if reason is None:
                     exch.record("retry", fault=fault.kind, n_sent=exch.n_sent)
                     continue
                 return await self._finish_failed(exch, fault, reason)
 
+    async def _wait_for_evidence(self, exch: Exchange) -> None:
+        """Let what is known of a crash arrive before a suspected request is repeated.
+
+        A server has just crashed under such requests, and each repeat may cost
+        another one.
+        """
+        if exch.rule.repeatable and self._crash_guard.compute_suspicion(exch):
+            await asyncio.sleep(SUSPECT_RETRY_DELAY)
+
     async def _serve_here(self, exch: Exchange) -> Outcome:
         """Send a request to one of the servers that this node reaches."""
         service = exch.service.name
@@ -351,17 +361,22 @@
             self._recorder.observe_event("speed_probe")
         elif assignment.state.machine_slowness > SLOW_MACHINE:
             self._recorder.observe_event("slow_machine")
+        server = assignment.server
         try:
             # The block may have come while the request waited.
             self._raise_if_blocked(exch)
-            return await self._attempt(exch, assignment)
+            outcome = await self._attempt(exch, assignment)
+            self._crash_watch.observe_answered(exch, server)
+            return outcome
         except AttemptError as fault:
+            self._observe_crash_signs(exch, server, fault)
             self._observe_fault(exch, assignment, fault)
             if fault.kind == "connect" or fault.kind in CONNECTION_LOSSES:
                 await self._reach.check(service, since=exch.placed_at or 0.0)
             raise
         finally:
-            self._queue.observe_end(exch, assignment.server.server_id)
+            self._crash_watch.observe_abandoned(exch, server)
+            self._queue.observe_end(exch, server.server_id)
             self._queue.observe_change()
 
     async def _forward(self, exch: Exchange, peer: ForwardPeer) -> Outcome:
@@ -402,7 +417,9 @@
     async def _attempt(self, exch: Exchange, assignment: ServerAssignment) -> Outcome:
         if self._get_time_left(exch) < MIN_TIME_LEFT:
             raise self._make_timeout(exch)
-        exch.attempt = AttemptProgress(self._clock())
+        now = self._clock()
+        exch.attempt = AttemptProgress(now, heard_at=now)
+        self._crash_watch.observe_begin(exch, assignment.server)
         if exch.n_sent == 0 and not (exch.forwarded and exch.forwarded.n_sent):
             self._get_budget(exch.service.name).observe_request(self._clock())
 
@@ -416,6 +433,7 @@
             may_abandon=may_abandon,
         ) as open_answer:
             exch.attempt.has_head = True
+            exch.attempt.heard_at = self._clock()
             self._reach.observe_response(
                 exch.service.name, is_new_connection=open_answer.conn.n_requests == 1
             )
@@ -503,10 +521,10 @@
                 clock=self._clock,
             )
         self._observe_token_time(exch, server.server_id)
-        is_delimited = open_answer.head.is_delimited
-        if is_delimited or exch.attempt.n_events > MAX_BLAMED_EVENTS:
-            # A shorter stream may have ended because its server crashed.
+        if open_answer.head.is_delimited:
             self._crash_guard.observe_completed(exch)
+        else:
+            self._crash_watch.observe_unframed_end(exch, server)
         self._loads.get_view(server.server_id).observe_result(False, _now())
         self._loads.memory.observe_completed(exch)
         exch.states.observe("finish")
@@ -575,60 +593,22 @@
             if not self._loads.get_refusal_time(server_id):
                 view.observe_result(True, _now())
             exch.states.observe("backend_refusal")
-        elif fault.kind in CONNECTION_LOSSES:
-            self._spawn_crash_check(exch, assignment.server)
         if exch.service.engine is None and fault.verdict is Verdict.MAY_HAVE_RUN:
             # A plain server usually starts a request immediately, even if the answer
             # is lost.
             self._recorder.observe_run(exch)
 
-    def _spawn_crash_check(self, exch: Exchange, server: Registration) -> None:
-        # The next attempt replaces the progress of this one.
-        memory_full = self._loads.is_memory_full(server.server_id)
-        task = asyncio.create_task(
-            self._check_crash(exch, server, exch.attempt, self._clock(), memory_full)
-        )
-        self._crash_checks.add(task)
-        task.add_done_callback(self._crash_checks.discard)
-        task.add_done_callback(log_task_failure)
-
-    async def _check_crash(
-        self,
-        exch: Exchange,
-        server: Registration,
-        attempt: AttemptProgress,
-        broken_at: float,
-        memory_full: bool,
+    def _observe_crash_signs(
+        self, exch: Exchange, server: Registration, fault: AttemptError
     ) -> None:
-        """Record a crash if a server that broke the connection is unreachable.
-
-        It is no crash if this node reaches no server at all.
-        """
-        await asyncio.sleep(CRASH_CHECK_DELAY)
-        if await self._accepts_connections(server):
-            reason = "the server accepts connections"
-        elif not await self._reach.reaches_any_server(exch.service.name):
-            reason = "this node reaches no server"
-        else:
-            if attempt.n_events <= MAX_BLAMED_EVENTS:
-                self._loads.memory.observe_crash(server.server_id, server.run_id)
-            self._crash_guard.observe_crash(
-                exch, server, attempt, broken_at, memory_full=memory_full
-            )
+        if fault.kind in CRASH_SIGNS:
+            self._crash_watch.observe_broken(exch, server)
             return
-        exch.record(
-            "no_crash",
-            server=server.server_id,
-            reason=reason,
-            has_head=attempt.has_head,
-            n_events=attempt.n_events,
-        )
-
-    async def _accepts_connections(self, server: Registration) -> bool:
-        """Return whether a server can be reached; checks at one time share a probe."""
-        return await asyncio.shield(
-            share_task(self._probes, server.run_id, lambda: self._can_reach(server))
-        )
+        self._crash_watch.observe_answered(exch, server)
+        if fault.kind == "connect":
+            self._crash_watch.observe_unreachable(server)
+        elif fault.kind == "misdirected":
+            self._crash_watch.observe_replaced(server)
 
     def _find_stop_reason(
         self, exch: Exchange, fault: AttemptError, n_unreachable: int
@@ -649,6 +629,11 @@
             # The request has not run, so that routes of one attempt retry it too.
             if len(exch.misdirected_servers) > MAX_MISDIRECTED_RETRIES:
                 return f"{len(exch.misdirected_servers)} servers had restarted"
+        elif (
+            fault.kind in CRASH_SIGNS
+            and self._crash_guard.compute_suspicion(exch) >= MAX_REPEATED_SUSPICION
+        ):
+            return "such requests may have crashed several servers"
         elif exch.n_attempts >= exch.rule.max_attempts:
             return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
         if self._get_time_left(exch) < MIN_TIME_LEFT:
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -248,6 +248,20 @@
             ):
                 conn.abandon("no server of the service can be reached")
 
+    def abandon_blocked(self, is_blocked: Callable[[Exchange], bool]) -> None:
+        """Abandon the attempts of requests that have become blocked.
+
+        A server that goes on with one of them may crash, and break off all others.
+
+        Parameters
+        ----------
+        is_blocked : callable
+            Returns whether a request must not be run.
+        """
+        for exch, conn, _ in list(self._open.values()):
+            if is_blocked(exch):
+                conn.abandon("such requests have crashed several servers")
+
     @asynccontextmanager
     async def open(
         self,
--- a/packages/medlargate/medlargate/relay/_where.py
+++ b/packages/medlargate/medlargate/relay/_where.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from copy import deepcopy
 from typing import Any, cast
 from urllib.parse import parse_qs
 
@@ -175,9 +174,8 @@
     def _describe_decision(
         self, exch: Exchange, outlook: PlacementOutlook
     ) -> dict[str, Any]:
-        # A copy, since the look-up drops expired entries.
-        parts = deepcopy(self._crash_guard.parts)
-        if parts.find_blocked(exch.shared_parts, now=self._clock()):
+        parts = self._crash_guard.parts
+        if parts.find_blocked(exch.part_ids, now=self._clock()):
             reason = "a prompt part has crashed several servers"
             return {"decision": "refused", "reason": reason}
         if self._reach.is_unreachable(exch.service.name):
--- a/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
@@ -127,11 +127,13 @@
             await asyncio.sleep(0.8)
         self.assertEqual(statuses, [502, 502, 502, 503])
 
-    async def test_last_part_is_never_blamed(self):
-        await self.crash_engines(1, SHARED, CRASHING)
-        self.assertEqual(
-            set(self.world.nodes[0].crash_guard.parts.records), {"a1", "bad"}
+    async def test_last_parts_of_single_requests_block_nothing(self):
+        await self.crash_engines(3, SHARED, CRASHING)
+        blocked = self.world.nodes[0].crash_guard.parts.list_blocked(
+            now=self.world.nodes[0].clock()
         )
+        self.assertEqual(set(blocked), {"a1", "bad"})
+        self.assertEqual((await self.send(SHARED)).status, 200)
 
     async def test_waiting_request_is_refused_once_its_part_is_blocked(self):
         for server in self.world.backends.values():
