Take no part of an answer without a length beside an upload for the whole

Cause: the end of the server's data ended such an answer whatever was still to be sent. It is its only sign of being whole, and a server that has not received the request gives no such sign. At the end of the data, the answer is now broken off if a written byte of the request is not acknowledged. Status codes above 599 are no answer either; 000 never was one.

--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -12,11 +12,12 @@
 import h11
 
 from ._headers import Headers, find_header
-from ._sockets import set_liveness_options
+from ._sockets import count_undelivered, set_liveness_options
 
 log = logging.getLogger(__name__)
 
 MAX_HEAD_BYTES = 65_536
+MAX_STATUS = 599
 # Bytes received since the reader last had to wait; above this number, the socket is no
 # longer read.
 MAX_BUFFERED_BYTES = 262_144
@@ -136,8 +137,19 @@
         self._wake_reader()
 
     def eof_received(self) -> bool:
-        """Handle the end of the server's data."""
+        """Handle the end of the server's data.
+
+        It is the only sign that an answer without a length is whole. From a server
+        that has not received the whole request it is none: it may have given up the
+        connection, and would reset it for what follows.
+        """
         self._receive_ended = True
+        if self._transport is not None and count_undelivered(self._transport):
+            if self._failure is None:
+                message = "the server ended the connection before it had the request"
+                self._failure = ExchangeFaultError("closed", message)
+            self._wake_reader()
+            return False
         try:
             self._h11.receive_data(b"")
         except h11.RemoteProtocolError as exc:
@@ -239,13 +251,15 @@
         Raises
         ------
         ExchangeFaultError
-            If the connection ends, the received bytes are not valid HTTP, a head has
-            a second status line, or more than ``MAX_INTERIM_RESPONSES`` informational
-            responses arrive.
+            If the connection ends, the received bytes are not valid HTTP, the status
+            is out of range, a head has a second status line, or more than
+            ``MAX_INTERIM_RESPONSES`` informational responses arrive.
         """
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ExchangeFaultError("invalid", "status out of range")
                 if _has_second_status_line(event):
                     raise ExchangeFaultError("invalid", "two responses in one head")
                 head = ResponseHead(event.status_code, tuple(event.headers))
--- a/packages/medlargate/medlargate/transport/_sockets.py
+++ b/packages/medlargate/medlargate/transport/_sockets.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import resource
 import socket
+import struct
+import termios
 
 KEEPALIVE_IDLE = 2  # seconds without traffic before the first keep-alive probe
 KEEPALIVE_INTERVAL = 1  # seconds between probes
@@ -46,3 +49,27 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, N_KEEPALIVE_PROBES)
+
+
+def count_undelivered(transport: asyncio.Transport) -> int:
+    """Return the number of written bytes that the peer's kernel has not acknowledged.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        An open TCP connection.
+
+    Returns
+    -------
+    int
+        Number of bytes; those in the kernel are left out where it does not tell them.
+    """
+    n_bytes = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return n_bytes
+    try:
+        row = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return n_bytes
+    return n_bytes + struct.unpack("i", row)[0]
