Block a prompt part at all nodes once one has the evidence

Cause: crashes within 0.1 s of each other count once, and nodes measure their times some milliseconds apart, so that one counted two of three crashes. Nodes now report which parts they block by their own evidence, and one that counts one crash less blocks them too. The new test failed before with two nodes whose times differ by 10 ms.

--- a/packages/medlargate-standins/medlargate_standins/soak/_crash_run.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_crash_run.py
@@ -34,6 +34,7 @@
 MAX_LATE = 3
 MAX_CRASHES = 8  # of one deadly part
 MIN_WHOLE = 0.98  # of the sound requests after the time in which nodes learn
+MIN_JUDGED = 30  # sound requests from which their fraction is taken
 MAX_PROMPT_TOKENS, MAX_OUTPUT_TOKENS = 300, 200
 RETRY_SLACK = 54  # repeats that the fleet may send beyond the ratio
 REFUSAL_CODE = b"crashes_servers"
@@ -270,6 +271,10 @@
         blocked_at = max(crashes + lost_at, default=load.deadly_from)
     sound = [it for it in load.calls if not it.is_deadly]
     after = [it for it in sound if it.sent_at > blocked_at + CONTACT_TIME]
+    if len(after) < MIN_JUDGED:
+        # The fifth crash came late or never.
+        first_at = min(crashes + lost_at, default=load.deadly_from)
+        after = [it for it in sound if it.sent_at > first_at + CONTACT_TIME]
     report = CrashReport(
         n_crashes=len(crashes),
         n_late=n_late,
--- a/packages/medlargate/medlargate/fleet/_peer_messages.py
+++ b/packages/medlargate/medlargate/fleet/_peer_messages.py
@@ -50,6 +50,8 @@
     memory_crashes : dict of str to float
         Seconds since the crashes of servers whose memory was full, by run of the
         server.
+    blocked_parts : list of str
+        Prompt parts that the sender blocks by its own evidence.
     versions : dict of str to dict of str to float
         Seconds since servers of a software version served, by service and version, for
         services with several versions.
@@ -104,6 +106,7 @@
     part_sound: dict[str, float] = Field(default_factory=dict)
     sound_parts: dict[str, float] = Field(default_factory=dict)
     memory_crashes: dict[str, float] = Field(default_factory=dict)
+    blocked_parts: list[str] = Field(default_factory=list)
     versions: dict[str, dict[str, float]] = Field(default_factory=dict)
     limits: dict[str, tuple[float | None, float]] = Field(default_factory=dict)
     evacuations_revision: int | None = None
--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -23,6 +23,9 @@
 # A part on which answers were completed before is more likely to be present by chance
 # when servers crash, for example when a failure domain loses power.
 MAX_SOUND_PART_CRASHES = 6
+# Nodes measure the times of crashes differently, and may count one less than a node
+# that has blocked a part.
+CONVICTION_MARGIN = 1  # crashes
 # Requests with a part may crash servers often and still be answered at times. Such a
 # part is blocked if so many servers crashed, for each completed answer and at least.
 MIN_CRASHES_PER_ANSWER = 2
@@ -115,6 +118,9 @@
     sound_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
     memory_crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _cleared: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _convicted_at: LRUCache[str, float] = field(
+        default_factory=lambda: LRUCache(MAX_PARTS)
+    )
     _alive: LRUCache[str, float] = field(
         default_factory=lambda: LRUCache(MAX_LIVE_RUNS)
     )
@@ -358,8 +364,11 @@
             }
         return self._suspects
 
-    def _is_suspect(self, part: str, now: float) -> bool:
-        """Return whether the crashes of a part suffice to block it."""
+    def _is_suspect(self, part: str, now: float, *, alone: bool = False) -> bool:
+        """Return whether the crashes of a part suffice to block it.
+
+        With ``alone``, what other nodes have decided does not count.
+        """
         record = self.records[part]
         block_time = (
             BLOCK_TIME
@@ -367,11 +376,18 @@
             else SHORT_BLOCK_TIME
         )
         return now - record.crashed_at < block_time and self._is_enough(
-            part, record.crashes
+            part, record.crashes, alone=alone
         )
 
-    def _is_enough(self, part: str, crashes: Mapping[str, float]) -> bool:
-        if self._count_since_answer(part, crashes) >= self._get_max_crashes(part):
+    def _is_enough(
+        self, part: str, crashes: Mapping[str, float], *, alone: bool = False
+    ) -> bool:
+        max_crashes = self._get_max_crashes(part)
+        if not alone and self._convicted_at.get(part, NEVER) > self.sound_at.get(
+            part, NEVER
+        ):
+            max_crashes -= CONVICTION_MARGIN
+        if self._count_since_answer(part, crashes) >= max_crashes:
             return True
         n_answers = len(self.records[part].answers)
         return self._count_frequent(part, crashes) >= max(
@@ -440,6 +456,29 @@
             part: dict(self.records[part].crashes) for part in self._list_suspects(now)
         }
 
+    def list_convicted(self, *, now: float) -> list[str]:
+        """Return the parts that this node blocks by its own evidence."""
+        return [
+            part
+            for part in self._list_suspects(now)
+            if self._is_suspect(part, now, alone=True)
+        ][:MAX_SHARED_PARTS]
+
+    def observe_convicted(self, parts: Iterable[str], *, now: float) -> None:
+        """Record that another node or the store has blocked parts.
+
+        Parameters
+        ----------
+        parts : iterable of str
+            Ids of the parts.
+        now : float
+            Current time, in seconds.
+        """
+        for part in parts:
+            if part not in self._convicted_at and part in self.records:
+                self._version += 1
+            self._convicted_at[part] = now
+
     def list_recent(self, *, now: float) -> dict[str, PartRecord]:
         """Return the evidence that peers should know, by part.
 
--- a/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
@@ -178,6 +178,19 @@
             exchange([answered, other], now)
         self.assertIsNone(other.find_blocked(["a"], now=4.0))
 
+    def test_nodes_that_count_one_crash_less_block_a_part_too(self):
+        # Guards against a node that passes on what all others refuse.
+        other = PartCrashes()
+        for crashes, last in ((self.crashes, 1.1), (other, 1.09)):
+            for server, at in (("s1", 0.8), ("s2", 1.0), ("s3", last)):
+                crashes.observe_crash(["bad"], server, now=at)
+        self.assertIsNone(other.find_blocked(["bad"], now=2.0))
+        other.observe_convicted(self.crashes.list_convicted(now=2.0), now=2.0)
+        self.assertEqual(other.find_blocked(["bad"], now=2.0), "bad")
+        self.assertEqual(other.list_convicted(now=2.0), [])
+        other.observe_sound(["bad", "own"], "a0", now=2.1)
+        self.assertIsNone(other.find_blocked(["bad"], now=2.2))
+
     def test_crashes_by_a_full_memory_count_half(self):
         for number in range(6):
             self.assertIsNone(self.crashes.find_blocked(["a"], now=float(number)))
--- a/packages/medlargate/medlargate/relay/_block_store.py
+++ b/packages/medlargate/medlargate/relay/_block_store.py
@@ -150,7 +150,9 @@
                     for run, at in block.crashed_at.items()
                 }
                 parts[block.part] = PartRecord(crashes)
-        self.guard.merge_crashes(requests=requests, parts=parts, sound_at={})
+        self.guard.merge_crashes(
+            requests=requests, parts=parts, sound_at={}, convicted=parts
+        )
         if expired and isinstance(await self.store.write([], expired[:32]), Failure):
             log.info("expired blocks not deleted", extra={"n_blocks": len(expired)})
 
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -206,6 +206,7 @@
         parts: dict[str, PartRecord],
         sound_at: dict[str, float],
         memory_crashes: dict[str, float] | None = None,
+        convicted: Collection[str] = (),
     ) -> None:
         """Merge crashes and completed answers that other nodes observed.
 
@@ -220,12 +221,15 @@
             clock.
         memory_crashes : dict of str to float, or None
             Times of the crashes of servers with a full memory, by run of the server.
+        convicted : collection of str
+            Prompt parts that another node or the store has blocked.
         """
         if not requests and not parts and not sound_at:
             return
-        before = self.parts.version
-        self.requests.merge(requests, now=self._clock())
+        before, now = self.parts.version, self._clock()
+        self.requests.merge(requests, now=now)
         self.parts.merge(parts, sound_at, memory_crashes)
+        self.parts.observe_convicted(convicted, now=now)
         has_changed = self.parts.version != before
         if has_changed or requests:
             self._update_blocks()
@@ -248,6 +252,7 @@
             },
             sound_at=_subtract(now, status.sound_parts),
             memory_crashes=_subtract(now, status.memory_crashes),
+            convicted=status.blocked_parts,
         )
 
     def make_status_fields(self) -> dict[str, Any]:
@@ -268,6 +273,7 @@
             },
             "sound_parts": _subtract(now, self.parts.list_recently_sound(now=now)),
             "memory_crashes": _subtract(now, self.parts.list_memory_crashes(now=now)),
+            "blocked_parts": self.parts.list_convicted(now=now),
         }
 
     def _update_blocks(self) -> None:
