Withdraw a crash at every node once the server shows life; document the evidence

A node that does not reach one server takes its broken connections for a crash, and tells the others. Only that node counted the renewals of the registration that show the server to live, and took the evidence back from the others with their next status. All nodes count them now; the new test failed before.

--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -187,6 +187,10 @@
         if self._blocked_parts:
             self._update_blocks()
 
+    def has_crashed(self, server: Registration) -> bool:
+        """Return whether any node has noticed a crash of a run of a server."""
+        return self.parts.has_crashed(server.run_id)
+
     def observe_alive(self, server: Registration) -> None:
         """Withdraw the crash of a run of a server that has shown signs of life.
 
--- a/packages/medlargate/medlargate/relay/_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/_crash_watch.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .._tasks import share_task
+from .._tasks import call_logged, share_task
 from ..routing import Registration
 from ._crash_guard import CrashGuard
 from ._exchange import AttemptProgress, Exchange
@@ -89,7 +89,7 @@
     crashed_at : float or None
         Time at which this node learned of the run's crash, in seconds.
     n_renewals : int
-        Renewals of the registration since then.
+        Renewals of the registration since a node has noticed a crash.
     checked_at : float
         Time of the last check because of its silence, in seconds.
     """
@@ -119,6 +119,11 @@
         no longer registered.
     clock : callable
         Returns the node's monotonic time in seconds.
+
+    Attributes
+    ----------
+    crash_listeners : list of callable
+        Called without arguments after a crash was noticed.
     """
 
     def __init__(
@@ -137,6 +142,7 @@
         self._can_reach = can_reach
         self._has_left = has_left
         self._clock = clock
+        self.crash_listeners: list[Callable[[], None]] = []
         self._runs: OrderedDict[str, _Run] = OrderedDict()
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._registered: dict[str, Registration] = {}
@@ -258,7 +264,9 @@
 
     def _observe_renewal(self, server: Registration) -> None:
         run = self._runs.get(server.run_id)
-        if run is not None and run.crashed_at is not None:
+        has_noticed = run is not None and run.crashed_at is not None
+        if has_noticed or self._guard.has_crashed(server):
+            run = self._get_run(server.run_id)
             run.n_renewals += 1
             if run.n_renewals >= MIN_RENEWALS:
                 self._withdraw_crash(run, server)
@@ -333,6 +341,8 @@
             "backend server crashed",
             extra={"run": run_id, "reason": reason, "n_requests": len(attempts)},
         )
+        for listener in self.crash_listeners:
+            call_logged(listener)
         self._blame(attempts)
 
     def _blame(self, attempts: list[_Attempt]) -> None:
@@ -367,5 +377,6 @@
         return run
 
     def _drop_if_empty(self, run_id: str, run: _Run) -> None:
-        if not run.open and not run.broken and run.crashed_at is None:
+        has_attempts = run.open or run.broken
+        if not has_attempts and run.crashed_at is None and not run.n_renewals:
             self._runs.pop(run_id, None)
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -200,6 +200,9 @@
             has_left=self.cluster_state.has_left,
             clock=self.clock,
         )
+        self.crash_watch.crash_listeners.append(
+            lambda: self.metrics.observe_event("server_crash")
+        )
         self.reach.silent_listeners.append(self.crash_watch.observe_silent)
         self.answer_buffers = AnswerBuffers()
         self.forwarder = Forwarder(
--- a/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
@@ -18,6 +18,10 @@
 
     def __init__(self):
         self.crashed, self.completed, self.alive = [], [], []
+        self.reported = set()  # runs of which another node has noticed a crash
+
+    def has_crashed(self, server):
+        return server.run_id in self.reported
 
     def observe_crash(self, exch, server, attempt, crashed_at, *, memory_full):
         self.crashed.append((exch.exchange_id, server.run_id))
@@ -180,6 +184,15 @@
             self.watch.observe_registration(renewed, "s1")
         self.assertEqual(self.guard.alive, [SERVER.run_id])
 
+    async def test_crash_that_only_another_node_has_noticed_is_withdrawn(self):
+        # Guards against parts blamed for servers that one node did not reach.
+        self.watch.observe_registration(replace(SERVER, revision=2), "s1")
+        self.guard.reported.add(SERVER.run_id)
+        for revision in range(3, 3 + _crash_watch.MIN_RENEWALS):
+            self.assertEqual(self.guard.alive, [])
+            self.watch.observe_registration(replace(SERVER, revision=revision), "s1")
+        self.assertEqual(self.guard.alive, [SERVER.run_id])
+
     async def test_server_that_answers_later_requests_has_not_crashed(self):
         self.watch.observe_broken(self.requests[0], SERVER)
         await self.settle()
