--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -14,7 +14,7 @@
 from ..fleet import StatusMessage
 from ..policy import CrashHistory, PartCrashes, PartRecord, SoundRequests
 from ..routing import Registration
-from ._exchange import AttemptProgress, Exchange
+from ._exchange import AttemptProgress, Exchange, RequestFeatures
 
 log = logging.getLogger(__name__)
 
@@ -125,7 +125,7 @@
 
     def observe_crash(
         self,
-        exch: Exchange,
+        features: RequestFeatures,
         server: Registration,
         attempt: AttemptProgress,
         crashed_at: float,
@@ -136,7 +136,7 @@
 
         Parameters
         ----------
-        exch : Exchange
+        features : RequestFeatures
             Request whose answer the crash broke off.
         server : Registration
             Server that crashed.
@@ -148,26 +148,28 @@
             Whether the server's memory was full, which may explain the crash: the
             request is not blamed, and its parts are blamed less.
         """
-        is_sound = self.sound_requests.is_sound(exch.request_digest, now=self._clock())
+        is_sound = self.sound_requests.is_sound(
+            features.request_digest, now=self._clock()
+        )
         if not is_sound and not memory_full:
             self.requests.observe_crash(
-                exch.request_digest,
+                features.request_digest,
                 server.run_id,
                 began_at=attempt.began_at,
                 now=crashed_at,
             )
-            self.observed.append(exch.request_digest)
+            self.observed.append(features.request_digest)
         self.parts.observe_crash(
-            exch.part_ids, server.run_id, now=crashed_at, memory_full=memory_full
+            features.part_ids, server.run_id, now=crashed_at, memory_full=memory_full
         )
-        self.observed.extend(exch.part_ids)
-        exch.record(
+        self.observed.extend(features.part_ids)
+        features.record(
             "crash",
             server=server.server_id,
-            mark=exch.request_digest,
+            mark=features.request_digest,
             is_sound=is_sound,
             memory_full=memory_full,
-            parts=exch.part_ids[:MAX_LOGGED_PARTS],
+            parts=features.part_ids[:MAX_LOGGED_PARTS],
             has_head=attempt.has_head,
             n_events=attempt.n_events,
         )
@@ -178,12 +180,12 @@
         for listener in self.crash_listeners:
             call_logged(listener)
 
-    def observe_completed(self, exch: Exchange) -> None:
+    def observe_completed(self, features: RequestFeatures) -> None:
         """Record that the answer to a request was completed by its server."""
         now = self._clock()
-        self.sound_requests.observe_completed(exch.request_digest, now=now)
+        self.sound_requests.observe_completed(features.request_digest, now=now)
         answer_id = f"{self._token}{next(self._answer_numbers):x}"
-        self.parts.observe_sound(exch.part_ids, answer_id, now=now)
+        self.parts.observe_sound(features.part_ids, answer_id, now=now)
         if self._blocked_parts:
             self._update_blocks()
 
--- a/packages/medlargate/medlargate/relay/_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/_crash_watch.py
@@ -18,7 +18,7 @@
 from .._tasks import call_logged, share_task
 from ..routing import Registration
 from ._crash_guard import CrashGuard
-from ._exchange import AttemptProgress, Exchange
+from ._exchange import AttemptProgress, Exchange, RequestFeatures
 from ._load_tracker import LoadTracker
 from ._reach import ReachMonitor
 
@@ -54,8 +54,8 @@
 
     Attributes
     ----------
-    exch : Exchange
-        The request.
+    features : RequestFeatures
+        What is kept of the request.
     server : Registration
         The server.
     progress : AttemptProgress
@@ -68,7 +68,7 @@
         Whether a crash of the server was recorded for the request.
     """
 
-    exch: Exchange
+    features: RequestFeatures
     server: Registration
     progress: AttemptProgress
     broken_at: float | None = None
@@ -153,7 +153,7 @@
     def observe_begin(self, exch: Exchange, server: Registration) -> None:
         """Record that a request is about to be sent to a server."""
         run = self._get_run(server.run_id)
-        run.open[exch.exchange_id] = _Attempt(exch, server, exch.attempt)
+        run.open[exch.exchange_id] = _Attempt(exch.features, server, exch.attempt)
 
     def observe_answered(self, exch: Exchange, server: Registration) -> None:
         """Record that an attempt ended in a way that shows no crash."""
@@ -175,7 +175,7 @@
             if run is not None and attempt in run.broken:
                 run.broken.remove(attempt)
                 self._drop_if_empty(server.run_id, run)
-                self._guard.observe_completed(exch)
+                self._guard.observe_completed(attempt.features)
 
         asyncio.get_running_loop().call_later(UNFRAMED_DELAY, confirm)
 
@@ -326,7 +326,7 @@
         run = self._runs.get(server.run_id)
         broken = run.broken if run is not None else ()
         for attempt in (it for it in broken if (it.broken_at or 0.0) >= since):
-            attempt.exch.record(
+            attempt.features.record(
                 "no_crash",
                 server=server.server_id,
                 reason=reason,
@@ -358,7 +358,7 @@
                 full = self._loads.is_memory_full(server.server_id)
                 attempt.memory_full = full
             self._guard.observe_crash(
-                attempt.exch,
+                attempt.features,
                 server,
                 attempt.progress,
                 attempt.broken_at or self._clock(),
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -89,6 +89,35 @@
     heard_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestFeatures:
+    """What a request may share with others that crash servers, without its body.
+
+    Attributes
+    ----------
+    exchange_id : int
+        Identifier of the request, unique within the process.
+    request_id : str
+        Identity of the caller's attempt.
+    request_digest : str
+        Digest that is equal for repetitions of the request.
+    part_ids : tuple of str
+        Ids of all prompt parts.
+    write_record : callable
+        Writes a decision record.
+    """
+
+    exchange_id: int
+    request_id: str
+    request_digest: str
+    part_ids: tuple[str, ...]
+    write_record: RecordWriter
+
+    def record(self, kind: str, **facts: Any) -> None:
+        """Write a decision record for the request; see ``Exchange.record``."""
+        self.write_record(kind, request=self.request_id, **facts)
+
+
 @dataclass
 class Exchange:
     """Accepted request with its routing decisions and the progress of its answer.
@@ -210,6 +239,17 @@
         """Ids of all prompt parts; the last is that of the request or its session."""
         return tuple(part.part_id for part in self.facts.parts)
 
+    @cached_property
+    def features(self) -> RequestFeatures:
+        """What the request may share with others that crash servers."""
+        return RequestFeatures(
+            self.exchange_id,
+            self.facts.request_id,
+            self.request_digest,
+            self.part_ids,
+            self.write_record,
+        )
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Ids of the prompt parts that other requests may have too."""
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -484,7 +484,7 @@
         if failed or facts.status in NOT_RUN_STATUSES:
             raise AttemptError("failed", message, Verdict.RAN, answer)
         self._loads.memory.observe_completed(exch)
-        self._crash_guard.observe_completed(exch)
+        self._crash_guard.observe_completed(exch.features)
         exch.states.observe("finish")
         await self._deliver(exch, answer)
         return Outcome(
@@ -522,7 +522,7 @@
             )
         self._observe_token_time(exch, server.server_id)
         if open_answer.head.is_delimited:
-            self._crash_guard.observe_completed(exch)
+            self._crash_guard.observe_completed(exch.features)
         else:
             self._crash_watch.observe_unframed_end(exch, server)
         self._loads.get_view(server.server_id).observe_result(False, _now())
--- a/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
@@ -2,17 +2,29 @@
 
 import asyncio
 import unittest
-from dataclasses import replace
+import weakref
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 
 from ...routing import Registration
 from .. import _crash_watch
 from .._crash_watch import CrashWatch
-from .._exchange import AttemptProgress
+from .._exchange import AttemptProgress, RequestFeatures
 
 SERVER = Registration("s1", "engine", "10.0.0.1:80", "10.0.0.1", 80, "fd-a", 8, born=1)
 
 
+@dataclass(eq=False)
+class _Request:
+    exchange_id: int
+    attempt: AttemptProgress
+    features: RequestFeatures
+
+
+def _write_nothing(*_, **__):
+    pass
+
+
 class _Guard:
     """Records what is reported of crashes."""
 
@@ -23,14 +35,14 @@
     def has_crashed(self, server):
         return server.run_id in self.reported
 
-    def observe_crash(self, exch, server, attempt, crashed_at, *, memory_full):
-        self.crashed.append((exch.exchange_id, server.run_id))
+    def observe_crash(self, features, server, attempt, crashed_at, *, memory_full):
+        self.crashed.append((features.exchange_id, server.run_id))
 
     def observe_crash_end(self):
         pass
 
-    def observe_completed(self, exch):
-        self.completed.append(exch.exchange_id)
+    def observe_completed(self, features):
+        self.completed.append(features.exchange_id)
 
     def observe_alive(self, server):
         self.alive.append(server.run_id)
@@ -67,11 +79,9 @@
         self.now += 1.0
 
     def make_request(self, number):
-        return SimpleNamespace(
-            exchange_id=number,
-            attempt=AttemptProgress(self.now, heard_at=self.now),
-            record=lambda *_, **__: None,
-        )
+        progress = AttemptProgress(self.now, heard_at=self.now)
+        features = RequestFeatures(number, f"r{number}", "", (), _write_nothing)
+        return _Request(number, progress, features)
 
     async def settle(self):
         await asyncio.sleep(sum(_crash_watch.CHECK_DELAYS) + 0.05)
@@ -216,6 +226,13 @@
         self.assertEqual(self.guard.completed, [0])
         self.assertEqual(self.list_crashed(), [1, 2])
 
+    async def test_bodies_of_broken_requests_are_not_kept(self):
+        # Guards against memory that callers who leave silent answers could take.
+        request = weakref.ref(self.requests[0])
+        self.watch.observe_abandoned(self.requests[0], SERVER)
+        self.requests.clear()
+        self.assertIsNone(request())
+
     async def test_number_of_runs_is_bounded(self):
         for number in range(2 * _crash_watch.MAX_RUNS):
             server = replace(SERVER, server_id=f"t{number}")
