Recognize the crash of a machine that is replaced at once

Found by reading. The registration of another run at the address, or under the id, of a server that has not announced its end now counts as its crash for the requests in progress too.

--- a/packages/medlargate-standins/medlargate_standins/tests/test_crash_forms.py
+++ b/packages/medlargate-standins/medlargate_standins/tests/test_crash_forms.py
@@ -26,6 +26,9 @@
     async def test_part_under_which_machines_are_lost(self):
         await self.run_form("machine-lost")
 
+    async def test_part_under_which_machines_are_lost_and_replaced_at_once(self):
+        await self.run_form("machine-replaced")
+
     async def test_part_whose_engines_accept_connections_again_at_once(self):
         await self.run_form("back-at-once")
 
--- a/packages/medlargate/medlargate/relay/_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/_crash_watch.py
@@ -254,11 +254,15 @@
             if before.revision != server.revision:
                 self._observe_renewal(server)
             return
-        if before is not None:
-            self._observe_run_end(before.run_id, "it has started again")
+        if before is not None and not before.draining:
+            self._observe_replacement(before.run_id, "it has started again")
         previous = self._by_address.get(server.address)
-        if previous is not None and previous.run_id != server.run_id:
-            self._observe_run_end(previous.run_id, "another server has its address")
+        if (
+            previous is not None
+            and previous.run_id != server.run_id
+            and not self._has_left(previous.server_id)
+        ):
+            self._observe_replacement(previous.run_id, "another server has its address")
         self._by_address[server.address] = server
         while len(self._by_address) > MAX_RUNS + len(self._registered):
             self._by_address.pop(next(iter(self._by_address)))
@@ -286,6 +290,18 @@
         run.crashed_at, run.n_renewals = None, 0
         self._guard.observe_alive(server)
 
+    def _observe_replacement(self, run_id: str, reason: str) -> None:
+        """Take the end of a run that has not announced it for a crash.
+
+        Its connections may be silent instead of closed, and the next run accepts new
+        ones.
+        """
+        run = self._runs.get(run_id)
+        if run is None or run.crashed_at is not None:
+            return
+        if run.open or self._list_recent(run):
+            self._observe_crash(run_id, run, reason)
+
     def _observe_run_end(self, run_id: str, reason: str) -> None:
         """Take the end of a run for a crash if it has broken off answers."""
         run = self._runs.get(run_id)
--- a/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
@@ -128,8 +128,25 @@
         self.watch.observe_replaced(SERVER)
         self.assertEqual(self.list_crashed(), [0, 1, 2])
 
-    async def test_server_that_is_replaced_without_a_broken_answer(self):
+    async def test_server_that_is_replaced_while_its_connections_are_silent(self):
+        self.accepts = True
+        self.watch.observe_registration(replace(SERVER, server_id="s2"), "s2")
+        self.assertEqual(self.list_crashed(), [0, 1, 2])
+
+    async def test_server_that_starts_again_while_its_connections_are_silent(self):
+        self.accepts = True
+        self.watch.observe_registration(replace(SERVER, born=2, revision=9), "s1")
+        self.assertEqual(self.list_crashed(), [0, 1, 2])
+
+    async def test_server_that_is_replaced_after_it_has_announced_that_it_leaves(self):
+        self.left.add("s1")
         self.watch.observe_registration(replace(SERVER, server_id="s2"), "s2")
+        drained = replace(SERVER, draining=True, revision=8)
+        self.watch.observe_registration(drained, "s1")
+        self.watch.observe_registration(replace(SERVER, born=2, revision=9), "s1")
+        self.assertEqual(self.list_crashed(), [])
+
+    async def test_answer_of_another_server_without_a_broken_one(self):
         self.watch.observe_replaced(SERVER)
         self.assertEqual(self.list_crashed(), [])
 
