--- a/packages/medlargate-standins/medlargate_standins/relay_testbed.py
+++ b/packages/medlargate-standins/medlargate_standins/relay_testbed.py
@@ -305,18 +305,23 @@
         ``node`` is the index of the node. ``_`` in the names of ``headers`` is sent as
         ``-``.
         """
-        reader, writer = await self.open(node)
-        started_at = time.monotonic()
         request = make_request(
             method, path, request_id or self.make_request_id(), body, **headers
         )
-        writer.write(request)
-        try:
-            reply = await read_reply(reader)
-        finally:
-            writer.close()
-        reply.elapsed = time.monotonic() - started_at
-        return reply
+        return await send_request(*self.nodes[node].ingress.frontend_address, request)
+
+
+async def send_request(host: str, port: int, request: bytes) -> Reply:
+    """Send an encoded request on a new connection and read the response."""
+    reader, writer = await asyncio.open_connection(host, port)
+    started_at = time.monotonic()
+    writer.write(request)
+    try:
+        reply = await read_reply(reader)
+    finally:
+        writer.close()
+    reply.elapsed = time.monotonic() - started_at
+    return reply
 
 
 def make_request(
--- a/packages/medlargate-standins/medlargate_standins/soak/_callers.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_callers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..demo import HOST
-from ..relay_testbed import Reply, make_request, read_reply
+from ..relay_testbed import Reply, make_request, read_reply, send_request
 from ._fleet import CRASHING_PART, SHARED_PART, Fleet, NodeProcess
 
 KINDS = ("read", "book", "once-stream", "resume-stream")
@@ -131,12 +131,7 @@
         is_interrupted = True
         try:
             async with asyncio.timeout(CALL_TIMEOUT):
-                reader, writer = await asyncio.open_connection(HOST, node.port)
-                try:
-                    writer.write(request)
-                    reply = await read_reply(reader)
-                finally:
-                    writer.close()
+                reply = await send_request(HOST, node.port, request)
             is_interrupted = False
         except (OSError, TimeoutError):
             is_interrupted = False
--- a/packages/medlargate-standins/medlargate_standins/soak/_crash_run.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_crash_run.py
@@ -6,7 +6,6 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -17,7 +16,7 @@
     make_config,
     make_request,
     make_route,
-    read_reply,
+    send_request,
 )
 from ._crash_forms import CrashForm
 from ._crashing_engines import EngineHost, make_crash_choice, run_hosts
@@ -142,12 +141,7 @@
         reply = Reply()
         try:
             async with asyncio.timeout(CALL_TIMEOUT):
-                reader, writer = await asyncio.open_connection(HOST, node.port)
-                try:
-                    writer.write(request)
-                    reply = await read_reply(reader)
-                finally:
-                    writer.close()
+                reply = await send_request(HOST, node.port, request)
         except (OSError, TimeoutError):
             pass
         self.calls.append(Call(sent_at, is_deadly, reply))
@@ -258,22 +252,25 @@
 def _make_report(
     form: CrashForm, hosts: list[EngineHost], load: _Load, lost_at: list[float]
 ) -> CrashReport:
-    crashes = sorted(
-        at for host in hosts for at in host.crashes if at not in set(lost_at)
-    )
-    n_late = sum(
-        _count_late(form, f"{DEADLY_PART}{number}", hosts, load.is_deadly, crashes)
-        for number in range(form.n_deadly)
-    )
+    losses = set(lost_at)
+    crashes = sorted(at for it in hosts for at in it.crashes if at not in losses)
+    all_crashes = crashes + lost_at
     n_before = N_CRASHES_BEFORE_BLOCK * form.n_deadly
-    blocked_at = crashes[n_before - 1] if len(crashes) >= n_before else None
-    if blocked_at is None:
-        blocked_at = max(crashes + lost_at, default=load.deadly_from)
+    if len(crashes) >= n_before:
+        due_at = crashes[n_before - 1] + CONTACT_TIME
+        n_late = sum(
+            at > due_at and DEADLY_PART in req.headers.get("prompt-prefix", "")
+            for host in hosts
+            for at, req in host.arrivals
+        )
+    else:
+        due_at = max(all_crashes, default=load.deadly_from) + CONTACT_TIME
+        n_late = 0
     sound = [it for it in load.calls if not it.is_deadly]
-    after = [it for it in sound if it.sent_at > blocked_at + CONTACT_TIME]
+    after = [it for it in sound if it.sent_at > due_at]
     if len(after) < MIN_JUDGED:
         # The fifth crash came late or never.
-        first_at = min(crashes + lost_at, default=load.deadly_from)
+        first_at = min(all_crashes, default=load.deadly_from)
         after = [it for it in sound if it.sent_at > first_at + CONTACT_TIME]
     report = CrashReport(
         n_crashes=len(crashes),
@@ -298,22 +295,3 @@
         if exceeded:
             report.violations.append(text)
     return report
-
-
-def _count_late(
-    form: CrashForm,
-    part: str,
-    hosts: list[EngineHost],
-    is_deadly: Callable[[ReceivedRequest], bool],
-    crashes: list[float],
-) -> int:
-    """Return how many requests with a part reached engines after its block was due."""
-    n_before = N_CRASHES_BEFORE_BLOCK * form.n_deadly
-    if len(crashes) < n_before:
-        return 0
-    due_at = crashes[n_before - 1] + CONTACT_TIME
-    return sum(
-        at > due_at and part in req.headers.get("prompt-prefix", "")
-        for host in hosts
-        for at, req in host.arrivals
-    )
--- a/packages/medlargate-standins/medlargate_standins/soak/_crashing_engines.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_crashing_engines.py
@@ -123,7 +123,7 @@
             get_crash_event=self.get_crash_event,
             crash_host=self.crash,
         )
-        engine.behaviour = lambda req: self._observe_arrival(req)
+        engine.behaviour = self._observe_arrival
         await engine.start(HOST, self._port)
         self._port, self._engine = engine.port, engine
         self._spawn(self._renew(engine))
--- a/packages/medlargate/medlargate/relay/_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/_crash_watch.py
@@ -255,14 +255,16 @@
                 self._observe_renewal(server)
             return
         if before is not None and not before.draining:
-            self._observe_replacement(before.run_id, "it has started again")
+            reason = "it has started again"
+            self._observe_run_end(before.run_id, reason, is_certain=True)
         previous = self._by_address.get(server.address)
         if (
             previous is not None
             and previous.run_id != server.run_id
             and not self._has_left(previous.server_id)
         ):
-            self._observe_replacement(previous.run_id, "another server has its address")
+            reason = "another server has its address"
+            self._observe_run_end(previous.run_id, reason, is_certain=True)
         self._by_address[server.address] = server
         while len(self._by_address) > MAX_RUNS + len(self._registered):
             self._by_address.pop(next(iter(self._by_address)))
@@ -290,26 +292,20 @@
         run.crashed_at, run.n_renewals = None, 0
         self._guard.observe_alive(server)
 
-    def _observe_replacement(self, run_id: str, reason: str) -> None:
-        """Take the end of a run that has not announced it for a crash.
+    def _observe_run_end(
+        self, run_id: str, reason: str, *, is_certain: bool = False
+    ) -> None:
+        """Take the end of a run for a crash if it has broken off answers.
 
-        Its connections may be silent instead of closed, and the next run accepts new
-        ones.
+        Where the end is certain, open answers are broken off too: connections may be
+        silent instead of closed, and the next run accepts new ones.
         """
         run = self._runs.get(run_id)
         if run is None or run.crashed_at is not None:
             return
-        if run.open or self._list_recent(run):
+        if self._list_recent(run) or (is_certain and run.open):
             self._observe_crash(run_id, run, reason)
 
-    def _observe_run_end(self, run_id: str, reason: str) -> None:
-        """Take the end of a run for a crash if it has broken off answers."""
-        run = self._runs.get(run_id)
-        if run is not None and run.crashed_at is None:
-            run.broken = self._list_recent(run)
-            if run.broken:
-                self._observe_crash(run_id, run, reason)
-
     def _list_recent(self, run: _Run) -> list[_Attempt]:
         since = self._clock() - EVIDENCE_TIME
         return [it for it in run.broken if (it.broken_at or 0.0) > since]
@@ -371,8 +367,7 @@
             if attempt.progress.n_events <= MAX_EARLY_EVENTS:
                 self._loads.memory.observe_crash(server.server_id, server.run_id)
             if attempt.broken_at is None:
-                full = self._loads.is_memory_full(server.server_id)
-                attempt.memory_full = full
+                attempt.memory_full = self._loads.is_memory_full(server.server_id)
             self._guard.observe_crash(
                 attempt.features,
                 server,
--- a/packages/medlargate/medlargate/transport/_client.py
+++ b/packages/medlargate/medlargate/transport/_client.py
@@ -145,15 +145,13 @@
         """
         self._receive_ended = True
         if self._transport is not None and count_undelivered(self._transport):
-            if self._failure is None:
-                message = "the server ended the connection before it had the request"
-                self._failure = ExchangeFaultError("closed", message)
-            self._wake_reader()
-            return False
-        try:
-            self._h11.receive_data(b"")
-        except h11.RemoteProtocolError as exc:
-            self._failure = ExchangeFaultError("closed", str(exc))
+            message = "the server ended the connection before it had the request"
+            self._failure = self._failure or ExchangeFaultError("closed", message)
+        else:
+            try:
+                self._h11.receive_data(b"")
+            except h11.RemoteProtocolError as exc:
+                self._failure = ExchangeFaultError("closed", str(exc))
         self._wake_reader()
         return False
 
