Answer at once where a suspected request has no attempt left

A request of a suspected kind whose attempts were used up got its final answer 0.25 s late: the wait for evidence before a repeat came before the question whether a repeat may follow (0.27 s in the new test, 0.25 allowed). The wait and the limit of silent attempts now ask the same property of the request, and the cheap limit of attempts is looked at before the evidence.

--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -295,6 +295,11 @@
         """Number of times that the request reached the server it was meant for."""
         return self.n_sent - len(self.misdirected_servers)
 
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the route allows another attempt after one that may have run."""
+        return self.rule.repeatable and self.n_attempts < self.rule.max_attempts
+
     @property
     def target_at(self) -> float:
         """Target time of the answer or first event on the node's clock, in seconds."""
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -350,7 +350,7 @@
         A server has just crashed under such requests, and each repeat may cost
         another one.
         """
-        if exch.rule.repeatable and self._crash_guard.compute_suspicion(exch):
+        if exch.may_repeat and self._crash_guard.compute_suspicion(exch):
             await asyncio.sleep(SUSPECT_RETRY_DELAY)
 
     async def _serve_here(self, exch: Exchange) -> Outcome:
@@ -454,8 +454,7 @@
     def _may_abandon(self, exch: Exchange) -> bool:
         """Return whether another attempt can follow a silent one."""
         return (
-            exch.rule.repeatable
-            and exch.n_attempts < exch.rule.max_attempts
+            exch.may_repeat
             and self._get_budget(exch.service.name).can_spend(
                 self._clock(), n_nodes=self._count_nodes()
             )
@@ -629,13 +628,13 @@
             # The request has not run, so that routes of one attempt retry it too.
             if len(exch.misdirected_servers) > MAX_MISDIRECTED_RETRIES:
                 return f"{len(exch.misdirected_servers)} servers had restarted"
+        elif exch.n_attempts >= exch.rule.max_attempts:
+            return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
         elif (
             fault.kind in CRASH_SIGNS
             and self._crash_guard.compute_suspicion(exch) >= MAX_REPEATED_SUSPICION
         ):
             return "such requests may have crashed several servers"
-        elif exch.n_attempts >= exch.rule.max_attempts:
-            return f"sent {exch.n_sent} of at most {exch.rule.max_attempts} times"
         if self._get_time_left(exch) < MIN_TIME_LEFT:
             return "no time left"
         budget = self._get_budget(exch.service.name)
--- a/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
@@ -7,7 +7,9 @@
 
 from medlargate_standins.backend import Backend
 from medlargate_standins.demo import HOST
-from medlargate_standins.relay_testbed import RelayTestbed
+from medlargate_standins.relay_testbed import RelayTestbed, make_config
+
+from .._request_handler import SUSPECT_RETRY_DELAY
 
 SHARED, CRASHING = "a1", "bad"
 N_ENGINES = 9
@@ -153,6 +155,19 @@
 class ResumableStreamTest(PromptPartCrashCase):
     """Each request is sent to up to two engines."""
 
+    async def test_request_without_attempts_left_gets_its_final_answer_at_once(self):
+        # Guards against a wait for evidence that nothing follows.
+        config = make_config(2)
+        config["Routes"][3]["MaxAttempts"] = 1
+        self.world.put_config(config)
+        await asyncio.sleep(0.3)
+        replies = []
+        for _ in range(2):
+            replies.append(await self.send(SHARED, CRASHING, path="/resume-stream/x"))
+            await asyncio.sleep(0.3)
+        self.assertEqual([it.status for it in replies], [502, 502])
+        self.assertLess(replies[1].elapsed, SUSPECT_RETRY_DELAY)
+
     async def test_repeated_request_is_not_reported_as_not_run(self):
         replies = []
         for backend in self.world.backends.values():
