Blame no request that was not sent yet for a crash

A request counts as one that a run has from its placement on, also while it waits for a connection to a server that is already lost, so that a crash was recorded for the parts of requests that never reached the server. Only requests that were written count now; the new test failed before. Runs without any attempt left are forgotten at once.

--- a/packages/medlargate/medlargate/relay/_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/_crash_watch.py
@@ -196,7 +196,10 @@
         """Keep an ended attempt as evidence; return None if it is not needed."""
         run = self._runs.get(server.run_id)
         attempt = run.open.pop(exch.exchange_id, None) if run is not None else None
-        if run is None or attempt is None or self._has_left(server.server_id):
+        if run is None or attempt is None:
+            return None
+        if not attempt.progress.is_sent or self._has_left(server.server_id):
+            self._drop_if_empty(server.run_id, run)
             return None
         attempt.broken_at = self._clock()
         attempt.memory_full = self._loads.is_memory_full(server.server_id)
@@ -303,13 +306,17 @@
         run = self._runs.get(run_id)
         if run is None or run.crashed_at is not None:
             return
-        if self._list_recent(run) or (is_certain and run.open):
+        if self._list_recent(run) or (is_certain and self._list_sent(run)):
             self._observe_crash(run_id, run, reason)
 
     def _list_recent(self, run: _Run) -> list[_Attempt]:
         since = self._clock() - EVIDENCE_TIME
         return [it for it in run.broken if (it.broken_at or 0.0) > since]
 
+    def _list_sent(self, run: _Run) -> list[_Attempt]:
+        """Return the attempts in progress that the run may have."""
+        return [it for it in run.open.values() if it.progress.is_sent]
+
     def _start_check(self, server: Registration, since: float) -> None:
         share_task(self._checks, server.run_id, lambda: self._check(server, since))
 
@@ -349,7 +356,7 @@
     def _observe_crash(self, run_id: str, run: _Run, reason: str) -> None:
         """Report a crash with all requests that the run had."""
         run.crashed_at = self._clock()
-        attempts = [*self._list_recent(run), *run.open.values()]
+        attempts = [*self._list_recent(run), *self._list_sent(run)]
         run.broken = []
         log.warning(
             "backend server crashed",
--- a/packages/medlargate/medlargate/relay/_exchange.py
+++ b/packages/medlargate/medlargate/relay/_exchange.py
@@ -81,12 +81,15 @@
     heard_at : float
         Time on the node's clock at which the head or the last event arrived, in
         seconds; the begin of the attempt before.
+    is_sent : bool
+        Whether the request was written to the server.
     """
 
     began_at: float = 0.0
     has_head: bool = False
     n_events: int = 0
     heard_at: float = 0.0
+    is_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/medlargate/medlargate/relay/_sender.py
+++ b/packages/medlargate/medlargate/relay/_sender.py
@@ -406,6 +406,7 @@
                 exch.states.observe("connect_failure")
             raise
         exch.n_sent += 1
+        exch.attempt.is_sent = True
         exch.tried_servers.add(server_id)
 
     async def _read_head(
--- a/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
+++ b/packages/medlargate/medlargate/relay/tests/test_crash_watch.py
@@ -79,7 +79,7 @@
         self.now += 1.0
 
     def make_request(self, number):
-        progress = AttemptProgress(self.now, heard_at=self.now)
+        progress = AttemptProgress(self.now, heard_at=self.now, is_sent=True)
         features = RequestFeatures(number, f"r{number}", "", (), _write_nothing)
         return _Request(number, progress, features)
 
@@ -166,6 +166,15 @@
         await self.settle()
         self.assertEqual(self.list_crashed(), [0, 1, 2])
 
+    async def test_request_that_was_not_sent_yet_is_no_evidence(self):
+        # Guards against blame of requests that wait for a connection to a lost server.
+        for exch in self.requests[1:]:
+            exch.attempt.is_sent = False
+        self.watch.observe_broken(self.requests[0], SERVER)
+        await self.settle()
+        self.watch.observe_abandoned(self.requests[1], SERVER)
+        self.assertEqual(self.list_crashed(), [0])
+
     async def test_server_that_goes_on_with_another_answer(self):
         self.watch.observe_broken(self.requests[0], SERVER)
         self.now += 0.01
