Name what another part explains once; keep the evidence apart from its report

Read once more, no behaviour changed: a block and the suspicion against a repeat subtracted the crashes that other parts explain in two copies of a loop, the record that a node keeps had a field that only messages use, and the guard described half of the evidence for log lines that the evidence describes itself. Tests of the modules as before.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -51,7 +51,7 @@
 from ._fill_limits import FillLimits, choose_fill_limits
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
-from ._part_crashes import BLOCK_TIME, PartCrashes, PartRecord
+from ._part_crashes import BLOCK_TIME, PartCrashes, PartReport
 from ._placement import (
     CROSS_DOMAIN_COST_PER_BYTE,
     SHORT_PROMPT_JITTER,
@@ -212,7 +212,7 @@
     "OutputEstimator",
     "OutputLengths",
     "PartCrashes",
-    "PartRecord",
+    "PartReport",
     "Placement",
     "PoolLoad",
     "PoolOptions",
--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -52,6 +52,7 @@
 MAX_SHARED_ANSWERS = 6  # latest answers on such a part that a node reports
 MAX_BLAMED_PARTS = 16  # parts of one request for which a crash is recorded
 MAX_MEMORY_CRASHES = 100  # crashed servers with a full memory that are kept
+MAX_DESCRIBED_SERVERS = 8  # crashed servers named in a log line
 MAX_LIVE_RUNS = 500  # runs of servers whose reported crash was wrong that are kept
 # Peers get a crash or a completed answer in many status messages in this time.
 SHARE_TIME = 30.0  # seconds
@@ -80,13 +81,10 @@
     answers : dict of str to float
         Times of the latest completed answers since the first crash, in seconds, by
         their ids.
-    sound_at : float
-        Time of the last completed answer, also before the crashes, in seconds.
     """
 
     crashes: dict[str, float] = field(default_factory=dict)
     answers: dict[str, float] = field(default_factory=dict)
-    sound_at: float = NEVER
 
     @property
     def crashed_at(self) -> float:
@@ -94,6 +92,19 @@
         return max(self.crashes.values(), default=NEVER)
 
 
+@dataclass(slots=True)
+class PartReport(PartRecord):
+    """Evidence on a suspected part, for other nodes.
+
+    Attributes
+    ----------
+    sound_at : float
+        Time of the last completed answer, also before the crashes, in seconds.
+    """
+
+    sound_at: float = NEVER
+
+
 @dataclass
 class PartCrashes:
     """Crashed servers and completed answers by suspected prompt part.
@@ -320,15 +331,21 @@
         for part in parts:
             if part not in suspects:
                 continue
-            unexplained = dict(self.records[part].crashes)
-            for other, strength in suspects.items():
-                if other not in parts and strength >= suspects[part]:
-                    for run in self.records[other].crashes:
-                        unexplained.pop(run, None)
-            if self._is_enough(part, unexplained):
+            others = [
+                other
+                for other, strength in suspects.items()
+                if other not in parts and strength >= suspects[part]
+            ]
+            if self._is_enough(part, self._list_unexplained(part, others)):
                 return part
         return None
 
+    def _list_unexplained(self, part: str, others: Collection[str]) -> dict[str, float]:
+        """Return the crashes of a part at which none of the others was present."""
+        explained = {run for other in others for run in self.records[other].crashes}
+        crashes = self.records[part].crashes
+        return {run: at for run, at in crashes.items() if run not in explained}
+
     def compute_suspicion(self, parts: Collection[str]) -> float:
         """Return the share of the evidence that would block a request.
 
@@ -345,17 +362,16 @@
         """
         suspicion = 0.0
         for part in self.records.keys() & parts:
-            unexplained = dict(self.records[part].crashes)
-            n_crashes = self._count_since_answer(part, unexplained)
+            n_crashes = self._count_since_answer(part, self.records[part].crashes)
             if not n_crashes:
                 continue
-            for other, record in self.records.items():
-                if (
-                    other not in parts
-                    and self._count_since_answer(other, record.crashes) > n_crashes
-                ):
-                    for run in record.crashes:
-                        unexplained.pop(run, None)
+            others = [
+                other
+                for other, record in self.records.items()
+                if other not in parts
+                and self._count_since_answer(other, record.crashes) > n_crashes
+            ]
+            unexplained = self._list_unexplained(part, others)
             n_crashes = self._count_since_answer(part, unexplained)
             suspicion = max(suspicion, n_crashes / self._get_max_crashes(part))
         return suspicion
@@ -447,7 +463,7 @@
             + n_by_memory // MEMORY_CRASHES_PER_CRASH
         )
 
-    def describe(self, part: str) -> dict[str, int | bool]:
+    def describe(self, part: str) -> dict[str, int | bool | list[str]]:
         """Return the evidence on a part, for log lines."""
         record = self.records.get(part, PartRecord())
         return {
@@ -456,6 +472,7 @@
             "n_since_answer": self._count_since_answer(part, record.crashes),
             "n_answers": len(record.answers),
             "was_sound": part in self.sound_at,
+            "servers": sorted(record.crashes)[:MAX_DESCRIBED_SERVERS],
         }
 
     # Exchange
@@ -493,12 +510,12 @@
                 self._version += 1
             self._convicted_at[part] = now
 
-    def list_recent(self, *, now: float) -> dict[str, PartRecord]:
+    def list_recent(self, *, now: float) -> dict[str, PartReport]:
         """Return the evidence that peers should know, by part.
 
         Returns
         -------
-        dict of str to PartRecord
+        dict of str to PartReport
             Evidence on blocked parts, and on those with a crash in the last
             ``SHARE_TIME``; those with the most crashes first, then the latest.
         """
@@ -510,7 +527,7 @@
         ]
         rows.sort(reverse=True)
         return {
-            part: PartRecord(
+            part: PartReport(
                 self.records[part].crashes,
                 _keep_latest(self.records[part].answers, MAX_SHARED_ANSWERS),
                 self.sound_at.get(part, NEVER),
@@ -542,7 +559,7 @@
 
     def merge(
         self,
-        records: Mapping[str, PartRecord],
+        reports: Mapping[str, PartReport],
         sound_at: Mapping[str, float],
         memory_crashes: Mapping[str, float] | None = None,
     ) -> None:
@@ -550,7 +567,7 @@
 
         Parameters
         ----------
-        records : mapping of str to PartRecord
+        reports : mapping of str to PartReport
             Evidence by part, with times on this node's clock.
         sound_at : mapping of str to float
             Times at which completed answers cleared a part, in seconds on this node's
@@ -563,12 +580,12 @@
             self._merge_sound_at(part, at)
             if at > self._cleared.get(part, NEVER) + MIN_MERGED_STEP:
                 self._clear(part, at)
-        for part, record in records.items():
-            self._add_crashes(part, record.crashes)
+        for part, report in reports.items():
+            self._add_crashes(part, report.crashes)
             if part in self.records:
-                self._merge_sound_at(part, record.sound_at)
-            if record.answers:
-                self._add_answers(part, record.answers)
+                self._merge_sound_at(part, report.sound_at)
+            if report.answers:
+                self._add_answers(part, report.answers)
 
 
 def _keep_latest(times: Mapping[str, float], n_kept: int) -> dict[str, float]:
--- a/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
@@ -9,7 +9,7 @@
     MAX_RECORDED,
     MAX_SOUND_PARTS,
     PartCrashes,
-    PartRecord,
+    PartReport,
 )
 
 
@@ -157,7 +157,7 @@
             for source in nodes:
                 for target in nodes:
                     records = {
-                        part: PartRecord(
+                        part: PartReport(
                             {run: at + delay for run, at in it.crashes.items()},
                             {key: at + delay for key, at in it.answers.items()},
                             it.sound_at + delay,
--- a/packages/medlargate/medlargate/relay/_block_store.py
+++ b/packages/medlargate/medlargate/relay/_block_store.py
@@ -17,7 +17,7 @@
 from returns.result import Failure
 
 from ..platform import Delete, Entry, Put, Store
-from ..policy import BLOCK_TIME, PartRecord
+from ..policy import BLOCK_TIME, PartReport
 from ._crash_guard import CrashGuard
 from ._stored_models import iter_stored_models
 
@@ -133,7 +133,7 @@
     async def _observe_entries(self, entries: Iterable[Entry]) -> None:
         wall_now, now = self.wall_clock(), self.clock()
         requests: dict[str, list[str]] = {}
-        parts: dict[str, PartRecord] = {}
+        parts: dict[str, PartReport] = {}
         expired = []
         for key, block in iter_stored_models(
             entries, StoredBlock, log, "stored block not decodable"
@@ -149,7 +149,7 @@
                     run: now - max(0.0, wall_now - at)
                     for run, at in block.crashed_at.items()
                 }
-                parts[block.part] = PartRecord(crashes)
+                parts[block.part] = PartReport(crashes)
         self.guard.merge_crashes(
             requests=requests, parts=parts, sound_at={}, convicted=parts
         )
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -12,14 +12,14 @@
 
 from .._tasks import call_logged
 from ..fleet import StatusMessage
-from ..policy import CrashHistory, PartCrashes, PartRecord, SoundRequests
+from ..policy import CrashHistory, PartCrashes, PartReport, SoundRequests
 from ..routing import Registration
 from ._exchange import AttemptProgress, Exchange, RequestFeatures
 
 log = logging.getLogger(__name__)
 
 MAX_OBSERVED = 500  # digests and parts
-MAX_LOGGED_PARTS = MAX_LOGGED_SERVERS = 8  # named in a log line
+MAX_LOGGED_PARTS = 8  # named in a log line
 
 
 class CrashGuard:
@@ -209,7 +209,7 @@
         self,
         *,
         requests: dict[str, list[str]],
-        parts: dict[str, PartRecord],
+        parts: dict[str, PartReport],
         sound_at: dict[str, float],
         memory_crashes: dict[str, float] | None = None,
         convicted: Collection[str] = (),
@@ -220,7 +220,7 @@
         ----------
         requests : dict of str to list of str
             Crashed servers by request digest.
-        parts : dict of str to PartRecord
+        parts : dict of str to PartReport
             Evidence by prompt part, with times on this node's clock.
         sound_at : dict of str to float
             Times at which completed answers cleared a prompt part, on this node's
@@ -249,7 +249,7 @@
         self.merge_crashes(
             requests=status.crashes,
             parts={
-                part: PartRecord(
+                part: PartReport(
                     _subtract(now, ages),
                     _subtract(now, status.part_answers.get(part, {})),
                     now - status.part_sound.get(part, math.inf),
@@ -292,12 +292,12 @@
         for part in parts - self._blocked_parts:
             log.warning(
                 "prompt part blocked",
-                extra={"part": part, **self._describe_evidence(part)},
+                extra={"part": part, **self.parts.describe(part)},
             )
         for part in self._blocked_parts - parts:
             log.warning(
                 "prompt part no longer blocked",
-                extra={"part": part, **self._describe_evidence(part)},
+                extra={"part": part, **self.parts.describe(part)},
             )
         before = (self._blocked_requests, self._blocked_parts)
         self._blocked_requests, self._blocked_parts = requests, parts
@@ -305,13 +305,6 @@
             for listener in self.block_listeners:
                 call_logged(listener)
 
-    def _describe_evidence(self, part: str) -> dict[str, Any]:
-        crashes = self.parts.records.get(part, PartRecord()).crashes
-        return {
-            **self.parts.describe(part),
-            "servers": sorted(crashes)[:MAX_LOGGED_SERVERS],
-        }
-
 
 def _subtract(now: float, times: dict[str, float]) -> dict[str, float]:
     """Turn times into ages, or ages into times."""
