--- a/packages/medlargate-standins/medlargate_standins/soak/_crash_forms.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_crash_forms.py
@@ -33,6 +33,8 @@
         Fraction of the requests with a deadly part that crash nothing.
     deadly_per_second : float
         Rate of the requests with a deadly part; 0 for none.
+    sound_per_second : float
+        Rate of the sound requests.
     n_groups : int
         Number of prompt parts that sound requests share beside the first one.
     n_events : int
@@ -54,6 +56,7 @@
     sound_seconds: float = Field(default=0.0, ge=0)
     survival_rate: float = Field(default=0.0, ge=0, lt=1)
     deadly_per_second: float = Field(default=3.0, ge=0)
+    sound_per_second: float = Field(default=15.0, gt=0)
     n_groups: int = Field(default=8, ge=1)
     n_events: int = Field(default=20, ge=1)
     pause: float = Field(default=0.05, ge=0)
--- a/packages/medlargate-standins/medlargate_standins/soak/_crash_run.py
+++ b/packages/medlargate-standins/medlargate_standins/soak/_crash_run.py
@@ -22,7 +22,6 @@
 from ._crashing_engines import EngineHost, make_crash_choice, run_hosts
 from ._fleet import DOMAINS, Fleet, FleetPlan
 
-SOUND_PER_SECOND = 15.0
 N_ENGINES = 9
 CALL_TIMEOUT = 12.0  # seconds
 FIRST_PART, DEADLY_PART = "first", "deadly"
@@ -116,7 +115,8 @@
 
     async def run(self, seconds: float) -> None:
         """Send both kinds of requests for some time, then wait for the answers."""
-        rates = ((SOUND_PER_SECOND, False), (self.form.deadly_per_second, True))
+        form = self.form
+        rates = ((form.sound_per_second, False), (form.deadly_per_second, True))
         jobs = [self._send(rate, seconds, kind) for rate, kind in rates if rate]
         await asyncio.gather(*jobs)
         await asyncio.gather(*self._tasks)
--- a/packages/medlargate-standins/medlargate_standins/tests/test_crash_forms.py
+++ b/packages/medlargate-standins/medlargate_standins/tests/test_crash_forms.py
@@ -9,10 +9,10 @@
 class CrashFormTest(unittest.IsolatedAsyncioTestCase):
     """Few engines crash under a prompt part, and no sound request is refused."""
 
-    async def run_form(self, name, seed=1):
+    async def run_form(self, name, seed=1, min_sound=100):
         report = await run_crash_form(load_crash_forms()[name], seed, seconds=10.0)
         self.assertEqual(report.violations, [])
-        self.assertGreater(report.n_sound, 100)
+        self.assertGreater(report.n_sound, min_sound)
 
     async def test_part_that_crashes_engines_at_the_first_event(self):
         await self.run_form("first-event")
@@ -38,6 +38,12 @@
     async def test_two_parts_that_crash_engines_at_any_event(self):
         await self.run_form("two-parts")
 
+    async def test_part_beside_parts_that_were_never_answered(self):
+        await self.run_form("unfinished-streams", min_sound=30)
+
+    async def test_lost_domains_block_no_part_that_was_never_answered(self):
+        await self.run_form("unfinished-domain-losses", seed=3, min_sound=30)
+
     async def test_lost_domains_block_no_sound_part(self):
         await self.run_form("domain-losses")
 
