Pass only new crashes on to the other failure domains at once

Every completed answer on a suspected part counted as new evidence, so a node that heard of one asked for a status to all failure domains at once, up to one each 0.05 s while a popular part was suspected. Crashes are counted now, and only a new one is passed on at once; answers go with the regular status. The new test failed before: the listener was called for an answer.

--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -117,6 +117,8 @@
         Times, in seconds, of the last completed answer by part.
     memory_crashes : OrderedDict of str to float
         Times, in seconds, of the crashes of servers whose memory was full, by run.
+    n_crashes : int
+        Number of times that crashes of a part became known.
 
     Examples
     --------
@@ -134,6 +136,7 @@
     records: OrderedDict[str, PartRecord] = field(default_factory=OrderedDict)
     sound_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
     memory_crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    n_crashes: int = 0
     _cleared: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _convicted_at: LRUCache[str, float] = field(
         default_factory=lambda: LRUCache(MAX_PARTS)
@@ -204,6 +207,7 @@
         record.crashes = _keep_latest(known | added, MAX_RECORDED)
         self.records.move_to_end(part)
         self._version += 1
+        self.n_crashes += 1
         if len(self.records) > MAX_PARTS:
             del self.records[min(self.records, key=self._compute_retention)]
 
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -44,7 +44,7 @@
     crash_listeners : list of callable
         Called without arguments after this node has observed a crash.
     merge_listeners : list of callable
-        Called without arguments after another node has reported new evidence.
+        Called without arguments after another node has reported a new crash.
     block_listeners : list of callable
         Called without arguments when a request or a part becomes blocked, or a part
         is no longer blocked.
@@ -232,14 +232,14 @@
         """
         if not requests and not parts and not sound_at:
             return
-        before, now = self.parts.version, self._clock()
+        version, n_crashes = self.parts.version, self.parts.n_crashes
+        now = self._clock()
         self.requests.merge(requests, now=now)
         self.parts.merge(parts, sound_at, memory_crashes)
         self.parts.observe_convicted(convicted, now=now)
-        has_changed = self.parts.version != before
-        if has_changed or requests:
+        if self.parts.version != version or requests:
             self._update_blocks()
-        if has_changed:
+        if self.parts.n_crashes != n_crashes:
             for listener in self.merge_listeners:
                 call_logged(listener)
 
