Tell the crash watch of registrations by a listener of its own

The relay node told it in the first lines of its own listener, so that an error there would have kept the connections, loads and speeds of a deleted server. Listeners are called apart from each other.

--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -269,7 +269,12 @@
         self.metrics_server = self._make_server(
             self._answer_metrics, lambda: DEFAULT_LIMITS, self.connection_limits.metrics
         )
-        self.cluster_state.server_listeners.append(self._observe_server_change)
+        self.cluster_state.server_listeners += [
+            self._observe_server_change,
+            lambda server_id: self.crash_watch.observe_registration(
+                self.cluster_state.servers.get(server_id), server_id
+            ),
+        ]
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._close_callbacks: list[Callable[[], Awaitable[None]]] = []
@@ -370,8 +375,6 @@
         return budget
 
     def _observe_server_change(self, server_id: str) -> None:
-        server = self.cluster_state.servers.get(server_id)
-        self.crash_watch.observe_registration(server, server_id)
         if server_id not in self.cluster_state.servers:
             self.pool.close_server_connections(server_id)
             self.loads.forget(server_id)
