Fill the engines before a test of planned stops sends the request that waits

The test took 0.5 s for the sixteen streams to begin; traces beside load show that fewer had begun by then, so that the seventeenth request found a free slot and was cut off with the others at the end of the grace. The tests now wait until a stream runs in each slot, and streams last long enough for an engine to be used again after refused connections. Checks and bounds are as before.

--- a/packages/medlargate/medlargate/relay/tests/test_planned_stop.py
+++ b/packages/medlargate/medlargate/relay/tests/test_planned_stop.py
@@ -45,6 +45,9 @@
     def count_runs(self, request_id):
         return sum(it.runs[request_id] for it in self.world.backends.values())
 
+    def count_running(self, engines):
+        return sum(run.ended_at is None for it in engines for run in it.executions)
+
     def stop_node(self):
         self.stopped_at = time.monotonic()
         return asyncio.create_task(self.node.stop())
@@ -56,6 +59,18 @@
             )
         )
 
+    async def fill_engines(self):
+        """Start a stream in each slot of the engines; return their tasks."""
+        engines = [it for it in self.world.backends.values() if it.service == "engine"]
+        for engine in engines:
+            engine.pause = 3.5
+        n_slots = sum(it.slots for it in engines)
+        running = [self.call("/stream/x", f"r{number}") for number in range(n_slots)]
+        async with asyncio.timeout(10):
+            while self.count_running(engines) < n_slots:
+                await asyncio.sleep(0.01)
+        return running
+
     async def call_late(self, path, *, deadline_ms, late=LATE, stop_delay=0.0):
         """Send a request on a connection whose first answer began before the stop.
 
@@ -103,11 +118,7 @@
 
     async def test_waiting_request_is_refused_once_the_balancer_leaves_the_node(self):
         # Guards against connections of waiting requests that close without an answer.
-        for backend in self.world.backends.values():
-            if backend.service == "engine":
-                backend.pause = 2.0
-        running = [self.call("/stream/x", f"r{number}") for number in range(16)]
-        await asyncio.sleep(0.5)
+        running = await self.fill_engines()
         waiting = self.call("/stream/x", "waits")
         await asyncio.sleep(0.2)
         stop = self.stop_node()
@@ -121,10 +132,7 @@
 
     async def test_slow_store_does_not_delay_the_refusal_of_waiting_requests(self):
         # Guards against a stop that waits for the store before it does its work.
-        for backend in self.world.backends.values():
-            backend.pause = 2.0
-        running = [self.call("/stream/x", f"r{number}") for number in range(16)]
-        await asyncio.sleep(0.5)
+        running = await self.fill_engines()
         waiting = self.call("/stream/x", "waits")
         await asyncio.sleep(0.2)
         self.node.duties.release = lambda: asyncio.sleep(4.0)
