Give up a silent server soon after a pause of the process

A check of a server's silence that came over 0.25 s late, as after a pause of the process, started the whole limit of 1.5 s anew, so that data of the meantime is read first. A pause of 0.4 s at that moment thus cost a request with a deadline of 2.9 s its retry: 504 in place of 200. Reading takes one turn of the event loop, so the limit now goes on for 0.25 s only. The new test failed before (504), one for answers that come in the pause passed and passes.

--- a/packages/medlargate/medlargate/relay/_silence.py
+++ b/packages/medlargate/medlargate/relay/_silence.py
@@ -92,7 +92,8 @@
         left = self._seconds
         if self.waiting and now - self._check_at > MAX_TIMER_DELAY:
             # This process was paused. Data that arrived meanwhile is read first.
-            self._waiting_since = now
+            earliest = now + MAX_TIMER_DELAY - self._seconds
+            self._waiting_since = max(self._waiting_since, earliest)
         if self.waiting:
             left = self._waiting_since + self._seconds - now
             if left <= 0 and self._can_abandon():
--- a/packages/medlargate/medlargate/relay/tests/test_silence.py
+++ b/packages/medlargate/medlargate/relay/tests/test_silence.py
@@ -77,6 +77,36 @@
         await stop
 
 
+class PauseTest(RelayCase):
+    """A pause of the whole process, as on an overloaded machine."""
+
+    async def call_beside_pause(self, pause):
+        call = asyncio.create_task(self.world.call("/read/x", Deadline_Ms="2900"))
+        await asyncio.sleep(1.4)
+        time.sleep(pause)
+        return await call
+
+    async def test_silent_server_is_given_up_soon_after_a_pause(self):
+        # Guards against retries that a short pause delays by the whole limit.
+        servers = []
+
+        def behave(req):
+            servers.append(req.request_id)
+            return "silent" if len(servers) == 1 else "ok"
+
+        self.set_behaviour("plain", behave)
+        reply = await self.call_beside_pause(0.4)
+        self.assertEqual(reply.status, 200)
+        self.assertLess(reply.elapsed, 2.5)
+
+    async def test_answer_that_comes_in_a_pause_is_read_first(self):
+        for backend in self.world.backends.values():
+            backend.delay = 1.45
+        reply = await self.call_beside_pause(0.4)
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(len(self.list_received("plain")), 1)
+
+
 class EndlessEventTest(unittest.TestCase):
     """An event without end, which arrives in small pieces."""
 
