Count crashes of three or more servers at the same time half

After the loss of three failure domains within seconds, requests with a part that had no completed answer yet were refused as guilty for up to a minute: each loss counted as one crash of every part that its servers had, and three block such a part. Servers that crash together have a common cause, so three or more of them within 0.1 s now count half, as crashes beside a full memory do; which servers crashed is known from the evidence on all parts. A burst of deadly requests still blocks their part: it crashes servers at many moments.

--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_left, bisect_right
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -36,9 +37,11 @@
 # Servers that crash together have a common cause, for example a loss of power, and the
 # parts that they were answering do not crash them.
 MIN_CRASH_SPACING = 0.1  # seconds; crashes closer to the last counted one count once
-# A full memory may have crashed a server as well as a part, so that such crashes count
-# less.
-MEMORY_CRASHES_PER_CRASH = 2
+MAX_CRASHED_RUNS = 500  # crashed runs of servers whose times are kept
+# A full memory or the loss of a domain may have crashed servers as well as a part, so
+# that such crashes count less.
+WEAK_CRASHES_PER_CRASH = 2
+MIN_COMMON_CRASHES = 3  # servers that crash together as in the loss of a domain
 # Requests with a blocked part are not run, so that only time can show whether it still
 # crashes servers. After one further crash the part is blocked again.
 BLOCK_TIME = 600.0  # seconds after the last crash
@@ -144,6 +147,10 @@
     _alive: LRUCache[str, float] = field(
         default_factory=lambda: LRUCache(MAX_LIVE_RUNS)
     )
+    _run_crashes: LRUCache[str, float] = field(
+        default_factory=lambda: LRUCache(MAX_CRASHED_RUNS)
+    )
+    _run_times: list[float] = field(default_factory=list)  # sorted
     _version: int = 0  # changes with the evidence
     _suspects: dict[str, tuple[bool, int, float]] = field(default_factory=dict)
     _suspects_key: tuple[int, int] = (-1, 0)
@@ -190,6 +197,7 @@
             self.memory_crashes.popitem(last=False)
 
     def _add_crashes(self, part: str, crashes: Mapping[str, float]) -> None:
+        self._add_run_crashes(crashes)
         record = self.records.get(part)
         known = record.crashes if record else {}
         cleared_at = self._cleared.get(part, NEVER)
@@ -211,6 +219,19 @@
         if len(self.records) > MAX_PARTS:
             del self.records[min(self.records, key=self._compute_retention)]
 
+    def _add_run_crashes(self, crashes: Mapping[str, float]) -> None:
+        """Record when runs of servers crashed, whatever requests they had."""
+        added = {
+            run: at
+            for run, at in crashes.items()
+            if at > self._alive.get(run, NEVER)
+            and at < self._run_crashes.get(run, math.inf) - MIN_EARLIER
+        }
+        if added:
+            self._run_crashes.update(added)
+            self._run_times = sorted(self._run_crashes.values())
+            self._version += 1
+
     def _compute_retention(self, part: str) -> tuple[int, float]:
         record = self.records[part]
         return len(record.crashes), record.crashed_at
@@ -299,6 +320,8 @@
                 del self.records[part]
         if suspected:
             self._alive[server_run] = now
+            self._run_crashes.pop(server_run, None)
+            self._run_times = sorted(self._run_crashes.values())
             self._version += 1
         return bool(suspected)
 
@@ -458,13 +481,31 @@
         return self._count({run: at for run, at in crashes.items() if at > since})
 
     def _count(self, crashes: Mapping[str, float]) -> int:
-        """Return the number of separate crashes; those by a full memory count less."""
+        """Return the number of separate crashes; weak ones count half.
+
+        Crashes beside a full memory, and those of several servers at the same time, may
+        have another cause than a request.
+        """
         by_memory = crashes.keys() & self.memory_crashes.keys()
-        n_by_memory = _count_separate(crashes[run] for run in by_memory)
-        others = crashes.keys() - by_memory
-        return (
-            _count_separate(crashes[run] for run in others)
-            + n_by_memory // MEMORY_CRASHES_PER_CRASH
+        n_weak = len(self._group_crashes(crashes, by_memory))
+        n_full = 0
+        for first, last in self._group_crashes(crashes, crashes.keys() - by_memory):
+            if self._count_crashed_runs(first, last) >= MIN_COMMON_CRASHES:
+                n_weak += 1
+            else:
+                n_full += 1
+        return n_full + n_weak // WEAK_CRASHES_PER_CRASH
+
+    def _group_crashes(
+        self, crashes: Mapping[str, float], runs: Collection[str]
+    ) -> list[tuple[float, float]]:
+        return _group_times(self._run_crashes.get(it, crashes[it]) for it in runs)
+
+    def _count_crashed_runs(self, first: float, last: float) -> int:
+        """Return the number of runs that crashed together, with any requests."""
+        since, until = first - MIN_CRASH_SPACING / 2, last + MIN_CRASH_SPACING / 2
+        return bisect_left(self._run_times, until) - bisect_right(
+            self._run_times, since
         )
 
     def describe(self, part: str) -> dict[str, int | bool | list[str]]:
@@ -596,16 +637,18 @@
     return dict(sorted(times.items(), key=lambda it: it[1])[-n_kept:])
 
 
-def _count_separate(times: Iterable[float]) -> int:
-    """Return the number of crashes, those close to the last counted one left out.
+def _group_times(times: Iterable[float]) -> list[tuple[float, float]]:
+    """Return the first and the last time of each group of crashes close together.
 
     Examples
     --------
-    >>> _count_separate([1.0, 1.05, 1.3, 2.0])
-    3
+    >>> _group_times([1.0, 1.05, 1.3, 2.0])
+    [(1.0, 1.05), (1.3, 1.3), (2.0, 2.0)]
     """
-    n_separate, last = 0, NEVER
+    groups: list[tuple[float, float]] = []
     for at in sorted(times):
-        if at - last >= MIN_CRASH_SPACING:
-            n_separate, last = n_separate + 1, at
-    return n_separate
+        if groups and at - groups[-1][0] < MIN_CRASH_SPACING:
+            groups[-1] = groups[-1][0], at
+        else:
+            groups.append((at, at))
+    return groups
--- a/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
@@ -106,6 +106,18 @@
         self.crash("a", n_servers=40, spacing=0.001)
         self.assertIsNone(self.crashes.find_blocked(["a"], now=1.0))
 
+    def test_lost_domains_count_half(self):
+        # Guards against blocks of parts without any answer after a few such losses.
+        for n_losses, expected in ((5, None), (6, "part")):
+            self.crashes = PartCrashes()
+            for number in range(3 * n_losses):
+                loss, server = divmod(number, 3)
+                at = 3.0 * loss + 0.02 * server
+                parts = ["part"] if server == 1 else [f"other{number}"]
+                self.crashes.observe_crash(parts, f"s{number}", now=at)
+            with self.subTest(n_losses=n_losses):
+                self.assertEqual(self.crashes.find_blocked(["part"], now=18), expected)
+
     def test_part_with_completed_answers_needs_more_crashes(self):
         self.crashes.observe_sound(["a", "own"], "a1", now=0.5)
         self.crash("a", n_servers=5, now=1.0)
