Filter news of crashes in one place

What is new among reported crashes was decided twice, for the crashes of a part and for those of runs, with the same comparison of times and signs of life; the sorted times were rebuilt in two places. Both are one method now, no behaviour changed.

--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -201,13 +201,7 @@
         record = self.records.get(part)
         known = record.crashes if record else {}
         cleared_at = self._cleared.get(part, NEVER)
-        # The node that noticed a crash first knows its time best.
-        added = {
-            run: at
-            for run, at in crashes.items()
-            if at > max(cleared_at, self._alive.get(run, NEVER))
-            and at < known.get(run, math.inf) - MIN_EARLIER
-        }
+        added = self._find_news(crashes, known, since=cleared_at)
         if not added:
             return
         if record is None:
@@ -221,17 +215,34 @@
 
     def _add_run_crashes(self, crashes: Mapping[str, float]) -> None:
         """Record when runs of servers crashed, whatever requests they had."""
-        added = {
-            run: at
-            for run, at in crashes.items()
-            if at > self._alive.get(run, NEVER)
-            and at < self._run_crashes.get(run, math.inf) - MIN_EARLIER
-        }
+        added = self._find_news(crashes, self._run_crashes)
         if added:
             self._run_crashes.update(added)
-            self._run_times = sorted(self._run_crashes.values())
+            self._sort_run_times()
             self._version += 1
 
+    def _find_news(
+        self,
+        crashes: Mapping[str, float],
+        known: Mapping[str, float],
+        *,
+        since: float = NEVER,
+    ) -> dict[str, float]:
+        """Return the crashes after a time that are not known, or not as early.
+
+        The node that noticed a crash first knows its time best. Crashes before the last
+        sign of life of their run are left out.
+        """
+        return {
+            run: at
+            for run, at in crashes.items()
+            if at > max(since, self._alive.get(run, NEVER))
+            and at < known.get(run, math.inf) - MIN_EARLIER
+        }
+
+    def _sort_run_times(self) -> None:
+        self._run_times = sorted(self._run_crashes.values())
+
     def _compute_retention(self, part: str) -> tuple[int, float]:
         record = self.records[part]
         return len(record.crashes), record.crashed_at
@@ -321,7 +332,7 @@
         if suspected:
             self._alive[server_run] = now
             self._run_crashes.pop(server_run, None)
-            self._run_times = sorted(self._run_crashes.values())
+            self._sort_run_times()
             self._version += 1
         return bool(suspected)
 
