Fix the kernel's buffers in a test of unread answers

Cause: the test. Its answer of 4 MB has to leave something unread, but no more than the 2 MB that callers may hold, so it needs a kernel that takes 2 to 4 MB.

The test now gives both sockets buffers of 64 kB and has an answer of 1 MB. It fails if the body isn't counted (0 != 750000) and if the unread answer isn't (750000 not greater than 750000).

--- a/packages/medlargate/medlargate/gateway/tests/test_caller_protocol.py
+++ b/packages/medlargate/medlargate/gateway/tests/test_caller_protocol.py
@@ -18,6 +18,7 @@
 TIMEOUT = 10.0  # seconds
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 1_000_000
+SOCKET_BUFFER_BYTES = 65_536
 
 
 def make_head(path, n_body_bytes, extra=""):
@@ -183,11 +184,25 @@
                 while not self.sizes or self.server.server_state.connections:
                     await asyncio.sleep(0.05)
 
+    async def limit_kernel_buffers(self, writer):
+        """Keep the kernel from taking a whole answer that the caller does not read."""
+        while not self.server.server_state.connections:
+            await asyncio.sleep(0.01)
+        (conn,) = self.server.server_state.connections
+        for transport, option in (
+            (conn.transport, socket.SO_SNDBUF),
+            (writer.transport, socket.SO_RCVBUF),
+        ):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+
     async def test_body_of_the_next_request_counts_until_its_answer(self):
-        self.answer = bytes(4_000_000)
+        self.answer = bytes(MAX_BODY_BYTES)
         n_body_bytes = MAX_BODY_BYTES * 3 // 4
         async with asyncio.timeout(TIMEOUT):
-            reader, writer = await self.open(make_head("/a", 0))
+            reader, writer = await self.open(b"")
+            await self.limit_kernel_buffers(writer)
+            writer.write(make_head("/a", 0))
             while not self.sizes:
                 await asyncio.sleep(0.01)
             self.go_on.clear()
