Ask for one crash less by either rule at nodes that hear of a block

Callers' requests with a part that crashes servers were still sent by one node up to 1.8 s after the others had blocked the part, and cost a server.

Cause: a part is blocked by its crashes since the last answer, or, if it is answered at times, by its crashes per answer. Nodes measure the times of crashes differently and may count one less, so a node that hears of a block asks for one crash less; but only by the first rule.

Now the margin holds for both rules. The new test fails before (None != 'bad') and passes after.

--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -450,15 +450,16 @@
     def _is_enough(
         self, part: str, crashes: Mapping[str, float], *, alone: bool = False
     ) -> bool:
-        max_crashes = self._get_max_crashes(part)
-        if not alone and self._convicted_at.get(part, NEVER) > self.sound_at.get(
+        is_convicted = not alone and self._convicted_at.get(
             part, NEVER
+        ) > self.sound_at.get(part, NEVER)
+        margin = CONVICTION_MARGIN if is_convicted else 0
+        if self._count_since_answer(part, crashes) + margin >= self._get_max_crashes(
+            part
         ):
-            max_crashes -= CONVICTION_MARGIN
-        if self._count_since_answer(part, crashes) >= max_crashes:
             return True
         n_answers = len(self.records[part].answers)
-        return self._count_frequent(part, crashes) >= max(
+        return self._count_frequent(part, crashes) + margin >= max(
             MIN_FREQUENT_CRASHES, MIN_CRASHES_PER_ANSWER * n_answers
         )
 
--- a/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/tests/test_part_crashes.py
@@ -204,6 +204,19 @@
         other.observe_sound(["bad", "own"], "a0", now=2.1)
         self.assertIsNone(other.find_blocked(["bad"], now=2.2))
 
+    def test_block_of_a_part_answered_at_times_holds_at_nodes_that_count_less(self):
+        # Guards against a node that sends such requests on for seconds.
+        other = PartCrashes()
+        for crashes, n_crashes in ((self.crashes, 6), (other, 5)):
+            crashes.observe_sound(["bad", "own"], "a0", now=-1.0)
+            for number in range(n_crashes):
+                crashes.observe_crash(["bad"], f"s{number}", now=float(number))
+            crashes.observe_sound(["bad", "own"], "a1", now=2.5)
+        self.assertEqual(self.crashes.find_blocked(["bad"], now=6.0), "bad")
+        self.assertIsNone(other.find_blocked(["bad"], now=6.0))
+        other.observe_convicted(self.crashes.list_convicted(now=6.0), now=6.0)
+        self.assertEqual(other.find_blocked(["bad"], now=6.0), "bad")
+
     def test_crashes_by_a_full_memory_count_half(self):
         for number in range(6):
             self.assertIsNone(self.crashes.find_blocked(["a"], now=float(number)))
