Run requests with a suspected prompt part on one server of the fleet

Cause: requests with the part that are in progress at a time run on engines of their own, and each costs one. In a traced run two pairs of engines crashed within 0.1 s and counted once, so that ten engines were lost before and shortly after the sixth separate crash.

From the first unexplained crash since the last answer on, requests with a suspected part go to one server, by the rank of a hash, in their own failure domain after one crash and in all domains after two. Popular parts get more servers, in proportion to the requests in progress. Servers without capacity, and those known to have crashed, are left out. A false suspicion ends with the next completed answer on the part.

--- a/packages/medlargate/medlargate/policy/__init__.py
+++ b/packages/medlargate/medlargate/policy/__init__.py
@@ -28,6 +28,7 @@
     decide_capacity,
 )
 from ._cold_servers import ColdShare, decide_cold_end, decide_cold_share
+from ._confinement import choose_confined_servers
 from ._crash_history import CrashHistory, SoundRequests, make_request_digest
 from ._customer_shares import (
     CustomerShares,
@@ -51,7 +52,7 @@
 from ._fill_limits import FillLimits, choose_fill_limits
 from ._fleet_budget import FleetRetryBudget
 from ._forwarding import ForwardPeer, choose_forward_peer
-from ._part_crashes import BLOCK_TIME, PartCrashes, PartReport
+from ._part_crashes import BLOCK_TIME, PartCrashes, PartReport, Suspicion
 from ._placement import (
     CROSS_DOMAIN_COST_PER_BYTE,
     SHORT_PROMPT_JITTER,
@@ -243,6 +244,7 @@
     "SpillPlan",
     "StopSchedule",
     "StreamOrigin",
+    "Suspicion",
     "TokenBucket",
     "TokenDemand",
     "TokenSupply",
@@ -252,6 +254,7 @@
     "ZoneEngines",
     "accepts_any_server",
     "agrees_with_fleet",
+    "choose_confined_servers",
     "choose_destination",
     "choose_evicted",
     "choose_fill_limits",
--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -108,6 +108,26 @@
     sound_at: float = NEVER
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Evidence against the most suspected part of a request.
+
+    Attributes
+    ----------
+    part : str
+        Id of the part.
+    share : float
+        Share of the evidence that would block the part.
+    n_crashed : int
+        Number of servers that crashed with it, of which weak ones and those close
+        together count whole.
+    """
+
+    part: str
+    share: float
+    n_crashed: int
+
+
 @dataclass
 class PartCrashes:
     """Crashed servers and completed answers by suspected prompt part.
@@ -154,6 +174,8 @@
     _version: int = 0  # changes with the evidence
     _suspects: dict[str, tuple[bool, int, float]] = field(default_factory=dict)
     _suspects_key: tuple[int, int] = (-1, 0)
+    _n_since_answer: dict[str, int] = field(default_factory=dict)  # by part
+    _n_since_answer_version: int = -1
 
     @property
     def version(self) -> int:
@@ -384,8 +406,8 @@
         crashes = self.records[part].crashes
         return {run: at for run, at in crashes.items() if run not in explained}
 
-    def compute_suspicion(self, parts: Collection[str]) -> float:
-        """Return the share of the evidence that would block a request.
+    def find_suspicion(self, parts: Collection[str]) -> Suspicion | None:
+        """Return the evidence against the most suspected part of a request.
 
         Parameters
         ----------
@@ -394,25 +416,55 @@
 
         Returns
         -------
-        float
-            0 if no server has crashed under one of the parts since an answer on it was
-            completed, at which no other part was present more often.
+        Suspicion or None
+            None if no server has crashed under one of the parts since an answer on it
+            was completed, at which no other part was present more often.
         """
-        suspicion = 0.0
+        found: Suspicion | None = None
         for part in self.records.keys() & parts:
-            n_crashes = self._count_since_answer(part, self.records[part].crashes)
+            n_crashes = self._get_n_since_answer(part)
             if not n_crashes:
                 continue
             others = [
                 other
                 for other, record in self.records.items()
                 if other not in parts
-                and self._count_since_answer(other, record.crashes) > n_crashes
+                and len(record.crashes) > n_crashes
+                and self._get_n_since_answer(other) > n_crashes
             ]
-            unexplained = self._list_unexplained(part, others)
-            n_crashes = self._count_since_answer(part, unexplained)
-            suspicion = max(suspicion, n_crashes / self._get_max_crashes(part))
-        return suspicion
+            unexplained = self._select_since_answer(
+                part, self._list_unexplained(part, others)
+            )
+            share = self._count(unexplained) / self._get_max_crashes(part)
+            if share and (found is None or (share, part) > (found.share, found.part)):
+                found = Suspicion(part, share, len(unexplained))
+        return found
+
+    def compute_suspicion(self, parts: Collection[str]) -> float:
+        """Return the share of the evidence that would block a request, 0 for none.
+
+        Parameters
+        ----------
+        parts : collection of str
+            Ids of the request's parts.
+
+        Returns
+        -------
+        float
+            Share of the most suspected part; see ``find_suspicion``.
+        """
+        suspicion = self.find_suspicion(parts)
+        return suspicion.share if suspicion is not None else 0.0
+
+    def _get_n_since_answer(self, part: str) -> int:
+        """Return the number of crashes of a part since its last completed answer."""
+        if self._n_since_answer_version != self._version:
+            self._n_since_answer_version = self._version
+            self._n_since_answer.clear()
+        if part not in self._n_since_answer:
+            n_crashes = self._count_since_answer(part, self.records[part].crashes)
+            self._n_since_answer[part] = n_crashes
+        return self._n_since_answer[part]
 
     def _list_suspects(self, now: float) -> dict[str, tuple[bool, int, float]]:
         """Return the strength of the evidence against the suspected parts, by part."""
@@ -483,8 +535,13 @@
 
     def _count_since_answer(self, part: str, crashes: Mapping[str, float]) -> int:
         """Return the number of crashes after the last completed answer on a part."""
+        return self._count(self._select_since_answer(part, crashes))
+
+    def _select_since_answer(
+        self, part: str, crashes: Mapping[str, float]
+    ) -> dict[str, float]:
         sound_at = self.sound_at.get(part, NEVER)
-        return self._count({run: at for run, at in crashes.items() if at > sound_at})
+        return {run: at for run, at in crashes.items() if at > sound_at}
 
     def _count_frequent(self, part: str, crashes: Mapping[str, float]) -> int:
         """Return the number of crashes in the time of the recorded answers."""
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -12,7 +12,15 @@
 
 from .._tasks import call_logged
 from ..fleet import StatusMessage
-from ..policy import CrashHistory, PartCrashes, PartReport, SoundRequests
+from ..policy import (
+    CrashHistory,
+    PartCrashes,
+    PartReport,
+    ServerState,
+    SoundRequests,
+    Suspicion,
+    choose_confined_servers,
+)
 from ..routing import Registration
 from ._exchange import AttemptProgress, Exchange, RequestFeatures
 
@@ -29,6 +37,8 @@
     ----------
     clock : callable
         Returns the node's monotonic time in seconds.
+    count_nodes : callable
+        Returns the number of nodes of the fleet.
 
     Attributes
     ----------
@@ -50,8 +60,11 @@
         is no longer blocked.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], count_nodes: Callable[[], int] = lambda: 1
+    ) -> None:
         self._clock = clock
+        self._count_nodes = count_nodes
         self.requests = CrashHistory()
         self.sound_requests = SoundRequests()
         self.parts = PartCrashes()
@@ -62,6 +75,7 @@
         self._blocked_requests: frozenset[str] = frozenset()
         self._blocked_parts: frozenset[str] = frozenset()
         self._isolated: dict[int, str] = {}  # server by exchange id
+        self._parts_in_progress: dict[int, tuple[str, ...]] = {}  # by exchange id
         self._token = secrets.token_hex(3)  # prefix of the ids of answers
         self._answer_numbers = itertools.count()
 
@@ -83,13 +97,57 @@
             return frozenset(self._isolated.values())
         return ()
 
+    def find_suspicion(self, exch: Exchange) -> Suspicion | None:
+        """Return the evidence against the most suspected part of a request.
+
+        Parameters
+        ----------
+        exch : Exchange
+            Request that is to be placed.
+        """
+        return self.parts.find_suspicion(exch.part_ids)
+
+    def choose_confined_servers(
+        self, suspicion: Suspicion, states: Collection[ServerState], domain: str
+    ) -> Collection[str]:
+        """Return the servers that run requests with a suspected part.
+
+        Parameters
+        ----------
+        suspicion : Suspicion
+            Evidence against the part.
+        states : collection of ServerState
+            Servers that have capacity.
+        domain : str
+            Failure domain of this node.
+
+        Returns
+        -------
+        collection of str
+            Server ids; empty if the request should be placed like others.
+        """
+        if not states:
+            return ()
+        n_own = sum(suspicion.part in it for it in self._parts_in_progress.values())
+        # One request of this node does not show that all nodes have one.
+        n_in_progress = max(0, n_own - 1) * self._count_nodes()
+        return choose_confined_servers(
+            suspicion,
+            {it.name: it.domain for it in states},
+            domain=domain,
+            n_in_progress=n_in_progress,
+            n_slots=max(it.n_slots for it in states),
+        )
+
     def observe_send(self, exch: Exchange, server_id: str) -> None:
         """Record that a request was placed on a server."""
+        self._parts_in_progress[exch.exchange_id] = exch.part_ids
         if self.requests.needs_isolation(exch.request_digest):
             self._isolated[exch.exchange_id] = server_id
 
     def observe_end(self, exch: Exchange) -> None:
         """Record that an attempt at a request has ended."""
+        self._parts_in_progress.pop(exch.exchange_id, None)
         self._isolated.pop(exch.exchange_id, None)
 
     def find_blocked(self, exch: Exchange) -> str | None:
--- a/packages/medlargate/medlargate/relay/_node.py
+++ b/packages/medlargate/medlargate/relay/_node.py
@@ -168,7 +168,7 @@
             random_state=self.random_state,
             observe_decision=self.metrics.observe_queue_decision,
         )
-        self.crash_guard = CrashGuard(self.clock)
+        self.crash_guard = CrashGuard(self.clock, self._count_nodes)
         self.request_queue = RequestQueue(
             self.cluster_state,
             self.loads,
--- a/packages/medlargate/medlargate/relay/_request_handler.py
+++ b/packages/medlargate/medlargate/relay/_request_handler.py
@@ -361,6 +361,8 @@
             self._recorder.observe_event("speed_probe")
         elif assignment.state.machine_slowness > SLOW_MACHINE:
             self._recorder.observe_event("slow_machine")
+        if assignment.confined_for is not None:
+            self._recorder.observe_event("confined_send")
         server = assignment.server
         try:
             # The block may have come while the request waited.
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -25,6 +25,7 @@
     ServerState,
     ServiceTimes,
     SpillOptions,
+    Suspicion,
     TokenSupply,
     Verdict,
     accepts_any_server,
@@ -83,12 +84,15 @@
     fetch_from : str or None
         Address of the engine from which the server fetches the cached prefix of the
         prompt; None if nothing is fetched.
+    confined_for : str or None
+        Suspected prompt part to whose servers the request is confined.
     """
 
     server: Registration
     state: ServerState
     placement: Placement
     fetch_from: str | None = None
+    confined_for: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +195,8 @@
     cold : ColdServers
         Request rates of cold servers.
     crash_guard : CrashGuard
-        Names the servers that requests suspected of crashes should not share.
+        Names the servers that requests suspected of crashes should not share, or to
+        which they are confined.
     clock : callable
         Returns the node's monotonic time in seconds.
     observe_dispatch : callable
@@ -504,10 +509,14 @@
         waited = self._clock() - exch.arrived_at
         accept_any = accepts_any_server(waited=waited, target=exch.rule.target)
         states = self._make_states(exch, servers, times, dry_run=dry_run)
-        states = self.spillover.select(
+        limits = self._get_fill_limits(exch)
+        suspicion = self._crash_guard.find_suspicion(exch)
+        confined: list[ServerState] = []
+        if suspicion is not None:
+            confined = self._list_confined(exch, suspicion, states, times, limits)
+        states = confined or self.spillover.select(
             exch, states, times, accept_any=accept_any, dry_run=dry_run
         )
-        limits = self._get_fill_limits(exch)
         if accept_any or exch.service.engine is None:
             states = [
                 it
@@ -534,7 +543,37 @@
         if holder is not None and holder.zone in self._cluster_state.evacuated:
             holder = None
         fetch_from = holder.address if holder is not None else None
-        return ServerAssignment(servers[placement.name], state, placement, fetch_from)
+        return ServerAssignment(
+            servers[placement.name],
+            state,
+            placement,
+            fetch_from,
+            confined_for=suspicion.part if suspicion is not None and confined else None,
+        )
+
+    def _list_confined(
+        self,
+        exch: Exchange,
+        suspicion: Suspicion,
+        states: list[ServerState],
+        times: ServiceTimes,
+        limits: FillLimits | None,
+    ) -> list[ServerState]:
+        """Return the servers that run requests with a suspected part.
+
+        They are the same on all nodes, and may be in another failure domain.
+        """
+        registered = self._cluster_state.servers
+        open_states = [
+            it
+            for it in states
+            if self._can_accept(exch, it, times, True, limits)
+            and not self._crash_guard.has_crashed(registered[it.name])
+        ]
+        names = self._crash_guard.choose_confined_servers(
+            suspicion, open_states, self._loads.domain
+        )
+        return [it for it in open_states if it.name in names]
 
     def explain(self, exch: Exchange) -> PlacementOutlook:
         """Return where a request would go now, without a change of any state.
@@ -788,6 +827,7 @@
             risks_pauses=assignment.state.risks_pauses,
             machine_slowness=round(assignment.state.machine_slowness, 2),
             probe=assignment.state.probe_age is not None,
+            confined_for=assignment.confined_for,
             waited=round(now - exch.arrived_at, 3),
             servers_revision=self._cluster_state.servers_revision,
         )
--- a/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
+++ b/packages/medlargate/medlargate/relay/tests/test_prompt_part_crashes.py
@@ -70,6 +70,52 @@
         )
 
 
+class ConfinementTest(PromptPartCrashCase):
+    async def list_engines_in_use(self, requests):
+        """Send requests to both nodes; return the engines that get them.
+
+        Parameters
+        ----------
+        requests : list of tuple of str
+            Shared parts of each request.
+        """
+        for backend in self.world.backends.values():
+            backend.behaviour = lambda _: "late:0.6"
+        n_before = {
+            name: len(it.received_requests) for name, it in self.world.backends.items()
+        }
+        replies = await asyncio.gather(
+            *(self.send(*it, node=number % 2) for number, it in enumerate(requests))
+        )
+        self.assertEqual({it.status for it in replies}, {200})
+        return [
+            name
+            for name, it in self.world.backends.items()
+            if len(it.received_requests) > n_before[name]
+        ]
+
+    async def crash_after_answers(self):
+        """Crash two engines with a part on which an answer was completed before."""
+        for backend in self.world.backends.values():
+            backend.behaviour = lambda _: "ok"
+        self.assertEqual((await self.send(SHARED, CRASHING)).status, 200)
+        for backend in self.world.backends.values():
+            backend.behaviour = self.decide_behaviour
+        self.assertEqual(await self.crash_engines(2, SHARED, CRASHING), [502, 502])
+
+    async def test_requests_of_all_nodes_with_a_suspected_part_share_an_engine(self):
+        # Guards against a crash for each of the requests that are in progress.
+        await self.crash_after_answers()
+        engines = await self.list_engines_in_use([(SHARED, CRASHING)] * 6)
+        self.assertEqual(len(engines), 1)
+
+    async def test_other_requests_are_not_confined(self):
+        await self.crash_after_answers()
+        self.assertEqual((await self.send(SHARED, "good")).status, 200)
+        engines = await self.list_engines_in_use([(f"good{it}",) for it in range(6)])
+        self.assertGreater(len(engines), 1)
+
+
 class SharedPartTest(PromptPartCrashCase):
     async def test_requests_with_a_crashing_part_crash_at_most_three_engines(self):
         statuses = await self.crash_engines(6, SHARED, CRASHING)
