Weigh the evidence on crashes with less processor time

After ten or twenty servers crash at the same time, a node knows hundreds of parts with one crash.

Parts with fewer crashes than any rule asks for are now left out at once, separate crashes are counted only where all crashes would be enough, and the times of crashed runs are kept in a plain ordered dictionary. What is decided is the same.

--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -28,6 +28,7 @@
 # Nodes measure the times of crashes differently, and may count one less than a node
 # that has blocked a part.
 CONVICTION_MARGIN = 1  # crashes
+MIN_SUSPECT_CRASHES = MAX_PART_CRASHES - CONVICTION_MARGIN
 # Requests with a part may crash servers often and still be answered at times. Such a
 # part is blocked if so many servers crashed, for each completed answer and at least.
 MIN_CRASHES_PER_ANSWER = 2
@@ -170,9 +171,7 @@
     _alive: LRUCache[str, float] = field(
         default_factory=lambda: LRUCache(MAX_LIVE_RUNS)
     )
-    _run_crashes: LRUCache[str, float] = field(
-        default_factory=lambda: LRUCache(MAX_CRASHED_RUNS)
-    )
+    _run_crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _run_times: list[float] = field(default_factory=list)  # sorted
     _version: int = 0  # changes with the evidence
     _suspects: dict[str, tuple[bool, int, float]] = field(default_factory=dict)
@@ -243,6 +242,8 @@
         added = self._find_news(crashes, self._run_crashes)
         if added:
             self._run_crashes.update(added)
+            while len(self._run_crashes) > MAX_CRASHED_RUNS:
+                self._run_crashes.popitem(last=False)
             self._sort_run_times()
             self._version += 1
 
@@ -490,20 +491,22 @@
         With ``alone``, what other nodes have decided does not count.
         """
         record = self.records[part]
+        # Most parts after the loss of many servers have one crash.
+        if len(record.crashes) < MIN_SUSPECT_CRASHES or not self._is_enough(
+            part, record.crashes, alone=alone
+        ):
+            return False
+        n_crashes = self._count(record.crashes)
         if (
             part not in self.sound_at
             and now - min(record.crashes.values()) < KNOWLEDGE_TIME
-            and self._count(record.crashes) < MAX_SOUND_PART_CRASHES
+            and n_crashes < MAX_SOUND_PART_CRASHES
         ):
             return False
         block_time = (
-            BLOCK_TIME
-            if self._count(record.crashes) >= MIN_LONG_BLOCK_CRASHES
-            else SHORT_BLOCK_TIME
-        )
-        return now - record.crashed_at < block_time and self._is_enough(
-            part, record.crashes, alone=alone
+            BLOCK_TIME if n_crashes >= MIN_LONG_BLOCK_CRASHES else SHORT_BLOCK_TIME
         )
+        return now - record.crashed_at < block_time
 
     def _is_enough(
         self, part: str, crashes: Mapping[str, float], *, alone: bool = False
@@ -512,13 +515,18 @@
             part, NEVER
         ) > self.sound_at.get(part, NEVER)
         margin = CONVICTION_MARGIN if is_convicted else 0
-        if self._count_since_answer(part, crashes) + margin >= self._get_max_crashes(
-            part
-        ):
+        n_required = self._get_max_crashes(part) - margin
+        since_answer = self._select_since_answer(part, crashes)
+        # Counting separate crashes takes longest, and they are no more than all.
+        if len(since_answer) >= n_required and self._count(since_answer) >= n_required:
             return True
         n_answers = len(self.records[part].answers)
-        return self._count_frequent(part, crashes) + margin >= max(
-            MIN_FREQUENT_CRASHES, MIN_CRASHES_PER_ANSWER * n_answers
+        n_required = (
+            max(MIN_FREQUENT_CRASHES, MIN_CRASHES_PER_ANSWER * n_answers) - margin
+        )
+        return (
+            len(crashes) >= n_required
+            and self._count_frequent(part, crashes) >= n_required
         )
 
     def _get_max_crashes(self, part: str) -> int:
