--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -28,6 +28,7 @@
 # Nodes measure the times of crashes differently, and may count one less than a node
 # that has blocked a part.
 CONVICTION_MARGIN = 1  # crashes
+# No part with fewer crashes can be blocked.
 MIN_SUSPECT_CRASHES = MAX_PART_CRASHES - CONVICTION_MARGIN
 # Requests with a part may crash servers often and still be answered at times. Such a
 # part is blocked if so many servers crashed, for each completed answer and at least.
@@ -123,8 +124,7 @@
     share : float
         Share of the evidence that would block the part.
     n_crashed : int
-        Number of servers that crashed with it, of which weak ones and those close
-        together count whole.
+        Number of crashed servers, of which those that crashed together count singly.
     """
 
     part: str
