Let one mechanism batch all statuses of changes

Statuses on changed registrations had a pending flag and a timer of their own, beside those on crashes (Announcement), with the same delay. A status on crashes also cleared that flag, though its timer still ran, so that a further change could be sent twice.

broadcast_soon now requests an Announcement without an interval.

--- a/packages/medlargate/medlargate/relay/_announcements.py
+++ b/packages/medlargate/medlargate/relay/_announcements.py
@@ -17,8 +17,8 @@
         Returns the node's monotonic time in seconds.
     batch_delay : float
         Seconds for which further events are waited for.
-    get_interval : callable
-        Returns the seconds between two messages at least.
+    get_interval : callable, optional
+        Returns the seconds between two messages at least, 0 by default.
     """
 
     def __init__(
@@ -27,7 +27,7 @@
         clock: Callable[[], float],
         *,
         batch_delay: float,
-        get_interval: Callable[[], float],
+        get_interval: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._send = send
         self._clock = clock
--- a/packages/medlargate/medlargate/relay/_fleet_side.py
+++ b/packages/medlargate/medlargate/relay/_fleet_side.py
@@ -221,10 +221,12 @@
         self._started_at = clock()
         self._has_read_nodes = False
         self._pull_server = make_server(self._answer_peer, self._get_peer_limits)
-        self._broadcast_pending = False
         self._speeds_announced_at = float("-inf")
+        self._change_broadcast = Announcement(
+            self._broadcast_status, clock, batch_delay=CHANGE_BATCH_DELAY
+        )
         self._crash_broadcast = Announcement(
-            self._broadcast_changes,
+            self._broadcast_status,
             clock,
             batch_delay=CHANGE_BATCH_DELAY,
             get_interval=self._get_announce_interval,
@@ -535,12 +537,7 @@
 
     def broadcast_soon(self) -> None:
         """Send one status to all peers of the domain for a burst of changes."""
-        if self._broadcast_pending:
-            return
-        self._broadcast_pending = True
-        asyncio.get_running_loop().call_later(
-            CHANGE_BATCH_DELAY, self._broadcast_changes
-        )
+        self._change_broadcast.request()
 
     def _get_announce_interval(self) -> float:
         return max(MIN_ANNOUNCE_INTERVAL, self.table.compute_intra_domain_round())
@@ -576,8 +573,7 @@
         if self.is_watcher() or self.domains.is_domain_representative():
             self.broadcast_soon()
 
-    def _broadcast_changes(self) -> None:
-        self._broadcast_pending = False
+    def _broadcast_status(self) -> None:
         self.messenger.send_status(same_domain=True, all_peers=True)
 
     def list_forward_peers(self, service: str) -> list[ForwardPeer]:
