List crashed runs once for each confined request

To leave out servers known to have crashed, each candidate was looked up in all suspected parts: 7.0 ms for 118 servers beside 431 parts, at each try to place a suspected request. The choice is the same; the tests of the evidence and confinement (30) and of prompt parts that crash servers (11) pass.

--- a/packages/medlargate/medlargate/policy/_part_crashes.py
+++ b/packages/medlargate/medlargate/policy/_part_crashes.py
@@ -366,6 +366,10 @@
         """Return whether a crash of a run of a server is recorded for any part."""
         return any(server_run in it.crashes for it in self.records.values())
 
+    def list_crashed_runs(self) -> set[str]:
+        """Return the runs of servers of which a crash is recorded for any part."""
+        return set().union(*(it.crashes for it in self.records.values()))
+
     # Decisions
 
     def find_blocked(self, parts: Collection[str], *, now: float) -> str | None:
--- a/packages/medlargate/medlargate/relay/_crash_guard.py
+++ b/packages/medlargate/medlargate/relay/_crash_guard.py
@@ -251,6 +251,10 @@
         """Return whether any node has noticed a crash of a run of a server."""
         return self.parts.has_crashed(server.run_id)
 
+    def list_crashed_runs(self) -> Collection[str]:
+        """Return the runs of servers of which any node has noticed a crash."""
+        return self.parts.list_crashed_runs()
+
     def observe_alive(self, server: Registration) -> None:
         """Withdraw the crash of a run of a server that has shown signs of life.
 
--- a/packages/medlargate/medlargate/relay/_request_queue.py
+++ b/packages/medlargate/medlargate/relay/_request_queue.py
@@ -564,11 +564,12 @@
         They are the same on all nodes, and may be in another failure domain.
         """
         registered = self._cluster_state.servers
+        crashed = self._crash_guard.list_crashed_runs()
         open_states = [
             it
             for it in states
-            if self._can_accept(exch, it, times, True, limits)
-            and not self._crash_guard.has_crashed(registered[it.name])
+            if registered[it.name].run_id not in crashed
+            and self._can_accept(exch, it, times, True, limits)
         ]
         names = self._crash_guard.choose_confined_servers(
             suspicion, open_states, self._loads.domain
