--- a/review/kit2/crowd.py
+++ b/review/kit2/crowd.py
@@ -11,7 +11,7 @@
 from . import http1
 
 BODY_SIZE = 1_000_000  # bytes, under the MaxBodyBytes of 4,194,304
-RATE = 200_000  # bytes per second of one client, framing included
+RATE = 500_000  # bytes per second of one client, framing included
 TICK = 0.05  # seconds between two writes
 CHUNK = b"1\r\nx\r\n"
 
--- a/review/kit2/server.py
+++ b/review/kit2/server.py
@@ -15,7 +15,7 @@
 from . import http1
 
 BODY = b"certificate valid\n" * 44
-ENDLESS_RATE = 1_000_000  # bytes per second of one endless body
+ENDLESS_RATE = 4_000_000  # bytes per second of one endless body
 TICK = 0.02  # seconds between two writes of it
 
 
