--- a/review/kit2/fleet.py
+++ b/review/kit2/fleet.py
@@ -236,11 +236,11 @@
 def run_case(main: Any, folder: Path) -> None:
     """Run a case and exit with its status; 2 if it could not run."""
     record = Record(folder)
+    with_trouble = "--without-trouble" not in sys.argv[1:]
+    record(f"with the disruption: {with_trouble}")
     status = 2
     try:
-        status = asyncio.run(
-            asyncio.wait_for(main(record, os.environ.get("TROUBLE") != "0"), 115)
-        )
+        status = asyncio.run(asyncio.wait_for(main(record, with_trouble), 115))
     except Exception as exc:
         record(f"could not run: {exc!r}")
     record(f"exit status {status}")
